--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 PACKAGES := libh2o-evloop-dev libmsgpack-dev libglib2.0-dev libcunit1-dev \
 	libjson-c-dev libssl-dev libsodium-dev libxxhash-dev zlib1g-dev \
 	pkg-config gcc make clang clang-format clang-tidy libclang-rt-14-dev curl
-PROGS := entryd controld dhctl dhload fakes
+PROGS := entryd controld relayd groupd dhctl dhload fakes
 SOURCES = $(shell git ls-files '*.c' '*.h')
 JOBS ?= $(shell nproc)
 
@@ -20,6 +20,12 @@
 		if [ -n "$$(ls $$p/*.c 2>/dev/null)" ]; then \
 			$(MAKE) -C $$p all || exit 1; fi; done
 
+# What runs on the users' platform (deploy/system.toml).
+system:
+	$(MAKE) -C lib all
+	$(MAKE) -C relayd all
+	$(MAKE) -C groupd all
+
 tests: all
 	$(MAKE) -C tests all
 
@@ -63,5 +69,5 @@
 clean:
 	rm -rf build build-san build-fuzz
 
-.PHONY: all tests setup check demo bench soak fuzz check-san format \
+.PHONY: all system tests setup check demo bench soak fuzz check-san format \
 	format-check lint clean
--- /dev/null
+++ b/groupd/api.c
@@ -0,0 +1,228 @@
+/*
+ * Operators' calls: configurations, and failure domains taken out.
+ */
+#include <arpa/inet.h>
+#include <string.h>
+
+#include "groupd.h"
+
+/* A caller goes to another member after a second without an answer. */
+#define WAIT_MS 900
+
+#define BODY_MAX_BYTES GSTATE_PLAN_MAX_BYTES
+#define HEADER_MAX_BYTES (16U << 10)
+#define TIMEOUT_MS 10000
+#define IDLE_MS 30000
+
+static void
+answer (struct h1srv_conn *c, int status, const char *text)
+{
+	h1srv_answer (c, status, "Content-Type: application/json\r\n", text,
+		      strlen (text));
+}
+
+static void
+refuse (struct group *g, struct h1srv_conn *c, int status, const char *why)
+{
+	char *body = g_strdup_printf ("{\"error\":\"%s\"}\n", why);
+
+	g->refusals++;
+	log_event (LOG_LV_INFO, "api-refuse", "status=%d why=\"%s\"", status,
+		   why);
+	answer (c, status, body);
+	g_free (body);
+}
+
+/* The path is repeated, so that the caller's next call is the same one. */
+static void
+to_leader (struct group *g, struct h1srv_conn *c, const struct h1_head *h)
+{
+	const struct raft_member *m =
+		raft_config_find (&g->raft.config, g->raft.leader);
+	const char *colon = m != NULL ? strrchr (m->addr, ':') : NULL;
+	char *headers;
+
+	if (colon == NULL || m->id == g->id) {
+		refuse (g, c, 503, "no leader");
+		return;
+	}
+	headers = g_strdup_printf (
+		"Location: http://%.*s:%u%.*s\r\n", (int)(colon - m->addr),
+		m->addr, ntohs (g->api_addr.sin_port), (int)h->path_len,
+		h->path);
+	h1srv_answer (c, 307, headers, "", 0);
+	g_free (headers);
+}
+
+static void
+wait_for (struct group *g, struct h1srv_conn *c, uint64_t index, bool reads)
+{
+	struct waiting *w = g_new0 (struct waiting, 1);
+
+	w->conn = c;
+	w->index = index;
+	w->term = g->raft.term;
+	w->since_ms = tmr_now_ms ();
+	w->reads = reads;
+	h1srv_set_data (c, w);
+	g_ptr_array_add (g->waitings, w);
+	group_wake (g);
+}
+
+static void
+commit (struct group *g, struct h1srv_conn *c, enum gstate_kind kind,
+	const void *cmd)
+{
+	msgpack_sbuffer buf;
+	uint64_t index;
+	struct err e = {0};
+
+	msgpack_sbuffer_init (&buf);
+	gstate_command (kind, cmd, &buf);
+	if (raft_propose (&g->raft, buf.data, buf.size, &index, &e))
+		wait_for (g, c, index, false);
+	else
+		refuse (g, c, 503, e.msg);
+	msgpack_sbuffer_destroy (&buf);
+}
+
+static void
+put_plan (struct group *g, struct h1srv_conn *c, const GByteArray *body)
+{
+	struct gstate_plan cmd = {.text = {body->data, body->len}};
+	struct err e = {0};
+	struct plan *p =
+		g->dialect->plan ((const char *)body->data, body->len, &e);
+
+	if (p == NULL) {
+		refuse (g, c, 400, e.msg);
+		return;
+	}
+	cmd.version = p->version;
+	plan_unref (p);
+	log_event (LOG_LV_INFO, "plan-offered",
+		   "version=%" G_GUINT64_FORMAT " held=%" G_GUINT64_FORMAT
+		   " bytes=%u",
+		   cmd.version, g->state.version, body->len);
+	commit (g, c, GSTATE_PLAN, &cmd);
+}
+
+static void
+put_drain (struct group *g, struct h1srv_conn *c, const char *domain, bool out)
+{
+	struct gstate_drain cmd = {.out = out};
+
+	g_strlcpy (cmd.domain, domain, sizeof cmd.domain);
+	log_event (LOG_LV_INFO, "drain-offered", "domain=%s out=%d", domain,
+		   out);
+	commit (g, c, GSTATE_DRAIN, &cmd);
+}
+
+static void
+on_request (struct h1srv_conn *c, const struct h1_head *h,
+	    const GByteArray *body, void *ctx)
+{
+	struct group *g = ctx;
+	char domain[GSTATE_NAME_BYTES];
+	enum dia_call call = g->dialect->call (h, domain, sizeof domain);
+
+	if (call == DIA_OTHER || call == DIA_READY)
+		refuse (g, c, 404, "no such call");
+	else if (g->raft.role != RAFT_LEADER)
+		to_leader (g, c, h);
+	else if (call == DIA_PLAN_PUT)
+		put_plan (g, c, body);
+	else if (call == DIA_PLAN_GET)
+		wait_for (g, c, g->raft.commit, true);
+	else
+		put_drain (g, c, domain, call == DIA_DRAIN);
+}
+
+static void
+on_gone (struct h1srv_conn *c, void *ctx)
+{
+	struct waiting *w = h1srv_data (c);
+
+	(void)ctx;
+	if (w != NULL)
+		w->conn = NULL;
+}
+
+static const struct h1srv_ops api_ops = {
+	.request = on_request,
+	.gone = on_gone,
+};
+
+bool
+api_init (struct group *g, struct err *e)
+{
+	static const struct h1srv_limits limits = {
+		HEADER_MAX_BYTES, BODY_MAX_BYTES, TIMEOUT_MS, IDLE_MS};
+
+	g->waitings = g_ptr_array_new_with_free_func (g_free);
+	return h1srv_init (&g->api, g->d.loop, &g->api_addr, &limits, &api_ops,
+			   g, e);
+}
+
+static void
+answer_plan (struct group *g, struct h1srv_conn *c)
+{
+	gsize len = 0;
+	const void *text = g->state.text != NULL
+				   ? g_bytes_get_data (g->state.text, &len)
+				   : NULL;
+
+	if (text == NULL)
+		refuse (g, c, 503, "no configuration yet");
+	else
+		h1srv_answer (c, 200, "Content-Type: application/json\r\n",
+			      text, len);
+}
+
+void
+api_applied (struct group *g, const struct raft_entry *entry)
+{
+	for (guint i = g->waitings->len; i > 0; i--) {
+		struct waiting *w = g_ptr_array_index (g->waitings, i - 1);
+		struct h1srv_conn *c = w->conn;
+
+		if (w->reads || w->index != entry->index)
+			continue;
+		if (c != NULL)
+			h1srv_set_data (c, NULL);
+		if (c != NULL && w->term == entry->term) {
+			g->acks++;
+			log_event (LOG_LV_INFO, "acknowledge",
+				   "index=%" G_GUINT64_FORMAT
+				   " waited_ms=%" G_GUINT64_FORMAT,
+				   entry->index, tmr_now_ms () - w->since_ms);
+			answer (c, 200, "{}\n");
+		} else if (c != NULL) {
+			refuse (g, c, 503, "another leader's entry");
+		}
+		g_ptr_array_remove_index (g->waitings, i - 1);
+	}
+}
+
+/* Reads that may be answered, and calls that waited too long. */
+void
+api_tick (struct group *g, uint64_t now_ms)
+{
+	for (guint i = g->waitings->len; i > 0; i--) {
+		struct waiting *w = g_ptr_array_index (g->waitings, i - 1);
+		struct h1srv_conn *c = w->conn;
+		bool ready = w->reads &&
+			     raft_read_ready (&g->raft, w->index, w->since_ms,
+					      now_ms);
+
+		if (c != NULL && !ready && now_ms - w->since_ms < WAIT_MS)
+			continue;
+		if (c != NULL)
+			h1srv_set_data (c, NULL);
+		if (c != NULL && ready)
+			answer_plan (g, c);
+		else if (c != NULL)
+			refuse (g, c, 503, "not confirmed by a majority yet");
+		g_ptr_array_remove_index (g->waitings, i - 1);
+	}
+}
--- /dev/null
+++ b/groupd/groupd.h
@@ -0,0 +1,155 @@
+#ifndef DH_GROUPD_H
+#define DH_GROUPD_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+#include <h2o.h>
+
+#include "daemon.h"
+#include "dialect.h"
+#include "fleet.h"
+#include "gmsg.h"
+#include "gstate.h"
+#include "h1cli.h"
+#include "h1srv.h"
+#include "link.h"
+#include "raft.h"
+#include "set_daemons.h"
+#include "tmr.h"
+#include "wal.h"
+
+/*
+ * A member of the group that serves relays: it replicates the operator's
+ * configuration, reads the platform's list of endpoints and reports usage.
+ */
+
+/** struct member - another member, or an address where one may be */
+struct member {
+	struct group *g;
+	char addr[RAFT_NAME_BYTES];
+	struct link *out;
+	uint64_t heard_ms;  /* when a frame came over @out last */
+	uint64_t wanted_ms; /* when something last named the address */
+};
+
+/** struct asker - a link that was accepted: a relay, or another member */
+struct asker {
+	struct link *link;
+	bool is_relay;
+	uint64_t heard_ms;
+	uint64_t told_stamp; /* of the list sent last */
+};
+
+/** struct waiting - an operator's call that waits for the log */
+struct waiting {
+	struct h1srv_conn *conn; /* NULL once the operator is gone */
+	uint64_t index;          /* of the log */
+	uint64_t term;
+	uint64_t since_ms;
+	bool reads; /* the configuration is to be read back */
+};
+
+/** struct counts - what one start of a relay reported of one window */
+struct counts {
+	uint64_t window;
+	GArray *list; /* of struct gstate_count */
+};
+
+/** struct duty - the reporting of usage */
+struct duty {
+	GHashTable *relays; /* "name/incarnation" to GPtrArray of struct counts */
+	struct h1cli *call;
+	uint64_t call_window;
+	uint64_t told;       /* newest window that the platform took */
+	uint64_t leading_ms; /* since when this member leads; 0: it doesn't */
+	uint64_t again_ms;   /* not before this */
+};
+
+/** struct lister - the reading of the platform's list */
+struct lister {
+	struct h1cli *call;
+	GString *body;
+	int status;
+	GArray *pages; /* of struct fleet_info, while pages come */
+	GArray *list;  /* the whole list read last */
+	uint64_t stamp;
+	uint64_t list_ms; /* when its first page was asked for */
+	uint64_t begun_ms;
+	uint64_t next_ms;
+};
+
+/** struct group - this member */
+struct group {
+	struct set_groupd set;
+	const struct dialect *dialect;
+	struct daemon d;
+	struct link_self self;
+	struct link_server *server;
+	struct h1srv api;
+	struct h1srv metrics;
+	struct sockaddr_in peer_addr;
+	struct sockaddr_in api_addr;
+	uint64_t id;
+	struct wal wal;
+	struct raft raft;
+	struct gstate state;
+	struct err storage;
+	GPtrArray *members;  /* of struct member * */
+	GPtrArray *askers;   /* of struct asker * */
+	GPtrArray *waitings; /* of struct waiting * */
+	struct h1cli_host cloud;
+	struct lister lister;
+	struct duty duty;
+	struct tmr tick;
+	struct tmr flush;
+	bool flush_armed;
+	bool changed; /* askers are to be told the state */
+	uint64_t told_ms;
+	uint64_t joined_ms;
+	uint64_t leader_heard_ms;
+	bool leaving;
+	uint64_t leave_until_ms;
+	int status;
+	uint64_t acks, refusals, lists, list_errors;
+};
+
+/* main.c */
+void group_wake (struct group *g);
+bool group_leads (const struct group *g);
+bool group_is_fresh (const struct group *g);
+
+/* store.c: durable state */
+bool store_open (struct group *g, struct err *e);
+void store_close (struct group *g);
+
+/* peer.c: links */
+bool peer_init (struct group *g, struct err *e);
+void peer_finish (struct group *g);
+void peer_tick (struct group *g, uint64_t now_ms);
+void peer_send_raft (struct group *g, const struct raft_msg *m);
+void peer_tell_list (struct group *g);
+
+/* join.c: who is in the group */
+void join_ask (struct group *g, const struct gmsg_join *j, uint64_t now_ms);
+void join_tick (struct group *g, uint64_t now_ms);
+
+/* api.c: operators */
+bool api_init (struct group *g, struct err *e);
+void api_applied (struct group *g, const struct raft_entry *entry);
+void api_tick (struct group *g, uint64_t now_ms);
+
+/* cloud.c: the platform's list */
+void cloud_init (struct group *g);
+void cloud_finish (struct group *g);
+void cloud_tick (struct group *g, uint64_t now_ms);
+
+/* duty.c: usage reports */
+void duty_init (struct group *g);
+void duty_finish (struct group *g);
+void duty_take (struct group *g, const struct link *l,
+		const struct gmsg_report *r);
+void duty_tick (struct group *g, uint64_t now_ms);
+
+#endif
--- /dev/null
+++ b/groupd/main.c
@@ -0,0 +1,209 @@
+/*
+ * groupd: a member of the group that serves relays.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "groupd.h"
+#include "platform/platform.h"
+
+#define TICK_MS 25
+
+/* For a leader to hand over, and answers owed to be given. */
+#define LEAVE_MS 1500
+
+/* A leader not heard for so long may have been replaced. */
+#define FRESH_MS 1000
+
+#define LOG_LINES_PER_S 200
+
+static void
+flush (struct group *g)
+{
+	raft_flush (&g->raft, tmr_now_ms ());
+	if (g->raft.failed) {
+		g->status = EXIT_FAILURE;
+		daemon_stop (&g->d);
+	}
+}
+
+static void
+on_flush (void *ctx)
+{
+	struct group *g = ctx;
+	uint64_t now_ms;
+
+	g->flush_armed = false;
+	flush (g);
+	now_ms = tmr_now_ms ();
+	api_tick (g, now_ms);
+	if (g->changed)
+		peer_tick (g, now_ms);
+}
+
+void
+group_wake (struct group *g)
+{
+	if (g->flush_armed)
+		return;
+	g->flush_armed = true;
+	tmr_start (&g->flush, 0);
+}
+
+bool
+group_leads (const struct group *g)
+{
+	return g->raft.role == RAFT_LEADER;
+}
+
+bool
+group_is_fresh (const struct group *g)
+{
+	return group_leads (g) ||
+	       (g->raft.leader != 0 &&
+		tmr_now_ms () < g->raft.contact_ms + FRESH_MS);
+}
+
+static void
+leave_tick (struct group *g, uint64_t now_ms)
+{
+	bool leads = group_leads (g);
+	bool alone = raft_config_voters (&g->raft.config) < 2;
+
+	if (leads && !alone && g->raft.transfer_to == 0)
+		(void)raft_transfer (&g->raft, 0, NULL);
+	if (now_ms < g->leave_until_ms &&
+	    ((leads && !alone) || g->waitings->len > 0))
+		return;
+	log_event (LOG_LV_INFO, "stop", "leads=%d", leads);
+	daemon_stop (&g->d);
+}
+
+static void
+on_terminate (void *ctx)
+{
+	struct group *g = ctx;
+
+	if (g->leaving) {
+		daemon_stop (&g->d);
+		return;
+	}
+	log_event (LOG_LV_INFO, "leave", "leads=%d", group_leads (g));
+	g->leaving = true;
+	g->leave_until_ms = tmr_now_ms () + LEAVE_MS;
+	h1srv_leave (&g->api);
+}
+
+static void
+on_tick (void *ctx)
+{
+	struct group *g = ctx;
+	uint64_t now_ms = tmr_now_ms ();
+
+	tmr_start (&g->tick, TICK_MS);
+	raft_tick (&g->raft, now_ms);
+	flush (g);
+	join_tick (g, now_ms);
+	api_tick (g, now_ms);
+	peer_tick (g, now_ms);
+	cloud_tick (g, now_ms);
+	duty_tick (g, now_ms);
+	if (g->leaving)
+		leave_tick (g, now_ms);
+}
+
+static bool
+group_load (struct group *g, const char *file, struct err *e)
+{
+	if (!set_load (file, set_groupd_rows, &g->set, NULL, e) ||
+	    !set_secret_load (g->set.cluster_key_file, g->self.cluster_key,
+			      sizeof g->self.cluster_key, e) ||
+	    !link_addr_parse (g->set.peer, &g->peer_addr, e) ||
+	    !link_addr_parse (g->set.api, &g->api_addr, e))
+		return false;
+	g_strlcpy (g->self.name, g->set.name, sizeof g->self.name);
+	g_strlcpy (g->self.role, "group", sizeof g->self.role);
+	g->self.incarnation = tmr_wall_ms ();
+	g->self.from = g->peer_addr.sin_addr;
+	return true;
+}
+
+static void
+on_reload (void *ctx)
+{
+	struct group *g = ctx;
+
+	log_event (LOG_LV_INFO, "reload", "what=nothing");
+	g->changed = true;
+}
+
+static bool
+group_start (struct group *g, struct err *e)
+{
+	static const struct daemon_ops ops = {.terminate = on_terminate,
+					      .reload = on_reload};
+
+	if (!daemon_init (&g->d, &ops, g, e))
+		return false;
+	tmr_init (&g->tick, g->d.loop, on_tick, g);
+	tmr_init (&g->flush, g->d.loop, on_flush, g);
+	if (!store_open (g, e) || !api_init (g, e))
+		return false;
+	cloud_init (g);
+	duty_init (g);
+	if (!peer_init (g, e))
+		return false;
+	raft_start (&g->raft, tmr_now_ms ());
+	tmr_start (&g->tick, 1);
+	log_event (LOG_LV_INFO, "start", "api=%s peer=%s", g->set.api,
+		   g->set.peer);
+	return true;
+}
+
+static void
+group_finish (struct group *g)
+{
+	tmr_finish (&g->tick);
+	tmr_finish (&g->flush);
+	h1srv_finish (&g->api);
+	peer_finish (g);
+	duty_finish (g);
+	cloud_finish (g);
+	g_ptr_array_free (g->waitings, TRUE);
+	store_close (g);
+	daemon_finish (&g->d);
+}
+
+int
+main (int argc, char **argv)
+{
+	struct group *g = g_new0 (struct group, 1);
+	struct daemon_opts opts;
+	struct err e = {0};
+	bool ok;
+
+	daemon_args (&opts, "groupd",
+		     "groupd -- group member of dragonflyhinge for relays",
+		     argc, argv);
+	g->dialect = &platform_dialect;
+	ok = opts.file != NULL ? group_load (g, opts.file, &e)
+			       : err_set (&e, ERR_SETTINGS, "-f is missing");
+	if (ok && !opts.check_only) {
+		log_init ("groupd", g->set.name, opts.level);
+		log_to_stdout (LOG_LINES_PER_S);
+		ok = group_start (g, &e);
+		if (ok) {
+			daemon_run (&g->d);
+			group_finish (g);
+		}
+	}
+	if (!ok) {
+		fprintf (stderr, "groupd: %s\n", e.msg);
+		g->status = EXIT_FAILURE;
+	}
+	ok = g->status == 0;
+	set_release (set_groupd_rows, &g->set);
+	g_free (g);
+	return ok ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/groupd/peer.c
@@ -0,0 +1,380 @@
+/*
+ * Links: to the other members, and from members and relays.
+ */
+#include <arpa/inet.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "groupd.h"
+
+/* A link that carried nothing for so long may be silent for good. */
+#define SILENT_MS 1500
+
+/* An address that nothing names any more is no longer tried. */
+#define UNWANTED_MS 60000
+
+static const struct link_ops asker_ops;
+static const struct link_ops member_ops;
+
+static struct member *
+member_get (struct group *g, const char *addr)
+{
+	struct sockaddr_in to;
+	struct member *m;
+
+	for (guint i = 0; i < g->members->len; i++) {
+		m = g_ptr_array_index (g->members, i);
+		if (strcmp (m->addr, addr) == 0) {
+			m->wanted_ms = tmr_now_ms ();
+			return m;
+		}
+	}
+	if (!link_addr_parse (addr, &to, NULL) ||
+	    strcmp (addr, g->set.peer) == 0)
+		return NULL;
+	m = g_new0 (struct member, 1);
+	m->g = g;
+	m->heard_ms = m->wanted_ms = tmr_now_ms ();
+	g_strlcpy (m->addr, addr, sizeof m->addr);
+	g_ptr_array_add (g->members, m);
+	m->out = link_connect (g->d.loop, &g->self, &to, &member_ops, m);
+	return m;
+}
+
+static void
+member_free (struct member *m)
+{
+	link_free (m->out);
+	g_free (m);
+}
+
+/* Whom to be linked with: the group's members, and the seeds. */
+static void
+members_wanted (struct group *g)
+{
+	for (uint32_t i = 0; i < g->raft.config.count; i++)
+		member_get (g, g->raft.config.members[i].addr);
+	for (guint i = 0; i < g->set.seeds->len; i++) {
+		const char *seed = g_ptr_array_index (g->set.seeds, i);
+		const char *colon = strrchr (seed, ':');
+		char addr[RAFT_NAME_BYTES];
+
+		g_snprintf (addr, sizeof addr, "%.*s:%u", (int)(colon - seed),
+			    seed, ntohs (g->peer_addr.sin_port));
+		member_get (g, addr);
+	}
+}
+
+static struct asker *
+asker_find (struct group *g, const struct link *l)
+{
+	for (guint i = 0; i < g->askers->len; i++) {
+		struct asker *a = g_ptr_array_index (g->askers, i);
+
+		if (a->link == l)
+			return a;
+	}
+	return NULL;
+}
+
+static const char *
+member_addr (struct group *g, uint64_t id)
+{
+	const struct raft_member *m = raft_config_find (&g->raft.config, id);
+
+	return m != NULL ? m->addr : NULL;
+}
+
+void
+peer_send_raft (struct group *g, const struct raft_msg *m)
+{
+	const char *addr = member_addr (g, m->to);
+	struct member *to = addr != NULL ? member_get (g, addr) : NULL;
+
+	if (to != NULL)
+		link_send (to->out, FRAME_RAFT, raft_msg_fields, m);
+}
+
+static uint32_t
+relay_count (struct group *g)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < g->askers->len; i++)
+		n += ((struct asker *)g_ptr_array_index (g->askers, i))
+			     ->is_relay;
+	return n;
+}
+
+static void
+tell_state (struct group *g, struct link *l, uint64_t now_ms)
+{
+	struct gstate_drain drains[GSTATE_DOMAINS_MAX] = {0};
+	struct gmsg_addr addrs[RAFT_MEMBERS_MAX] = {0};
+	struct gmsg_state s = {
+		.version = g->state.version,
+		.drain_index = g->state.drain_index,
+		.leads = group_leads (g),
+		.fresh = group_is_fresh (g),
+		.list_stamp = g->lister.stamp,
+		.list_age_ms = (uint32_t)(now_ms - g->lister.list_ms),
+		.relays = relay_count (g),
+		.sealed = g->state.sealed,
+		.wall_ms = tmr_wall_ms (),
+	};
+
+	for (guint i = 0; i < g->state.domains->len; i++)
+		g_strlcpy (drains[i].domain,
+			   g_ptr_array_index (g->state.domains, i),
+			   sizeof drains[i].domain);
+	s.domains.items = drains;
+	s.domains.count = g->state.domains->len;
+	for (uint32_t i = 0; i < g->raft.config.count; i++)
+		g_strlcpy (addrs[i].addr, g->raft.config.members[i].addr,
+			   sizeof addrs[i].addr);
+	s.members.items = addrs;
+	s.members.count = g->raft.config.count;
+	link_send (l, FRAME_GROUP_STATE, gmsg_state_fields, &s);
+}
+
+static void
+tell_list (struct group *g, struct asker *a, uint64_t now_ms)
+{
+	struct gmsg_list m = {
+		.stamp = g->lister.stamp,
+		.age_ms = (uint32_t)(now_ms - g->lister.list_ms),
+	};
+
+	if (g->lister.list == NULL)
+		return;
+	m.list.items = g->lister.list->data;
+	m.list.count = g->lister.list->len;
+	a->told_stamp = m.stamp;
+	link_send (a->link, FRAME_GROUP_LIST, gmsg_list_fields, &m);
+}
+
+void
+peer_tell_list (struct group *g)
+{
+	for (guint i = 0; i < g->askers->len; i++) {
+		struct asker *a = g_ptr_array_index (g->askers, i);
+
+		if (a->is_relay && a->told_stamp != g->lister.stamp)
+			tell_list (g, a, tmr_now_ms ());
+	}
+}
+
+static void
+tell_plan (struct group *g, struct link *l)
+{
+	struct gmsg_plan m = {.version = g->state.version};
+	gsize len = 0;
+
+	if (g->state.text == NULL)
+		return;
+	m.text.data = g_bytes_get_data (g->state.text, &len);
+	m.text.len = (uint32_t)len;
+	link_send (l, FRAME_GROUP_PLAN, gmsg_plan_fields, &m);
+}
+
+/* A state that another member told names members that we may not know. */
+static void
+take_state (struct group *g, const struct gmsg_state *s)
+{
+	const struct gmsg_addr *a = s->members.items;
+
+	for (uint32_t i = 0; i < s->members.count; i++)
+		member_get (g, a[i].addr);
+}
+
+static void
+take_frame (struct group *g, struct link *l, uint8_t kind, const uint8_t *body,
+	    size_t len)
+{
+	uint64_t now_ms = tmr_now_ms ();
+	struct asker *a = asker_find (g, l);
+	msgpack_zone zone;
+	struct err e = {0};
+	union {
+		struct raft_msg raft;
+		struct gmsg_join join;
+		struct gmsg_state state;
+		struct gmsg_ask ask;
+		struct gmsg_report report;
+	} u;
+	bool ok = true;
+
+	msgpack_zone_init (&zone, MSGPACK_ZONE_CHUNK_SIZE);
+	if (kind == FRAME_RAFT) {
+		ok = msg_unpack (raft_msg_fields, body, len, &u.raft, &zone,
+				 &e);
+		if (ok)
+			raft_step (&g->raft, &u.raft, now_ms);
+		group_wake (g);
+	} else if (kind == FRAME_GROUP_JOIN) {
+		ok = msg_unpack (gmsg_join_fields, body, len, &u.join, &zone,
+				 &e);
+		if (ok)
+			join_ask (g, &u.join, now_ms);
+	} else if (kind == FRAME_GROUP_STATE) {
+		ok = msg_unpack (gmsg_state_fields, body, len, &u.state, &zone,
+				 &e);
+		if (ok)
+			take_state (g, &u.state);
+	} else if (kind == FRAME_GROUP_ASK && a != NULL) {
+		ok = msg_unpack (gmsg_ask_fields, body, len, &u.ask, &zone,
+				 &e);
+		if (ok && u.ask.plan)
+			tell_plan (g, l);
+		if (ok && u.ask.list)
+			tell_list (g, a, now_ms);
+	} else if (kind == FRAME_GROUP_REPORT) {
+		ok = msg_unpack (gmsg_report_fields, body, len, &u.report,
+				 &zone, &e);
+		if (ok)
+			duty_take (g, l, &u.report);
+	}
+	msgpack_zone_destroy (&zone);
+	if (!ok)
+		log_event (LOG_LV_WARN, "frame", "peer=%s kind=%u why=\"%s\"",
+			   link_peer_name (l), kind, e.msg);
+}
+
+static void
+member_up (struct link *l, void *ctx)
+{
+	struct member *m = ctx;
+
+	(void)l;
+	m->heard_ms = tmr_now_ms ();
+	log_event (LOG_LV_INFO, "member-up", "addr=%s", m->addr);
+}
+
+static void
+member_frame (struct link *l, uint8_t kind, const uint8_t *body, size_t len,
+	      void *ctx)
+{
+	struct member *m = ctx;
+
+	m->heard_ms = tmr_now_ms ();
+	take_frame (m->g, l, kind, body, len);
+}
+
+static void
+member_down (struct link *l, const char *why, void *ctx)
+{
+	struct member *m = ctx;
+
+	(void)l;
+	log_event (LOG_LV_INFO, "member-down", "addr=%s why=\"%s\"", m->addr,
+		   why);
+}
+
+static const struct link_ops member_ops = {
+	.up = member_up,
+	.frame = member_frame,
+	.down = member_down,
+};
+
+static void
+asker_up (struct link *l, void *ctx)
+{
+	struct group *g = ctx;
+	struct asker *a = g_new0 (struct asker, 1);
+
+	a->link = l;
+	a->is_relay = strcmp (link_peer_role (l), "relay") == 0;
+	a->heard_ms = tmr_now_ms ();
+	g_ptr_array_add (g->askers, a);
+	tell_state (g, l, a->heard_ms);
+}
+
+static void
+asker_frame (struct link *l, uint8_t kind, const uint8_t *body, size_t len,
+	     void *ctx)
+{
+	struct group *g = ctx;
+	struct asker *a = asker_find (g, l);
+
+	if (a != NULL)
+		a->heard_ms = tmr_now_ms ();
+	take_frame (g, l, kind, body, len);
+}
+
+static void
+asker_down (struct link *l, const char *why, void *ctx)
+{
+	struct group *g = ctx;
+	struct asker *a = asker_find (g, l);
+
+	(void)why;
+	if (a == NULL)
+		return;
+	g_ptr_array_remove_fast (g->askers, a);
+	g_free (a);
+}
+
+static const struct link_ops asker_ops = {
+	.up = asker_up,
+	.frame = asker_frame,
+	.down = asker_down,
+};
+
+bool
+peer_init (struct group *g, struct err *e)
+{
+	g->members = g_ptr_array_new ();
+	g->askers = g_ptr_array_new ();
+	g->server = link_listen (g->d.loop, &g->self, &g->peer_addr, &asker_ops,
+				 g, e);
+	if (g->server == NULL)
+		return false;
+	members_wanted (g);
+	return true;
+}
+
+void
+peer_finish (struct group *g)
+{
+	for (guint i = 0; i < g->members->len; i++)
+		member_free (g_ptr_array_index (g->members, i));
+	g_ptr_array_free (g->members, TRUE);
+	link_server_free (g->server);
+	for (guint i = 0; i < g->askers->len; i++)
+		g_free (g_ptr_array_index (g->askers, i));
+	g_ptr_array_free (g->askers, TRUE);
+}
+
+static void
+close_silent (struct group *g, uint64_t now_ms)
+{
+	for (guint i = g->members->len; i > 0; i--) {
+		struct member *m = g_ptr_array_index (g->members, i - 1);
+
+		if (now_ms - m->wanted_ms > UNWANTED_MS) {
+			g_ptr_array_remove_index_fast (g->members, i - 1);
+			member_free (m);
+		} else if (link_is_up (m->out) &&
+			   now_ms - m->heard_ms > SILENT_MS) {
+			m->heard_ms = now_ms;
+			link_close (m->out, "silent");
+		}
+	}
+}
+
+void
+peer_tick (struct group *g, uint64_t now_ms)
+{
+	if (!g->changed && now_ms - g->told_ms < GROUP_STATE_MS)
+		return;
+	g->changed = false;
+	g->told_ms = now_ms;
+	members_wanted (g);
+	close_silent (g, now_ms);
+	for (guint i = 0; i < g->askers->len; i++)
+		tell_state (g,
+			    ((struct asker *)g_ptr_array_index (g->askers, i))
+				    ->link,
+			    now_ms);
+}
--- /dev/null
+++ b/groupd/store.c
@@ -0,0 +1,304 @@
+/*
+ * The log core's owner: durable state in the data folder, and the state that
+ * entries are applied to.
+ */
+#include <errno.h>
+#include <string.h>
+#include <sys/stat.h>
+
+#include <sodium.h>
+#include <xxhash.h>
+
+#include "groupd.h"
+
+/* Elections end well within the time that operators and relays allow, and a
+ * process that is held up for half a second is not taken for dead. */
+#define HEARTBEAT_MS 100
+#define ELECTION_MS 700
+#define LEASE_MARGIN_MS 100
+
+#define SNAPSHOT_ENTRIES 200
+#define SNAPSHOT_MIN_BYTES (1U << 20)
+#define LOG_MAX_BYTES (16U << 20)
+#define KEEP_ENTRIES 50
+
+static const struct raft_times times = {HEARTBEAT_MS, ELECTION_MS,
+					LEASE_MARGIN_MS};
+static const struct raft_limits limits = {.snapshot_entries = SNAPSHOT_ENTRIES,
+					  .snapshot_bytes = SNAPSHOT_MIN_BYTES,
+					  .max_bytes = LOG_MAX_BYTES,
+					  .keep_entries = KEEP_ENTRIES};
+
+/* A failed write is final: the process ends and reads the folder again. */
+static bool
+check (struct group *g, bool ok)
+{
+	if (!ok)
+		log_event (LOG_LV_ERROR, "storage", "kind=%s why=\"%s\"",
+			   err_name (g->storage.kind), g->storage.msg);
+	return ok;
+}
+
+static void
+op_send (const struct raft_msg *m, void *ctx)
+{
+	peer_send_raft (ctx, m);
+}
+
+static bool
+op_save_vote (uint64_t term, uint64_t vote, void *ctx)
+{
+	struct group *g = ctx;
+
+	return check (g, wal_vote (&g->wal, term, vote, &g->storage));
+}
+
+static bool
+op_append (const struct raft_entry *entry, void *ctx)
+{
+	struct group *g = ctx;
+
+	group_wake (g);
+	return check (g, wal_append (&g->wal, entry, &g->storage));
+}
+
+static bool
+op_truncate (uint64_t index, void *ctx)
+{
+	struct group *g = ctx;
+
+	log_event (LOG_LV_INFO, "log-truncate", "from=%" G_GUINT64_FORMAT,
+		   index);
+	return check (g, wal_truncate (&g->wal, index, &g->storage));
+}
+
+static bool
+op_sync (void *ctx)
+{
+	struct group *g = ctx;
+
+	return check (g, wal_sync (&g->wal, &g->storage));
+}
+
+static void
+op_apply (const struct raft_entry *entry, void *ctx)
+{
+	struct group *g = ctx;
+	uint64_t version = g->state.version;
+	uint64_t drains = g->state.drain_index;
+	struct err e = {0};
+
+	if (entry->kind == RAFT_ENTRY_COMMAND &&
+	    !gstate_apply (&g->state, entry->index, entry->data.data,
+			   entry->data.len, &e))
+		log_event (LOG_LV_ERROR, "apply",
+			   "index=%" G_GUINT64_FORMAT " why=\"%s\"",
+			   entry->index, e.msg);
+	if (g->state.version != version || g->state.drain_index != drains) {
+		log_event (LOG_LV_INFO, "applied",
+			   "index=%" G_GUINT64_FORMAT
+			   " version=%" G_GUINT64_FORMAT " domains_out=%u",
+			   entry->index, g->state.version,
+			   g->state.domains->len);
+		g->changed = true;
+	}
+	api_applied (g, entry);
+}
+
+static bool
+op_snapshot (uint64_t index, uint64_t term, const struct raft_config *config,
+	     uint64_t base, void *ctx)
+{
+	struct group *g = ctx;
+	struct wal_snapshot s = {
+		.index = index, .term = term, .config = config};
+	msgpack_sbuffer buf;
+	bool ok;
+
+	msgpack_sbuffer_init (&buf);
+	gstate_snapshot (&g->state, &buf);
+	s.data = buf.data;
+	s.len = buf.size;
+	ok = wal_snapshot (&g->wal, &s, &g->raft.log, base, &g->storage);
+	log_event (LOG_LV_INFO, "snapshot",
+		   "index=%" G_GUINT64_FORMAT " bytes=%zu", index, buf.size);
+	msgpack_sbuffer_destroy (&buf);
+	return check (g, ok);
+}
+
+static bool
+op_chunk (uint64_t offset, size_t max, struct msg_bytes *chunk, bool *last,
+	  void *ctx)
+{
+	struct group *g = ctx;
+
+	return check (
+		g, wal_chunk (&g->wal, offset, max, chunk, last, &g->storage));
+}
+
+static bool
+op_install (uint64_t index, uint64_t term, const struct raft_config *config,
+	    const void *data, size_t len, void *ctx)
+{
+	struct group *g = ctx;
+	struct wal_snapshot s = {.index = index,
+				 .term = term,
+				 .config = config,
+				 .data = data,
+				 .len = len};
+
+	g->changed = true;
+	log_event (LOG_LV_INFO, "snapshot-install",
+		   "index=%" G_GUINT64_FORMAT " bytes=%zu", index, len);
+	return check (g, gstate_restore (&g->state, data, len, &g->storage) &&
+				 wal_install (&g->wal, &s, &g->storage));
+}
+
+static void
+op_role (void *ctx)
+{
+	struct group *g = ctx;
+
+	log_event (LOG_LV_INFO, "role",
+		   "role=%s term=%" G_GUINT64_FORMAT
+		   " leader=%016" G_GINT64_MODIFIER "x voters=%u",
+		   raft_role_name (g->raft.role), g->raft.term, g->raft.leader,
+		   raft_config_voters (&g->raft.config));
+	g->changed = true;
+	group_wake (g);
+}
+
+static const struct raft_ops ops = {
+	.send = op_send,
+	.save_vote = op_save_vote,
+	.append = op_append,
+	.truncate = op_truncate,
+	.sync = op_sync,
+	.apply = op_apply,
+	.snapshot = op_snapshot,
+	.snapshot_chunk = op_chunk,
+	.install = op_install,
+	.role = op_role,
+};
+
+static bool
+load (struct group *g, const struct wal_state *st, struct err *e)
+{
+	g->id = st->id;
+	raft_init (&g->raft, st->id, &times, &limits, &ops, g,
+		   randombytes_random ());
+	raft_load_vote (&g->raft, st->term, st->vote);
+	if (st->snap_index > 0) {
+		if (!gstate_restore (&g->state, st->snap_data->data,
+				     st->snap_data->len, e))
+			return false;
+		raft_load_snapshot (&g->raft, st->snap_index, st->snap_term,
+				    &st->snap_config);
+	}
+	raft_load_base (&g->raft, st->base, st->base_term);
+	for (guint i = 0; i < st->entries->len; i++) {
+		if (!raft_load_entry (&g->raft,
+				      g_ptr_array_index (st->entries, i), e))
+			return false;
+	}
+	log_event (LOG_LV_INFO, "loaded",
+		   "id=%016" G_GINT64_MODIFIER "x term=%" G_GUINT64_FORMAT
+		   " snapshot=%" G_GUINT64_FORMAT " last=%" G_GUINT64_FORMAT,
+		   st->id, st->term, st->snap_index,
+		   st->base + st->entries->len);
+	return true;
+}
+
+/* Founders must agree on each other's ids without a word between them. */
+static uint64_t
+founder_id (const char *addr)
+{
+	return XXH64 (addr, strlen (addr), 0) | 1;
+}
+
+static gint
+by_text (gconstpointer a, gconstpointer b)
+{
+	return strcmp (*(const char *const *)a, *(const char *const *)b);
+}
+
+/* The seeds, with this member's peer port, as the first voters. */
+static void
+founders (const struct group *g, struct raft_config *c)
+{
+	GPtrArray *addrs = g_ptr_array_new_with_free_func (g_free);
+
+	for (guint i = 0; i < g->set.seeds->len; i++) {
+		const char *seed = g_ptr_array_index (g->set.seeds, i);
+		const char *colon = strrchr (seed, ':');
+
+		g_ptr_array_add (addrs,
+				 g_strdup_printf ("%.*s:%u",
+						  (int)(colon - seed), seed,
+						  ntohs (g->peer_addr.sin_port)));
+	}
+	g_ptr_array_sort (addrs, by_text);
+	*c = (struct raft_config){0};
+	for (guint i = 0; i < addrs->len; i++) {
+		struct raft_member *m = &c->members[c->count++];
+		const char *addr = g_ptr_array_index (addrs, i);
+
+		m->id = founder_id (addr);
+		m->voter = true;
+		g_strlcpy (m->name, addr, sizeof m->name);
+		g_strlcpy (m->addr, addr, sizeof m->addr);
+	}
+	g_ptr_array_free (addrs, TRUE);
+}
+
+/*
+ * An empty folder: a founder, or a member that asks to join under a new id.
+ * One whose disk was lost must not vote under the id it had, since it would
+ * deny what it had made durable.
+ */
+static bool
+create (struct group *g, struct err *e)
+{
+	struct raft_config c;
+	uint64_t own = founder_id (g->set.peer), id;
+	bool founds;
+
+	founders (g, &c);
+	founds = g->set.found && raft_config_find (&c, own) != NULL;
+	do {
+		randombytes_buf (&id, sizeof id);
+	} while (id == 0);
+	log_event (LOG_LV_INFO, "create", "founder=%d", founds);
+	return wal_create (g->set.data_dir, founds ? own : id,
+			   founds ? &c : NULL, NULL, e);
+}
+
+bool
+store_open (struct group *g, struct err *e)
+{
+	struct wal_state st;
+	bool ok;
+
+	gstate_init (&g->state);
+	if (mkdir (g->set.data_dir, 0700) != 0 && errno != EEXIST)
+		log_event (LOG_LV_WARN, "mkdir", "dir=%s why=\"%s\"",
+			   g->set.data_dir, strerror (errno));
+	ok = wal_open (&g->wal, g->set.data_dir, NULL, NULL, &st, e);
+	if (!ok && e->kind == ERR_NOT_FOUND) {
+		wal_state_finish (&st);
+		err_clear (e);
+		ok = create (g, e) && wal_open (&g->wal, g->set.data_dir, NULL,
+						NULL, &st, e);
+	}
+	ok = ok && load (g, &st, e);
+	wal_state_finish (&st);
+	return ok;
+}
+
+void
+store_close (struct group *g)
+{
+	raft_finish (&g->raft);
+	wal_finish (&g->wal);
+	gstate_finish (&g->state);
+}
--- /dev/null
+++ b/lib/evs.c
@@ -0,0 +1,91 @@
+/*
+ * Opaque event streams.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "evs.h"
+
+void
+evs_init (struct evs *s, int64_t last_id)
+{
+	*s = (struct evs){.partial = g_string_new (NULL), .last_id = last_id};
+}
+
+void
+evs_finish (struct evs *s)
+{
+	if (s->partial != NULL)
+		g_string_free (s->partial, TRUE);
+	s->partial = NULL;
+}
+
+/* Bytes of the first event in @text, its empty line included; 0 for none. */
+static size_t
+event_len (const char *text, size_t len)
+{
+	for (size_t i = 0; i + 1 < len; i++) {
+		if (text[i] != '\n')
+			continue;
+		if (text[i + 1] == '\n')
+			return i + 2;
+		if (i + 2 < len && text[i + 1] == '\r' && text[i + 2] == '\n')
+			return i + 3;
+	}
+	return 0;
+}
+
+/* The id that an event states, or -1. */
+static int64_t
+event_id (const char *text, size_t len)
+{
+	const char *at = text, *end = text + len;
+
+	while (at < end) {
+		const char *stop = memchr (at, '\n', (size_t)(end - at));
+
+		if (end - at > 3 && memcmp (at, "id:", 3) == 0)
+			return strtoll (at + 3, NULL, 10);
+		if (stop == NULL)
+			break;
+		at = stop + 1;
+	}
+	return -1;
+}
+
+bool
+evs_feed (struct evs *s, const char *data, size_t len, GString *out)
+{
+	size_t n, used = 0;
+
+	g_string_append_len (s->partial, data, (gssize)len);
+	while ((n = event_len (s->partial->str + used,
+			       s->partial->len - used)) > 0) {
+		const char *event = s->partial->str + used;
+		int64_t id = event_id (event, n);
+
+		used += n;
+		if (id >= 0 && id <= s->last_id) {
+			s->repeated++;
+			continue;
+		}
+		if (id >= 0)
+			s->last_id = id;
+		s->events++;
+		g_string_append_len (out, event, (gssize)n);
+	}
+	g_string_erase (s->partial, 0, (gssize)used);
+	return s->partial->len <= EVS_EVENT_MAX_BYTES;
+}
+
+bool
+evs_is_partial (const struct evs *s)
+{
+	return s->partial->len > 0;
+}
+
+void
+evs_restart (struct evs *s)
+{
+	g_string_truncate (s->partial, 0);
+}
--- /dev/null
+++ b/lib/fleet.c
@@ -0,0 +1,291 @@
+/*
+ * Endpoints as one relay knows them.
+ */
+#include <string.h>
+
+#include "dialect.h"
+#include "fleet.h"
+
+/* A lost connection is mostly one endpoint's restart, which takes seconds;
+ * asking costs a slot there. */
+#define ASK_FIRST_MS 250
+#define ASK_MAX_MS 2000
+
+/* Answers that weigh in the share of failed ones: the last ten or so. */
+#define FAILING_WEIGHT 0.12
+
+/* Above this share an endpoint is avoided for a while, if others are left. */
+#define FAILING_LIMIT 0.3
+#define AVOID_MS 2000
+
+/* Cached parts share an engine's memory with running requests. */
+#define CACHE_SHARE 0.6
+
+const struct msg_field fleet_info_fields[] = {
+	MSG_FIELD (1, MSG_STR, struct fleet_info, id),
+	MSG_FIELD (2, MSG_STR, struct fleet_info, service),
+	MSG_FIELD (3, MSG_STR, struct fleet_info, domain),
+	MSG_FIELD (4, MSG_STR, struct fleet_info, addr),
+	MSG_FIELD (5, MSG_U32, struct fleet_info, slots),
+	MSG_FIELD (6, MSG_U32, struct fleet_info, cold_ms),
+	MSG_FIELD (7, MSG_BOOL, struct fleet_info, leaving),
+	MSG_FIELD (8, MSG_BOOL, struct fleet_info, cheap),
+	MSG_FIELD (9, MSG_U64, struct fleet_info, born_ms),
+	MSG_FIELD_END,
+};
+
+void
+fleet_init (struct fleet *f, const struct fleet_ops *ops, void *ctx)
+{
+	*f = (struct fleet){.ops = ops, .ctx = ctx};
+	f->eps = g_ptr_array_new ();
+	f->out = g_ptr_array_new_with_free_func (g_free);
+}
+
+static void
+ep_forget_parts (struct fleet_ep *ep)
+{
+	g_queue_clear (&ep->part_ages);
+	g_hash_table_remove_all (ep->parts);
+	ep->part_tokens = 0;
+}
+
+static void
+ep_free (struct fleet *f, struct fleet_ep *ep)
+{
+	if (f->ops != NULL)
+		f->ops->removed (ep, f->ctx);
+	ep_forget_parts (ep);
+	g_hash_table_destroy (ep->parts);
+	g_free (ep);
+}
+
+void
+fleet_finish (struct fleet *f)
+{
+	for (guint i = 0; i < f->eps->len; i++)
+		ep_free (f, g_ptr_array_index (f->eps, i));
+	g_ptr_array_free (f->eps, TRUE);
+	g_ptr_array_free (f->out, TRUE);
+}
+
+struct fleet_ep *
+fleet_find (struct fleet *f, const char *id)
+{
+	for (guint i = 0; i < f->eps->len; i++) {
+		struct fleet_ep *ep = g_ptr_array_index (f->eps, i);
+
+		if (strcmp (ep->info.id, id) == 0)
+			return ep;
+	}
+	return NULL;
+}
+
+static struct fleet_ep *
+ep_new (struct fleet *f, const struct fleet_info *info)
+{
+	struct fleet_ep *ep = g_new0 (struct fleet_ep, 1);
+
+	ep->info = *info;
+	ep->slow = 1;
+	ep->parts = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
+					   g_free);
+	g_queue_init (&ep->part_ages);
+	g_ptr_array_add (f->eps, ep);
+	if (f->ops != NULL)
+		f->ops->added (ep, f->ctx);
+	return ep;
+}
+
+/* The same id with another start, address or service is another endpoint. */
+static bool
+same_start (const struct fleet_ep *ep, const struct fleet_info *info)
+{
+	return strcmp (ep->info.addr, info->addr) == 0 &&
+	       strcmp (ep->info.service, info->service) == 0 &&
+	       (ep->info.born_ms == info->born_ms || info->born_ms == 0 ||
+		ep->info.born_ms == 0);
+}
+
+static void
+ep_update (struct fleet_ep *ep, const struct fleet_info *info, uint64_t now_ms,
+	   uint64_t age_ms)
+{
+	uint64_t until = now_ms + info->cold_ms;
+
+	ep->listed = true;
+	ep->leaving = ep->leaving || info->leaving;
+	if (info->cold_ms > age_ms && until - age_ms > ep->cold_until_ms)
+		ep->cold_until_ms = until - age_ms;
+	ep->info.slots = info->slots;
+	ep->info.cheap = info->cheap;
+	if (info->born_ms != 0)
+		ep->info.born_ms = info->born_ms;
+}
+
+void
+fleet_update (struct fleet *f, const struct fleet_info *list, uint32_t count,
+	      uint64_t now_ms, uint64_t age_ms)
+{
+	for (guint i = 0; i < f->eps->len; i++)
+		((struct fleet_ep *)g_ptr_array_index (f->eps, i))->listed =
+			false;
+	for (uint32_t i = 0; i < count; i++) {
+		struct fleet_ep *ep = fleet_find (f, list[i].id);
+
+		if (ep != NULL && !same_start (ep, &list[i])) {
+			/* Its old start is not listed; the name goes on. */
+			g_snprintf (ep->info.id, sizeof ep->info.id, "-");
+			fleet_gone (ep);
+			ep = NULL;
+		}
+		if (ep == NULL)
+			ep = ep_new (f, &list[i]);
+		ep_update (ep, &list[i], now_ms, age_ms);
+	}
+	for (guint i = f->eps->len; i > 0; i--) {
+		struct fleet_ep *ep = g_ptr_array_index (f->eps, i - 1);
+
+		if (ep->listed || ep->inflight > 0)
+			continue;
+		g_ptr_array_remove_index_fast (f->eps, i - 1);
+		ep_free (f, ep);
+	}
+}
+
+void
+fleet_set_out (struct fleet *f, const GPtrArray *domains)
+{
+	g_ptr_array_set_size (f->out, 0);
+	for (guint i = 0; i < domains->len; i++)
+		g_ptr_array_add (f->out,
+				 g_strdup (g_ptr_array_index (domains, i)));
+}
+
+static bool
+is_out (const struct fleet *f, const char *domain)
+{
+	for (guint i = 0; i < f->out->len; i++) {
+		if (strcmp (g_ptr_array_index (f->out, i), domain) == 0)
+			return true;
+	}
+	return false;
+}
+
+bool
+fleet_usable (const struct fleet *f, const struct fleet_ep *ep, uint64_t now_ms)
+{
+	(void)now_ms;
+	return ep->listed && !ep->leaving && ep->trust == FLEET_SOUND &&
+	       !is_out (f, ep->info.domain);
+}
+
+bool
+fleet_is_cold (const struct fleet_ep *ep, uint64_t now_ms)
+{
+	return now_ms < ep->cold_until_ms;
+}
+
+void
+fleet_cold (struct fleet_ep *ep, uint32_t cold_ms, uint64_t now_ms)
+{
+	ep->cold_until_ms = MAX (ep->cold_until_ms, now_ms + cold_ms);
+	ep_forget_parts (ep);
+}
+
+void
+fleet_doubt (struct fleet_ep *ep, uint64_t now_ms)
+{
+	if (ep->trust == FLEET_DOUBTED)
+		return;
+	ep->trust = FLEET_DOUBTED;
+	ep->ask_pause_ms = ASK_FIRST_MS;
+	ep->ask_at_ms = now_ms + ep->ask_pause_ms;
+}
+
+void
+fleet_asked (struct fleet_ep *ep, bool well, uint64_t now_ms)
+{
+	if (well) {
+		ep->trust = FLEET_SOUND;
+		return;
+	}
+	ep->ask_pause_ms = MIN (ep->ask_pause_ms * 2, ASK_MAX_MS);
+	ep->ask_at_ms = now_ms + ep->ask_pause_ms;
+}
+
+void
+fleet_gone (struct fleet_ep *ep)
+{
+	ep->leaving = true;
+	ep->listed = false;
+}
+
+void
+fleet_outcome (struct fleet_ep *ep, bool good, uint64_t now_ms)
+{
+	ep->failing += FAILING_WEIGHT * ((good ? 0.0 : 1.0) - ep->failing);
+	if (!good && ep->failing > FAILING_LIMIT)
+		ep->wrong_until_ms = now_ms + AVOID_MS;
+}
+
+uint32_t
+fleet_cached (const struct fleet_ep *ep, const struct dia_part *parts,
+	      uint32_t count)
+{
+	uint32_t tokens = 0;
+
+	for (uint32_t i = 0; i < count; i++) {
+		if (!g_hash_table_contains (ep->parts, &parts[i].id))
+			break;
+		tokens += parts[i].tokens;
+	}
+	return tokens;
+}
+
+static void
+part_drop_oldest (struct fleet_ep *ep)
+{
+	struct fleet_part *p = g_queue_pop_head (&ep->part_ages);
+
+	ep->part_tokens -= p->tokens;
+	g_hash_table_remove (ep->parts, &p->id);
+}
+
+void
+fleet_remember (struct fleet_ep *ep, const struct dia_part *parts,
+		uint32_t count, uint64_t memory)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		struct fleet_part *p =
+			g_hash_table_lookup (ep->parts, &parts[i].id);
+
+		if (p != NULL) {
+			g_queue_unlink (&ep->part_ages, p->link);
+			g_queue_push_tail_link (&ep->part_ages, p->link);
+			continue;
+		}
+		p = g_new0 (struct fleet_part, 1);
+		p->id = parts[i].id;
+		p->tokens = parts[i].tokens;
+		g_queue_push_tail (&ep->part_ages, p);
+		p->link = ep->part_ages.tail;
+		g_hash_table_insert (ep->parts, &p->id, p);
+		ep->part_tokens += p->tokens;
+	}
+	while (ep->part_tokens > CACHE_SHARE * (double)memory &&
+	       ep->part_ages.length > 0)
+		part_drop_oldest (ep);
+}
+
+uint32_t
+fleet_ready (const struct fleet *f, uint64_t now_ms)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < f->eps->len; i++) {
+		if (fleet_usable (f, g_ptr_array_index (f->eps, i), now_ms))
+			n++;
+	}
+	return n;
+}
--- /dev/null
+++ b/lib/fleet.h
@@ -0,0 +1,154 @@
+#ifndef DH_FLEET_H
+#define DH_FLEET_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "msg.h"
+#include "plan.h"
+
+/*
+ * Endpoints as one relay knows them: who is listed, who may get work now, what
+ * this relay has there, and what it learned from answers.  No input or output;
+ * time is passed in.
+ */
+
+#define FLEET_NAME_BYTES 64
+#define FLEET_LIST_MAX 8192
+
+/**
+ * struct fleet_info - an endpoint as the platform lists it
+ * @id: names one start of it
+ * @addr: IP:port
+ * @slots: requests it runs at once
+ * @leaving: it must get no new work
+ * @cold_ms: how much longer it stays cold
+ * @cheap: it may be reclaimed
+ * @born_ms: wall clock of its start, 0 where not stated
+ */
+struct fleet_info {
+	char id[FLEET_NAME_BYTES];
+	char service[FLEET_NAME_BYTES];
+	char domain[FLEET_NAME_BYTES];
+	char addr[FLEET_NAME_BYTES];
+	uint32_t slots;
+	uint32_t cold_ms;
+	bool leaving;
+	bool cheap;
+	uint64_t born_ms;
+};
+
+extern const struct msg_field fleet_info_fields[];
+
+/** enum fleet_trust - whether an endpoint answers */
+enum fleet_trust {
+	FLEET_SOUND,
+	FLEET_DOUBTED, /* did not answer; to be asked before it gets work */
+};
+
+/** struct fleet_ep - one endpoint */
+struct fleet_ep {
+	struct fleet_info info;
+	bool listed;
+	bool leaving; /* once so, it stays so until another start */
+	uint64_t cold_until_ms;
+	uint64_t cold_sent_ms; /* when it got work last while cold */
+	enum fleet_trust trust;
+	uint64_t ask_at_ms; /* when a doubted one is asked next */
+	uint32_t ask_pause_ms;
+	uint64_t wrong_until_ms; /* avoided for failed answers */
+	double failing;          /* share of failed answers, smoothed */
+	uint32_t inflight;       /* requests of this relay there */
+	double unread;           /* prompt tokens of them not yet read */
+	double slow;             /* observed time over predicted, smoothed */
+	GHashTable *parts;       /* part id to struct fleet_part */
+	GQueue part_ages;        /* of struct fleet_part, oldest first */
+	double part_tokens;
+	void *io; /* the owner's connections */
+};
+
+/** struct fleet_part - a prompt part that an endpoint was sent */
+struct fleet_part {
+	uint64_t id;
+	uint32_t tokens;
+	GList *link;
+};
+
+/**
+ * struct fleet_ops - what the owner is told
+ * @added: an endpoint is known from now on
+ * @removed: it is forgotten; its memory is freed after the call
+ */
+struct fleet_ops {
+	void (*added) (struct fleet_ep *ep, void *ctx);
+	void (*removed) (struct fleet_ep *ep, void *ctx);
+};
+
+/** struct fleet - the table; the caller owns the memory */
+struct fleet {
+	GPtrArray *eps; /* of struct fleet_ep * */
+	const struct fleet_ops *ops;
+	void *ctx;
+	GPtrArray *out; /* domains taken out, of char * */
+};
+
+/** fleet_init() - an empty table */
+void fleet_init (struct fleet *f, const struct fleet_ops *ops, void *ctx);
+
+/** fleet_finish() - release it */
+void fleet_finish (struct fleet *f);
+
+/**
+ * fleet_update() - take a whole list
+ * @age_ms: how old it is
+ *
+ * One that is no longer listed gets no new work; it is forgotten once it has
+ * none.
+ */
+void fleet_update (struct fleet *f, const struct fleet_info *list,
+		   uint32_t count, uint64_t now_ms, uint64_t age_ms);
+
+/** fleet_set_out() - the domains that are taken out, of char * */
+void fleet_set_out (struct fleet *f, const GPtrArray *domains);
+
+/** fleet_find() - by id, or NULL */
+struct fleet_ep *fleet_find (struct fleet *f, const char *id);
+
+/** fleet_usable() - whether it may get new work at all */
+bool fleet_usable (const struct fleet *f, const struct fleet_ep *ep,
+		   uint64_t now_ms);
+
+/** fleet_is_cold() - whether it bears little work now */
+bool fleet_is_cold (const struct fleet_ep *ep, uint64_t now_ms);
+
+/** fleet_cold() - it says that it stays cold for @cold_ms */
+void fleet_cold (struct fleet_ep *ep, uint32_t cold_ms, uint64_t now_ms);
+
+/** fleet_doubt() - it did not answer */
+void fleet_doubt (struct fleet_ep *ep, uint64_t now_ms);
+
+/** fleet_asked() - a question to a doubted one was answered, or not */
+void fleet_asked (struct fleet_ep *ep, bool well, uint64_t now_ms);
+
+/** fleet_gone() - another endpoint has its address, or it ended */
+void fleet_gone (struct fleet_ep *ep);
+
+/** fleet_outcome() - an answer of it was good, or failed; @pool: endpoints of
+ * its service */
+void fleet_outcome (struct fleet_ep *ep, bool good, uint64_t now_ms);
+
+/** fleet_cached() - tokens at the front of @parts that it was sent before */
+struct dia_part;
+uint32_t fleet_cached (const struct fleet_ep *ep, const struct dia_part *parts,
+		       uint32_t count);
+
+/** fleet_remember() - it was sent @parts; @memory: tokens it holds */
+void fleet_remember (struct fleet_ep *ep, const struct dia_part *parts,
+		     uint32_t count, uint64_t memory);
+
+/** fleet_ready() - how many endpoints may get work */
+uint32_t fleet_ready (const struct fleet *f, uint64_t now_ms);
+
+#endif
--- a/lib/frame.c
+++ b/lib/frame.c
@@ -32,6 +32,12 @@
 		[FRAME_KEY_DIGEST] = "key_digest",
 		[FRAME_PART_ASK] = "part_ask",
 		[FRAME_PART_GRANT] = "part_grant",
+		[FRAME_GROUP_JOIN] = "group_join",
+		[FRAME_GROUP_STATE] = "group_state",
+		[FRAME_GROUP_ASK] = "group_ask",
+		[FRAME_GROUP_PLAN] = "group_plan",
+		[FRAME_GROUP_LIST] = "group_list",
+		[FRAME_GROUP_REPORT] = "group_report",
 	};
 
 	return kind < FRAME_KINDS ? names[kind] : NULL;
--- a/lib/frame.h
+++ b/lib/frame.h
@@ -51,6 +51,13 @@
 	FRAME_LEASE_OFFER = 53,
 	FRAME_PART_ASK = 60,
 	FRAME_PART_GRANT = 61,
+	/* relays and the members of their group */
+	FRAME_GROUP_JOIN = 30,
+	FRAME_GROUP_STATE = 31,
+	FRAME_GROUP_ASK = 32,
+	FRAME_GROUP_PLAN = 33,
+	FRAME_GROUP_LIST = 34,
+	FRAME_GROUP_REPORT = 35,
 };
 
 /** FRAME_KINDS - every kind is a lower number */
--- /dev/null
+++ b/lib/gmsg.c
@@ -0,0 +1,60 @@
+/*
+ * Tables of the messages between relays and their group.
+ */
+#include "gmsg.h"
+
+const struct msg_field gmsg_join_fields[] = {
+	MSG_FIELD (1, MSG_U64, struct gmsg_join, id),
+	MSG_FIELD (2, MSG_STR, struct gmsg_join, name),
+	MSG_FIELD (3, MSG_STR, struct gmsg_join, addr),
+	MSG_FIELD (4, MSG_STR, struct gmsg_join, domain),
+	MSG_FIELD_END,
+};
+
+static const struct msg_field addr_fields[] = {
+	MSG_FIELD (1, MSG_STR, struct gmsg_addr, addr),
+	MSG_FIELD_END,
+};
+
+const struct msg_field gmsg_state_fields[] = {
+	MSG_FIELD (1, MSG_U64, struct gmsg_state, version),
+	MSG_FIELD (2, MSG_U64, struct gmsg_state, drain_index),
+	MSG_FIELD_LIST (3, struct gmsg_state, domains, struct gstate_drain,
+			gstate_drain_fields, GSTATE_DOMAINS_MAX),
+	MSG_FIELD (4, MSG_BOOL, struct gmsg_state, leads),
+	MSG_FIELD (5, MSG_BOOL, struct gmsg_state, fresh),
+	MSG_FIELD (6, MSG_U64, struct gmsg_state, list_stamp),
+	MSG_FIELD (7, MSG_U32, struct gmsg_state, list_age_ms),
+	MSG_FIELD (8, MSG_U32, struct gmsg_state, relays),
+	MSG_FIELD_LIST (9, struct gmsg_state, members, struct gmsg_addr,
+			addr_fields, RAFT_MEMBERS_MAX),
+	MSG_FIELD (10, MSG_U64, struct gmsg_state, sealed),
+	MSG_FIELD (11, MSG_U64, struct gmsg_state, wall_ms),
+	MSG_FIELD_END,
+};
+
+const struct msg_field gmsg_ask_fields[] = {
+	MSG_FIELD (1, MSG_BOOL, struct gmsg_ask, plan),
+	MSG_FIELD (2, MSG_BOOL, struct gmsg_ask, list),
+	MSG_FIELD_END,
+};
+
+const struct msg_field gmsg_plan_fields[] = {
+	MSG_FIELD (1, MSG_U64, struct gmsg_plan, version),
+	MSG_FIELD_BYTES (2, struct gmsg_plan, text, GSTATE_PLAN_MAX_BYTES),
+	MSG_FIELD_END,
+};
+
+const struct msg_field gmsg_list_fields[] = {
+	MSG_FIELD (1, MSG_U64, struct gmsg_list, stamp),
+	MSG_FIELD (2, MSG_U32, struct gmsg_list, age_ms),
+	MSG_FIELD_LIST (3, struct gmsg_list, list, struct fleet_info,
+			fleet_info_fields, FLEET_LIST_MAX),
+	MSG_FIELD_END,
+};
+
+const struct msg_field gmsg_report_fields[] = {
+	MSG_FIELD_LIST (1, struct gmsg_report, windows, struct gstate_window,
+			gstate_window_fields, GMSG_WINDOWS_MAX),
+	MSG_FIELD_END,
+};
--- /dev/null
+++ b/lib/gmsg.h
@@ -0,0 +1,95 @@
+#ifndef DH_GMSG_H
+#define DH_GMSG_H
+
+#include "fleet.h"
+#include "gstate.h"
+#include "msg.h"
+#include "raft.h"
+
+/*
+ * Messages between relays and the members of the group that serves them, and
+ * between members beside the log's own.
+ */
+
+#define GMSG_WINDOWS_MAX 16
+
+/** struct gmsg_join - a member asks to be in the group (FRAME_GROUP_JOIN) */
+struct gmsg_join {
+	uint64_t id;
+	char name[RAFT_NAME_BYTES];
+	char addr[RAFT_NAME_BYTES];
+	char domain[RAFT_NAME_BYTES];
+};
+
+/** struct gmsg_addr - where a member's links listen */
+struct gmsg_addr {
+	char addr[RAFT_NAME_BYTES];
+};
+
+/**
+ * struct gmsg_state - what a member holds, told at each change and at least
+ * every GROUP_STATE_MS (FRAME_GROUP_STATE)
+ * @version: of the configuration, 0 where it holds none
+ * @drain_index: log index of the last change of @domains
+ * @domains: taken out, of struct gstate_drain
+ * @leads: it is the leader, with a lease
+ * @fresh: it leads, or hears the leader
+ * @list_stamp: names the contents of its list of endpoints, 0: none
+ * @list_age_ms: how old the list is
+ * @relays: how many relays it is linked to
+ * @members: of the group, of struct gmsg_addr
+ * @sealed: newest usage window that takes no more counts
+ * @wall_ms: its wall clock
+ */
+struct gmsg_state {
+	uint64_t version;
+	uint64_t drain_index;
+	struct msg_list domains;
+	bool leads;
+	bool fresh;
+	uint64_t list_stamp;
+	uint32_t list_age_ms;
+	uint32_t relays;
+	struct msg_list members;
+	uint64_t sealed;
+	uint64_t wall_ms;
+};
+
+/** struct gmsg_ask - a relay asks for what it lacks (FRAME_GROUP_ASK) */
+struct gmsg_ask {
+	bool plan;
+	bool list;
+};
+
+/** struct gmsg_plan - a configuration (FRAME_GROUP_PLAN) */
+struct gmsg_plan {
+	uint64_t version;
+	struct msg_bytes text;
+};
+
+/** struct gmsg_list - a whole list of endpoints (FRAME_GROUP_LIST) */
+struct gmsg_list {
+	uint64_t stamp;
+	uint32_t age_ms;
+	struct msg_list list; /* of struct fleet_info */
+};
+
+/**
+ * struct gmsg_report - what a relay counted, in total, of each window that is
+ * not sealed (FRAME_GROUP_REPORT)
+ */
+struct gmsg_report {
+	struct msg_list windows; /* of struct gstate_window */
+};
+
+/** GROUP_STATE_MS - longest pause between two states of a member */
+#define GROUP_STATE_MS 400
+
+extern const struct msg_field gmsg_join_fields[];
+extern const struct msg_field gmsg_state_fields[];
+extern const struct msg_field gmsg_ask_fields[];
+extern const struct msg_field gmsg_plan_fields[];
+extern const struct msg_field gmsg_list_fields[];
+extern const struct msg_field gmsg_report_fields[];
+
+#endif
--- /dev/null
+++ b/lib/gstate.c
@@ -0,0 +1,256 @@
+/*
+ * The group's replicated state for relays.
+ */
+#include <string.h>
+
+#include "gstate.h"
+
+const struct msg_field gstate_plan_fields[] = {
+	MSG_FIELD (1, MSG_U64, struct gstate_plan, version),
+	MSG_FIELD_BYTES (2, struct gstate_plan, text, GSTATE_PLAN_MAX_BYTES),
+	MSG_FIELD_END,
+};
+
+const struct msg_field gstate_drain_fields[] = {
+	MSG_FIELD (1, MSG_STR, struct gstate_drain, domain),
+	MSG_FIELD (2, MSG_BOOL, struct gstate_drain, out),
+	MSG_FIELD_END,
+};
+
+const struct msg_field gstate_count_fields[] = {
+	MSG_FIELD (1, MSG_STR, struct gstate_count, account),
+	MSG_FIELD (2, MSG_U64, struct gstate_count, requests),
+	MSG_FIELD_END,
+};
+
+const struct msg_field gstate_window_fields[] = {
+	MSG_FIELD (1, MSG_U64, struct gstate_window, number),
+	MSG_FIELD_LIST (2, struct gstate_window, counts, struct gstate_count,
+			gstate_count_fields, GSTATE_ACCOUNTS_MAX),
+	MSG_FIELD_END,
+};
+
+/* A snapshot. */
+struct image {
+	uint64_t version;
+	struct msg_bytes text;
+	struct msg_list domains; /* of struct gstate_drain */
+	uint64_t drain_index;
+	uint64_t sealed;
+	struct msg_list windows;
+};
+
+static const struct msg_field image_fields[] = {
+	MSG_FIELD (1, MSG_U64, struct image, version),
+	MSG_FIELD_BYTES (2, struct image, text, GSTATE_PLAN_MAX_BYTES),
+	MSG_FIELD_LIST (3, struct image, domains, struct gstate_drain,
+			gstate_drain_fields, GSTATE_DOMAINS_MAX),
+	MSG_FIELD (4, MSG_U64, struct image, drain_index),
+	MSG_FIELD (5, MSG_U64, struct image, sealed),
+	MSG_FIELD_LIST (6, struct image, windows, struct gstate_window,
+			gstate_window_fields, GSTATE_WINDOWS_KEPT),
+	MSG_FIELD_END,
+};
+
+static void
+window_free (void *data)
+{
+	struct gstate_window *w = data;
+
+	g_free (w->counts.items);
+	g_free (w);
+}
+
+void
+gstate_init (struct gstate *s)
+{
+	*s = (struct gstate){0};
+	s->domains = g_ptr_array_new_with_free_func (g_free);
+	s->windows = g_ptr_array_new_with_free_func (window_free);
+}
+
+void
+gstate_finish (struct gstate *s)
+{
+	if (s->text != NULL)
+		g_bytes_unref (s->text);
+	g_ptr_array_free (s->domains, TRUE);
+	g_ptr_array_free (s->windows, TRUE);
+	*s = (struct gstate){0};
+}
+
+bool
+gstate_is_out (const struct gstate *s, const char *domain)
+{
+	for (guint i = 0; i < s->domains->len; i++) {
+		if (strcmp (g_ptr_array_index (s->domains, i), domain) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void
+set_plan (struct gstate *s, uint64_t version, const struct msg_bytes *text)
+{
+	if (s->text != NULL)
+		g_bytes_unref (s->text);
+	s->text = g_bytes_new (text->data, text->len);
+	s->version = version;
+}
+
+static void
+set_drain (struct gstate *s, const struct gstate_drain *d)
+{
+	for (guint i = 0; i < s->domains->len; i++) {
+		if (strcmp (g_ptr_array_index (s->domains, i), d->domain) != 0)
+			continue;
+		if (!d->out)
+			g_ptr_array_remove_index (s->domains, i);
+		return;
+	}
+	if (d->out && s->domains->len < GSTATE_DOMAINS_MAX)
+		g_ptr_array_add (s->domains, g_strdup (d->domain));
+}
+
+static void
+add_window (struct gstate *s, const struct gstate_window *w)
+{
+	struct gstate_window *own;
+
+	if (w->number <= s->sealed)
+		return;
+	own = g_new0 (struct gstate_window, 1);
+	own->number = w->number;
+	own->counts.count = w->counts.count;
+	own->counts.items = g_memdup2 (
+		w->counts.items,
+		w->counts.count * sizeof (struct gstate_count));
+	g_ptr_array_add (s->windows, own);
+	s->sealed = w->number;
+	if (s->windows->len > GSTATE_WINDOWS_KEPT)
+		g_ptr_array_remove_index (s->windows, 0);
+}
+
+bool
+gstate_apply (struct gstate *s, uint64_t index, const uint8_t *data, size_t len,
+	      struct err *e)
+{
+	union {
+		struct gstate_plan plan;
+		struct gstate_drain drain;
+		struct gstate_window window;
+	} u;
+	msgpack_zone zone;
+	bool ok = false;
+
+	if (len == 0)
+		return err_set (e, ERR_PROTOCOL, "command %" G_GUINT64_FORMAT
+						 ": empty",
+				index);
+	msgpack_zone_init (&zone, MSGPACK_ZONE_CHUNK_SIZE);
+	switch ((enum gstate_kind)data[0]) {
+	case GSTATE_PLAN:
+		ok = msg_unpack (gstate_plan_fields, data + 1, len - 1, &u.plan,
+				 &zone, e);
+		if (ok && u.plan.version > s->version)
+			set_plan (s, u.plan.version, &u.plan.text);
+		break;
+	case GSTATE_DRAIN:
+		ok = msg_unpack (gstate_drain_fields, data + 1, len - 1,
+				 &u.drain, &zone, e);
+		if (ok) {
+			set_drain (s, &u.drain);
+			s->drain_index = index;
+		}
+		break;
+	case GSTATE_WINDOW:
+		ok = msg_unpack (gstate_window_fields, data + 1, len - 1,
+				 &u.window, &zone, e);
+		if (ok)
+			add_window (s, &u.window);
+		break;
+	}
+	msgpack_zone_destroy (&zone);
+	return ok;
+}
+
+void
+gstate_snapshot (const struct gstate *s, msgpack_sbuffer *out)
+{
+	struct gstate_drain drains[GSTATE_DOMAINS_MAX] = {0};
+	struct gstate_window windows[GSTATE_WINDOWS_KEPT] = {0};
+	struct image m = {.version = s->version,
+			  .drain_index = s->drain_index,
+			  .sealed = s->sealed};
+	gsize len = 0;
+
+	if (s->text != NULL) {
+		m.text.data = g_bytes_get_data (s->text, &len);
+		m.text.len = (uint32_t)len;
+	}
+	for (guint i = 0; i < s->domains->len; i++) {
+		g_strlcpy (drains[i].domain, g_ptr_array_index (s->domains, i),
+			   sizeof drains[i].domain);
+		drains[i].out = true;
+	}
+	for (guint i = 0; i < s->windows->len; i++)
+		windows[i] = *(struct gstate_window *)g_ptr_array_index (
+			s->windows, i);
+	m.domains.items = drains;
+	m.domains.count = s->domains->len;
+	m.windows.items = windows;
+	m.windows.count = s->windows->len;
+	msg_pack (image_fields, &m, out);
+}
+
+bool
+gstate_restore (struct gstate *s, const void *data, size_t len, struct err *e)
+{
+	const struct gstate_drain *drains;
+	const struct gstate_window *windows;
+	struct image m;
+	msgpack_zone zone;
+	bool ok;
+
+	msgpack_zone_init (&zone, MSGPACK_ZONE_CHUNK_SIZE);
+	ok = msg_unpack (image_fields, data, len, &m, &zone, e);
+	if (ok) {
+		gstate_finish (s);
+		gstate_init (s);
+		if (m.version > 0)
+			set_plan (s, m.version, &m.text);
+		drains = m.domains.items;
+		for (uint32_t i = 0; i < m.domains.count; i++)
+			set_drain (s, &drains[i]);
+		windows = m.windows.items;
+		for (uint32_t i = 0; i < m.windows.count; i++)
+			add_window (s, &windows[i]);
+		s->drain_index = m.drain_index;
+		s->sealed = m.sealed;
+	} else if (e != NULL) {
+		e->kind = ERR_CORRUPT;
+	}
+	msgpack_zone_destroy (&zone);
+	return ok;
+}
+
+void
+gstate_command (enum gstate_kind kind, const void *cmd, msgpack_sbuffer *out)
+{
+	const struct msg_field *fields = NULL;
+	char first = (char)kind;
+
+	switch (kind) {
+	case GSTATE_PLAN:
+		fields = gstate_plan_fields;
+		break;
+	case GSTATE_DRAIN:
+		fields = gstate_drain_fields;
+		break;
+	case GSTATE_WINDOW:
+		fields = gstate_window_fields;
+		break;
+	}
+	msgpack_sbuffer_write (out, &first, 1);
+	msg_pack (fields, cmd, out);
+}
--- /dev/null
+++ b/lib/h1cli.c
@@ -0,0 +1,444 @@
+/*
+ * The client side of HTTP/1.1.
+ */
+#include <string.h>
+
+#include "h1cli.h"
+#include "link.h"
+#include "log.h"
+
+#define HEAD_MAX_BYTES (64U << 10)
+#define SKIPPED_MAX 4 /* answers to other requests before ours */
+
+/* Where a server states no timeout; most keep connections for 5 s or more. */
+#define KEEP_DEFAULT_MS 4000
+/* A server's own clock may be ahead of ours by the time on the way. */
+#define KEEP_MARGIN_MS 500
+
+enum call_phase {
+	CALL_CONNECTING,
+	CALL_HEAD, /* sent, waits for a head */
+	CALL_BODY,
+	CALL_SKIP, /* reads the body of an answer to another request */
+};
+
+struct h1cli_conn {
+	struct h1cli_host *host;
+	struct sio io;
+	h2o_socket_t *connecting;
+	struct h1cli *call; /* NULL while idle */
+	uint64_t idle_since_ms;
+	uint32_t keep_ms;
+	GList *link; /* in host->idle */
+	bool reading;
+	bool dead;
+};
+
+struct h1cli {
+	struct h1cli_host *host;
+	struct h1cli_conn *conn;
+	const struct h1cli_ops *ops;
+	void *ctx;
+	enum call_phase phase;
+	GByteArray *out; /* the request, until the connection stands */
+	bool to_head;
+	char *echo_name;
+	char *echo_value;
+	struct sio_limits limits;
+	struct tmr tmr;
+	struct h1_body body;
+	bool close;
+	bool sent;
+	bool reused;
+	uint32_t keep_s;
+	uint32_t skipped;
+};
+
+static void conn_read (struct h1cli_conn *c);
+
+static void
+conn_free (struct h1cli_conn *c)
+{
+	if (c->reading) {
+		c->dead = true;
+		return;
+	}
+	g_free (c);
+}
+
+static void
+conn_close (struct h1cli_conn *c)
+{
+	struct h1cli_host *h = c->host;
+
+	if (c->link != NULL)
+		g_queue_delete_link (&h->idle, c->link);
+	c->link = NULL;
+	if (c->connecting != NULL)
+		h2o_socket_close (c->connecting);
+	c->connecting = NULL;
+	/* A reset frees the server's place at once, whatever is unread. */
+	if (c->call != NULL)
+		sio_reset (&c->io);
+	else
+		sio_close (&c->io);
+	h->conns--;
+	conn_free (c);
+}
+
+static void
+call_free (struct h1cli *x)
+{
+	g_ptr_array_remove_fast (x->host->calls, x);
+	tmr_finish (&x->tmr);
+	g_byte_array_unref (x->out);
+	g_free (x->echo_name);
+	g_free (x->echo_value);
+	g_free (x);
+}
+
+/* End a call; its connection is kept where @keep. */
+static void
+call_end (struct h1cli *x, enum h1cli_end end, bool keep)
+{
+	struct h1cli_conn *c = x->conn;
+
+	if (c != NULL && keep) {
+		c->call = NULL;
+		c->idle_since_ms = tmr_now_ms ();
+		c->keep_ms = x->keep_s > 0 ? x->keep_s * 1000 : KEEP_DEFAULT_MS;
+		c->keep_ms = MAX (c->keep_ms, KEEP_MARGIN_MS) - KEEP_MARGIN_MS;
+		g_queue_push_head (&x->host->idle, c);
+		c->link = x->host->idle.head;
+	} else if (c != NULL) {
+		conn_close (c);
+	}
+	x->conn = NULL;
+	x->ops->done (x, end, x->ctx);
+	call_free (x);
+}
+
+static void
+on_ended (const char *why, void *ctx)
+{
+	struct h1cli_conn *c = ctx;
+	struct h1cli *x = c->call;
+
+	if (x == NULL) {
+		conn_close (c);
+		return;
+	}
+	if (why == NULL && x->phase == CALL_BODY &&
+	    x->body.framing == H1_UNTIL_CLOSE)
+		call_end (x, H1CLI_WHOLE, false);
+	else
+		call_end (x, H1CLI_BROKEN, false);
+}
+
+static void
+on_readable (void *ctx)
+{
+	conn_read (ctx);
+}
+
+static void
+on_drained (void *ctx)
+{
+	(void)ctx;
+}
+
+static const struct sio_ops conn_ops = {
+	.readable = on_readable,
+	.drained = on_drained,
+	.ended = on_ended,
+};
+
+/* Return: whether to read on. */
+static bool
+call_head (struct h1cli_conn *c, struct h1cli *x)
+{
+	size_t len, used;
+	const char *in = sio_input (&c->io, &len);
+	const struct h1_header *echo = NULL;
+	struct h1_head h;
+
+	switch (h1_response (in, len, x->to_head, &h, &used)) {
+	case H1_MORE:
+		if (len > HEAD_MAX_BYTES)
+			call_end (x, H1CLI_BAD, false);
+		return false;
+	case H1_BAD:
+		call_end (x, H1CLI_BAD, false);
+		return false;
+	case H1_OK:
+		break;
+	}
+	if (h.status < 200) {
+		sio_consume (&c->io, used);
+		return true;
+	}
+	if (x->echo_name != NULL)
+		echo = h1_find (&h, x->echo_name);
+	h1_body_init (&x->body, &h);
+	x->close = h.close || h.framing == H1_UNTIL_CLOSE;
+	x->keep_s = h.keep_s;
+	if (echo != NULL && (echo->value_len != strlen (x->echo_value) ||
+			     memcmp (echo->value, x->echo_value,
+				     echo->value_len) != 0)) {
+		x->phase = CALL_SKIP;
+		sio_consume (&c->io, used);
+		if (++x->skipped <= SKIPPED_MAX && !x->close)
+			return true;
+		call_end (x, H1CLI_BAD, false);
+		return false;
+	}
+	x->phase = CALL_BODY;
+	/* The head points into the input, so that is consumed afterwards. */
+	x->ops->head (x, &h, echo != NULL, x->ctx);
+	if (c->dead || c->call != x)
+		return false;
+	sio_consume (&c->io, used);
+	return true;
+}
+
+/* The answer is whole; the connection is kept if nothing speaks against it. */
+static void
+call_whole (struct h1cli_conn *c, struct h1cli *x)
+{
+	size_t rest;
+
+	sio_input (&c->io, &rest);
+	call_end (x, H1CLI_WHOLE,
+		  !x->close && rest == 0 && sio_pending (&c->io) == 0);
+}
+
+static bool
+call_body (struct h1cli_conn *c, struct h1cli *x)
+{
+	size_t len, used, n = 0;
+	const char *in = sio_input (&c->io, &len), *data = NULL;
+
+	switch (h1_body_step (&x->body, in, len, &used, &data, &n)) {
+	case H1_STEP_MORE:
+		sio_consume (&c->io, used);
+		return false;
+	case H1_STEP_DATA:
+		if (x->phase == CALL_BODY)
+			x->ops->data (x, data, n, x->ctx);
+		if (c->dead || c->call != x)
+			return false;
+		sio_consume (&c->io, used);
+		return !c->io.paused;
+	case H1_STEP_END:
+		sio_consume (&c->io, used);
+		if (x->phase == CALL_BODY) {
+			call_whole (c, x);
+			return false;
+		}
+		x->phase = CALL_HEAD;
+		return true;
+	case H1_STEP_BAD:
+		break;
+	}
+	call_end (x, H1CLI_BROKEN, false);
+	return false;
+}
+
+static void
+conn_read (struct h1cli_conn *c)
+{
+	bool on = true;
+
+	if (c->reading)
+		return;
+	c->reading = true;
+	while (on && !c->dead) {
+		struct h1cli *x = c->call;
+
+		if (x == NULL) {
+			log_event (LOG_LV_INFO, "unasked-bytes", "port=%u",
+				   ntohs (c->host->addr.sin_port));
+			conn_close (c);
+			break;
+		}
+		on = x->phase == CALL_HEAD ? call_head (c, x)
+					   : call_body (c, x);
+	}
+	c->reading = false;
+	if (c->dead)
+		conn_free (c);
+}
+
+static void
+call_send (struct h1cli *x)
+{
+	x->phase = CALL_HEAD;
+	x->sent = true;
+	sio_write (&x->conn->io, x->out->data, x->out->len);
+	g_byte_array_set_size (x->out, 0);
+}
+
+static void
+on_connect (h2o_socket_t *sock, const char *why)
+{
+	struct h1cli_conn *c = sock->data;
+	struct h1cli *x = c->call;
+
+	tmr_stop (&x->tmr);
+	if (why != NULL) {
+		call_end (x, H1CLI_UNSENT, false);
+		return;
+	}
+	c->connecting = NULL;
+	sio_init (&c->io, sock, &conn_ops, c, &x->limits);
+	call_send (x);
+}
+
+static void
+on_timer (void *ctx)
+{
+	struct h1cli *x = ctx;
+
+	/* A kept connection was chosen, or none can be made. */
+	if (x->conn != NULL && x->conn->connecting == NULL)
+		call_send (x);
+	else
+		call_end (x, H1CLI_UNSENT, false);
+}
+
+static void
+call_connect (struct h1cli *x, uint32_t connect_ms)
+{
+	struct h1cli_conn *c;
+	struct err e = {0};
+	int fd = link_connect_fd (&x->host->addr, x->host->from, &e);
+
+	if (fd < 0) {
+		log_event (LOG_LV_WARN, "connect", "why=\"%s\"", e.msg);
+		tmr_start (&x->tmr, 1);
+		return;
+	}
+	c = g_new0 (struct h1cli_conn, 1);
+	c->host = x->host;
+	c->call = x;
+	c->connecting =
+		h2o_evloop_socket_create (x->host->loop, fd,
+					  H2O_SOCKET_FLAG_IS_CONNECTING);
+	c->connecting->data = c;
+	h2o_socket_notify_write (c->connecting, on_connect);
+	x->conn = c;
+	x->host->conns++;
+	x->host->opened++;
+	tmr_start (&x->tmr, connect_ms);
+}
+
+/* The connection used last, if it is still likely to stand. */
+static struct h1cli_conn *
+conn_take (struct h1cli_host *h, uint32_t idle_max_ms)
+{
+	uint64_t now_ms = tmr_now_ms ();
+
+	while (h->idle.head != NULL) {
+		struct h1cli_conn *c = h->idle.head->data;
+
+		if (now_ms - c->idle_since_ms < MIN (idle_max_ms, c->keep_ms)) {
+			g_queue_delete_link (&h->idle, c->link);
+			c->link = NULL;
+			return c;
+		}
+		if (now_ms - c->idle_since_ms < c->keep_ms)
+			return NULL;
+		conn_close (c);
+	}
+	return NULL;
+}
+
+struct h1cli *
+h1cli_start (struct h1cli_host *h, const struct h1cli_req *req,
+	     const struct h1cli_ops *ops, void *ctx)
+{
+	struct h1cli *x = g_new0 (struct h1cli, 1);
+
+	x->host = h;
+	x->ops = ops;
+	x->ctx = ctx;
+	x->to_head = req->to_head;
+	x->limits = req->limits;
+	x->echo_name = g_strdup (req->echo_name);
+	x->echo_value = g_strdup (req->echo_value);
+	x->out = g_byte_array_sized_new ((guint)req->len);
+	g_byte_array_append (x->out, (const guint8 *)req->bytes,
+			     (guint)req->len);
+	tmr_init (&x->tmr, h->loop, on_timer, x);
+	g_ptr_array_add (h->calls, x);
+	x->conn = conn_take (h, req->idle_max_ms);
+	if (x->conn == NULL) {
+		call_connect (x, req->connect_ms);
+		return x;
+	}
+	x->conn->call = x;
+	x->reused = true;
+	call_send (x);
+	return x;
+}
+
+void
+h1cli_cancel (struct h1cli *x)
+{
+	if (x->conn != NULL)
+		conn_close (x->conn);
+	call_free (x);
+}
+
+bool
+h1cli_sent (const struct h1cli *x)
+{
+	return x->sent;
+}
+
+bool
+h1cli_reused (const struct h1cli *x)
+{
+	return x->reused;
+}
+
+void
+h1cli_pause (struct h1cli *x)
+{
+	if (x->conn != NULL && sio_is_open (&x->conn->io))
+		sio_pause (&x->conn->io);
+}
+
+void
+h1cli_resume (struct h1cli *x)
+{
+	if (x->conn == NULL || !sio_is_open (&x->conn->io))
+		return;
+	sio_resume (&x->conn->io);
+	conn_read (x->conn);
+}
+
+void
+h1cli_host_init (struct h1cli_host *h, h2o_loop_t *loop,
+		 const struct sockaddr_in *addr, struct in_addr from)
+{
+	*h = (struct h1cli_host){.loop = loop, .addr = *addr, .from = from};
+	g_queue_init (&h->idle);
+	h->calls = g_ptr_array_new ();
+}
+
+void
+h1cli_host_drop_idle (struct h1cli_host *h)
+{
+	while (h->idle.head != NULL)
+		conn_close (h->idle.head->data);
+}
+
+void
+h1cli_host_finish (struct h1cli_host *h)
+{
+	while (h->calls->len > 0)
+		h1cli_cancel (g_ptr_array_index (h->calls, 0));
+	h1cli_host_drop_idle (h);
+	g_ptr_array_free (h->calls, TRUE);
+}
--- /dev/null
+++ b/lib/h1srv.c
@@ -0,0 +1,415 @@
+/*
+ * The server side of HTTP/1.1.
+ */
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "h1srv.h"
+#include "link.h"
+#include "log.h"
+#include "tmr.h"
+
+#define LISTEN_BACKLOG 512
+#define LINGER_MS 1000 /* for a client to read a refusal that closes */
+#define AHEAD_MAX_BYTES (256U << 10) /* read behind a running request */
+
+enum conn_state {
+	CONN_HEAD,   /* waits for a head, or for the rest of it */
+	CONN_BODY,   /* waits for the rest of a body */
+	CONN_BUSY,   /* its request is with the owner */
+	CONN_ENDING, /* closes once the answer is written */
+	CONN_LINGER, /* the answer is written; the client is to close */
+};
+
+struct h1srv_conn {
+	struct h1srv *srv;
+	struct sio io;
+	enum conn_state state;
+	struct tmr tmr;
+	GString *head; /* of the running request */
+	GByteArray *body_bytes;
+	struct h1_body body;
+	bool close;
+	bool head_timed;
+	bool reading;      /* conn_read() is on the stack */
+	bool dead;
+	void *data;
+};
+
+static void conn_read (struct h1srv_conn *c);
+
+static void
+conn_free (struct h1srv_conn *c)
+{
+	if (c->reading) {
+		c->dead = true;
+		return;
+	}
+	tmr_finish (&c->tmr);
+	g_string_free (c->head, TRUE);
+	g_byte_array_unref (c->body_bytes);
+	g_free (c);
+}
+
+static void
+conn_close (struct h1srv_conn *c, bool reset)
+{
+	struct h1srv *s = c->srv;
+
+	if (!sio_is_open (&c->io))
+		return;
+	if (c->state == CONN_BUSY)
+		s->busy--;
+	if (reset)
+		sio_reset (&c->io);
+	else
+		sio_close (&c->io);
+	tmr_stop (&c->tmr);
+	g_ptr_array_remove_fast (s->conns, c);
+	conn_free (c);
+}
+
+static void
+on_ended (const char *why, void *ctx)
+{
+	struct h1srv_conn *c = ctx;
+
+	(void)why;
+	if (c->state == CONN_BUSY)
+		c->srv->ops->gone (c, c->srv->ctx);
+	conn_close (c, false);
+}
+
+static void
+on_drained (void *ctx)
+{
+	struct h1srv_conn *c = ctx;
+
+	if (c->state != CONN_ENDING)
+		return;
+	c->state = CONN_LINGER;
+	sio_shut (&c->io);
+	tmr_start (&c->tmr, LINGER_MS);
+}
+
+static void
+on_readable (void *ctx)
+{
+	conn_read (ctx);
+}
+
+static const struct sio_ops conn_ops = {
+	.readable = on_readable,
+	.drained = on_drained,
+	.ended = on_ended,
+};
+
+static void
+conn_refuse (struct h1srv_conn *c, int status)
+{
+	log_event (LOG_LV_INFO, "bad-request", "status=%d", status);
+	c->close = true;
+	c->state = CONN_BUSY;
+	c->srv->busy++;
+	h1srv_answer (c, status, NULL, "", 0);
+}
+
+static void
+on_timer (void *ctx)
+{
+	struct h1srv_conn *c = ctx;
+	size_t len;
+
+	if (c->state == CONN_LINGER) {
+		conn_close (c, false);
+		return;
+	}
+	if (c->state == CONN_BUSY || c->state == CONN_ENDING)
+		return;
+	sio_input (&c->io, &len);
+	if (c->state == CONN_BODY || len > 0)
+		conn_refuse (c, 408);
+	else
+		conn_close (c, false);
+}
+
+/* The head is parsed again from a copy, since the input moves on. */
+static void
+conn_deliver (struct h1srv_conn *c)
+{
+	struct h1_head h;
+	size_t used;
+
+	tmr_stop (&c->tmr);
+	c->state = CONN_BUSY;
+	c->data = NULL;
+	c->srv->busy++;
+	if (h1_request (c->head->str, c->head->len, &h, &used) == H1_OK)
+		c->srv->ops->request (c, &h, c->body_bytes, c->srv->ctx);
+}
+
+static bool
+conn_head (struct h1srv_conn *c)
+{
+	const struct h1srv_limits *l = &c->srv->limits;
+	struct h1_head h;
+	size_t len, used;
+	const char *in = sio_input (&c->io, &len);
+
+	/* Empty lines before a request are allowed. */
+	while (len >= 2 && in[0] == '\r' && in[1] == '\n') {
+		sio_consume (&c->io, 2);
+		in = sio_input (&c->io, &len);
+	}
+	if (len == 0)
+		return false;
+	switch (h1_request (in, len, &h, &used)) {
+	case H1_BAD:
+		conn_refuse (c, 400);
+		return false;
+	case H1_MORE:
+		if (len > l->max_header_bytes)
+			conn_refuse (c, 431);
+		else if (!c->head_timed)
+			tmr_start (&c->tmr, l->header_timeout_ms);
+		c->head_timed = true;
+		return false;
+	case H1_OK:
+		break;
+	}
+	if (used > l->max_header_bytes || h.length > l->max_body_bytes) {
+		conn_refuse (c, used > l->max_header_bytes ? 431 : 413);
+		return false;
+	}
+	c->close = h.close;
+	g_string_truncate (c->head, 0);
+	g_string_append_len (c->head, in, (gssize)used);
+	g_byte_array_set_size (c->body_bytes, 0);
+	h1_body_init (&c->body, &h);
+	if (h.expect_continue && h.framing != H1_NO_BODY && used == len)
+		h1srv_write (c, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+	sio_consume (&c->io, used);
+	c->state = CONN_BODY;
+	tmr_start (&c->tmr, l->idle_timeout_ms);
+	return true;
+}
+
+static bool
+conn_body (struct h1srv_conn *c)
+{
+	size_t len, used, n;
+	const char *in = sio_input (&c->io, &len), *data;
+
+	switch (h1_body_step (&c->body, in, len, &used, &data, &n)) {
+	case H1_STEP_MORE:
+		sio_consume (&c->io, used);
+		return false;
+	case H1_STEP_DATA:
+		g_byte_array_append (c->body_bytes, (const guint8 *)data,
+				     (guint)n);
+		sio_consume (&c->io, used);
+		if (c->body_bytes->len <= c->srv->limits.max_body_bytes)
+			return true;
+		conn_refuse (c, 413);
+		return false;
+	case H1_STEP_END:
+		sio_consume (&c->io, used);
+		conn_deliver (c);
+		return true;
+	case H1_STEP_BAD:
+		break;
+	}
+	conn_refuse (c, 400);
+	return false;
+}
+
+static void
+conn_read (struct h1srv_conn *c)
+{
+	bool on = true;
+	size_t len;
+
+	if (c->reading)
+		return;
+	c->reading = true;
+	while (on && !c->dead) {
+		switch (c->state) {
+		case CONN_HEAD:
+			on = conn_head (c);
+			break;
+		case CONN_BODY:
+			on = conn_body (c);
+			break;
+		case CONN_BUSY:
+			sio_input (&c->io, &len);
+			if (len > AHEAD_MAX_BYTES)
+				sio_pause (&c->io);
+			on = false;
+			break;
+		case CONN_ENDING:
+		case CONN_LINGER:
+			sio_input (&c->io, &len);
+			sio_consume (&c->io, len);
+			on = false;
+			break;
+		}
+	}
+	c->reading = false;
+	if (c->dead)
+		conn_free (c);
+}
+
+static void
+on_accept (h2o_socket_t *listener, const char *why)
+{
+	struct h1srv *s = listener->data;
+	h2o_socket_t *sock;
+
+	if (why != NULL)
+		return;
+	while ((sock = h2o_evloop_socket_accept (listener)) != NULL) {
+		static const struct sio_limits limits = {0};
+		struct h1srv_conn *c = g_new0 (struct h1srv_conn, 1);
+
+		c->srv = s;
+		c->head = g_string_new (NULL);
+		c->body_bytes = g_byte_array_new ();
+		tmr_init (&c->tmr, s->loop, on_timer, c);
+		tmr_start (&c->tmr, s->limits.idle_timeout_ms);
+		g_ptr_array_add (s->conns, c);
+		sio_init (&c->io, sock, &conn_ops, c, &limits);
+	}
+}
+
+bool
+h1srv_init (struct h1srv *s, h2o_loop_t *loop, const struct sockaddr_in *addr,
+	    const struct h1srv_limits *limits, const struct h1srv_ops *ops,
+	    void *ctx, struct err *e)
+{
+	int fd;
+
+	*s = (struct h1srv){
+		.loop = loop, .ops = ops, .ctx = ctx, .limits = *limits};
+	fd = link_listen_fd (addr, LISTEN_BACKLOG, &s->port, e);
+	if (fd < 0)
+		return false;
+	s->conns = g_ptr_array_new ();
+	s->listener = h2o_evloop_socket_create (loop, fd,
+						H2O_SOCKET_FLAG_DONT_READ);
+	s->listener->data = s;
+	h2o_socket_read_start (s->listener, on_accept);
+	return true;
+}
+
+void
+h1srv_leave (struct h1srv *s)
+{
+	s->leaving = true;
+}
+
+void
+h1srv_close_idle (struct h1srv *s)
+{
+	for (guint i = s->conns->len; i > 0; i--) {
+		struct h1srv_conn *c = g_ptr_array_index (s->conns, i - 1);
+		size_t len = 0;
+
+		if (sio_is_open (&c->io))
+			sio_input (&c->io, &len);
+		if (c->state == CONN_HEAD && len == 0)
+			conn_close (c, false);
+	}
+}
+
+void
+h1srv_finish (struct h1srv *s)
+{
+	if (s->listener != NULL)
+		h2o_socket_close (s->listener);
+	s->listener = NULL;
+	while (s->conns != NULL && s->conns->len > 0)
+		on_ended (NULL, g_ptr_array_index (s->conns, 0));
+	if (s->conns != NULL)
+		g_ptr_array_free (s->conns, TRUE);
+	s->conns = NULL;
+}
+
+void
+h1srv_set_data (struct h1srv_conn *c, void *data)
+{
+	c->data = data;
+}
+
+void *
+h1srv_data (const struct h1srv_conn *c)
+{
+	return c->data;
+}
+
+bool
+h1srv_closes (const struct h1srv_conn *c)
+{
+	return c->close || c->srv->leaving;
+}
+
+void
+h1srv_write (struct h1srv_conn *c, const void *data, size_t len)
+{
+	sio_write (&c->io, data, len);
+}
+
+size_t
+h1srv_pending (const struct h1srv_conn *c)
+{
+	return sio_pending (&c->io);
+}
+
+void
+h1srv_end (struct h1srv_conn *c, bool whole)
+{
+	if (!whole) {
+		conn_close (c, true);
+		return;
+	}
+	c->srv->busy--;
+	c->data = NULL;
+	if (c->close) {
+		c->state = CONN_ENDING;
+		if (sio_pending (&c->io) == 0)
+			on_drained (c);
+		return;
+	}
+	c->state = CONN_HEAD;
+	c->head_timed = false;
+	tmr_start (&c->tmr, c->srv->limits.idle_timeout_ms);
+	sio_resume (&c->io);
+	conn_read (c);
+}
+
+void
+h1srv_head (struct h1srv_conn *c, int status, const char *headers,
+	    GString *out)
+{
+	c->close = h1srv_closes (c);
+	g_string_append_printf (out, "HTTP/1.1 %d %s\r\n", status,
+				h1_status_text (status));
+	if (headers != NULL)
+		g_string_append (out, headers);
+	if (c->close)
+		g_string_append (out, "Connection: close\r\n");
+}
+
+void
+h1srv_answer (struct h1srv_conn *c, int status, const char *headers,
+	      const void *body, size_t len)
+{
+	GString *out = g_string_new (NULL);
+
+	h1srv_head (c, status, headers, out);
+	g_string_append_printf (out, "Content-Length: %zu\r\n\r\n", len);
+	g_string_append_len (out, body, (gssize)len);
+	h1srv_write (c, out->str, out->len);
+	g_string_free (out, TRUE);
+	h1srv_end (c, true);
+}
--- a/lib/log.c
+++ b/lib/log.c
@@ -1,6 +1,7 @@
 /*
  * One line an event, through GLib's structured logging.
  */
+#include <fcntl.h>
 #include <glib.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -19,6 +20,36 @@
 static char log_prog[32] = "?";
 static char log_self[64] = "";
 static enum log_level log_max = LOG_LV_INFO;
+static int log_fd = STDERR_FILENO;
+
+/* A bound on the volume, for log_to_stdout(): lines a second, 0 for none. */
+static uint32_t lines_per_s;
+static uint64_t lines_second;
+static uint32_t lines_written;
+static uint64_t lines_dropped;
+
+/* Whether one more line fits within this second's bound. */
+static bool
+may_write (enum log_level level)
+{
+	struct timespec ts;
+
+	if (lines_per_s == 0)
+		return true;
+	clock_gettime (CLOCK_MONOTONIC, &ts);
+	if ((uint64_t)ts.tv_sec != lines_second) {
+		lines_second = (uint64_t)ts.tv_sec;
+		lines_written = 0;
+	}
+	/* Warnings and errors may use twice the bound. */
+	if (lines_written >= lines_per_s &&
+	    (level > LOG_LV_WARN || lines_written >= 2 * lines_per_s)) {
+		lines_dropped++;
+		return false;
+	}
+	lines_written++;
+	return true;
+}
 
 static const char *const level_names[] = {
 	[LOG_LV_ERROR] = "error",
@@ -57,7 +88,7 @@
 	int len;
 
 	(void)data;
-	if (level > log_max)
+	if (level > log_max || !may_write (level))
 		return G_LOG_WRITER_HANDLED;
 	for (gsize i = 0; i < n; i++) {
 		if (strcmp (fields[i].key, "MESSAGE") == 0)
@@ -74,8 +105,10 @@
 		line[len - 1] = '\n';
 	}
 	/* One write a line, so that lines of several processes stay whole. */
-	if (write (STDERR_FILENO, line, (size_t)len) < 0)
+	if (write (log_fd, line, (size_t)len) < 0) {
+		lines_dropped++;
 		return G_LOG_WRITER_UNHANDLED;
+	}
 	return G_LOG_WRITER_HANDLED;
 }
 
@@ -93,6 +126,24 @@
 	installed = true;
 }
 
+void
+log_to_stdout (uint32_t max_per_s)
+{
+	int flags = fcntl (STDOUT_FILENO, F_GETFL);
+
+	/* A reader that stops must not stop the process. */
+	if (flags >= 0)
+		fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+	log_fd = STDOUT_FILENO;
+	lines_per_s = max_per_s;
+}
+
+uint64_t
+log_dropped (void)
+{
+	return lines_dropped;
+}
+
 bool
 log_level_parse (const char *s, enum log_level *out)
 {
--- a/lib/log.h
+++ b/lib/log.h
@@ -2,6 +2,7 @@
 #define DH_LOG_H
 
 #include <stdbool.h>
+#include <stdint.h>
 
 /*
  * Logging through GLib.  Every line is one event with fields, so that one
@@ -28,6 +29,16 @@
  */
 void log_init (const char *prog, const char *name, enum log_level level);
 
+/**
+ * log_to_stdout() - write to standard output, and never wait for its reader
+ * @max_per_s: lines a second; what is beyond is dropped and counted.  Warnings
+ *	and errors may use twice as many.
+ */
+void log_to_stdout (uint32_t max_per_s);
+
+/** log_dropped() - lines that were dropped so far */
+uint64_t log_dropped (void);
+
 /** log_level_parse() - "error", "warn", "info" or "debug" into @out */
 bool log_level_parse (const char *s, enum log_level *out);
 
--- a/lib/set.c
+++ b/lib/set.c
@@ -161,6 +161,7 @@
 	case SET_U16:
 	case SET_U32:
 	case SET_U64:
+	case SET_REAL:
 	case SET_HEX:
 	case SET_ENUM:
 	case SET_END:
--- a/lib/set.h
+++ b/lib/set.h
@@ -30,6 +30,7 @@
 	SET_U16,    /* uint16_t */
 	SET_U32,    /* uint32_t */
 	SET_U64,    /* uint64_t */
+	SET_REAL,   /* double, not negative */
 	SET_STRING, /* char[size] */
 	SET_NAME,   /* char[size]: letters, digits, '-', '_', '.' */
 	SET_ADDR,   /* char[size]: IP:port */
--- a/lib/set_daemons.c
+++ b/lib/set_daemons.c
@@ -73,6 +73,86 @@
 };
 #undef STRUCT
 
+#define STRUCT struct set_groupd
+const struct set_row set_groupd_rows[] = {
+	ROW (name, SET_NAME, .required = true, .doc = "Name of the instance."),
+	ROW (domain, SET_NAME, .required = true, .doc = "Its failure domain."),
+	ROW (peer, SET_ADDR, .required = true,
+	     .doc = "Where relays and other members connect; members use the "
+		    "same port everywhere."),
+	ROW (api, SET_ADDR, .required = true,
+	     .doc = "Where operators connect, by HTTP; the same port "
+		    "everywhere."),
+	ROW (metrics, SET_ADDR, .doc = "Where counters are served, by HTTP."),
+	ROW (data_dir, SET_STRING, .required = true,
+	     .doc = "Folder with the member's identity, log and snapshots."),
+	ROW (cluster_key_file, SET_STRING, .required = true,
+	     .doc = "File with the key all our processes share: 64 hex "
+		    "digits."),
+	ROW (seeds, SET_LIST, .required = true, .min = 1, .max = 11,
+	     .doc = "API listeners of members to begin with, IP:port each."),
+	ROW (found, SET_BOOL, .def = "false",
+	     .doc = "Whether the seeds found the group, each with an empty "
+		    "data folder; otherwise an empty member asks to join."),
+	ROW (platform, SET_ADDR, .required = true,
+	     .doc = "The platform's interface."),
+	ROW (platform_calls_per_s, SET_REAL, .def = "10", .min = 1,
+	     .doc = "List calls a second it takes, from all instances."),
+	ROW (duties, SET_LIST, .max = 16,
+	     .doc = "What the platform expects of the member in charge: "
+		    "\"usage\", reports of usage windows; others are left "
+		    "alone."),
+	ROW (usage_window_s, SET_REAL, .def = "60", .min = 1, .max = 86400,
+	     .doc = "Length of a usage window in seconds."),
+	ROW (usage_late_s, SET_REAL, .def = "60", .min = 1, .max = 86400,
+	     .doc = "Seconds after a window's end at which its report is "
+		    "due."),
+	ROW (lease_ms, SET_U32, .def = "3000", .min = 100, .max = 60000,
+	     .doc = "Milliseconds for which the platform takes the last "
+		    "sender of reports for the one in charge."),
+	ROW (ack_ms, SET_U32, .def = "4000", .min = 100, .max = 60000,
+	     .doc = "Milliseconds for which an operator sends a change "
+		    "again."),
+	SET_ROW_END,
+};
+#undef STRUCT
+
+#define STRUCT struct set_relayd
+const struct set_row set_relayd_rows[] = {
+	ROW (name, SET_NAME, .required = true, .doc = "Name of the instance."),
+	ROW (domain, SET_NAME, .required = true, .doc = "Its failure domain."),
+	ROW (listen, SET_ADDR, .required = true,
+	     .doc = "Where callers connect."),
+	ROW (ready, SET_ADDR, .required = true,
+	     .doc = "Where the balancer asks whether it takes callers."),
+	ROW (peer, SET_ADDR, .required = true,
+	     .doc = "Its IP is where connections leave from, its port the "
+		    "one at which members of the group listen."),
+	ROW (metrics, SET_ADDR, .doc = "Where counters are served, by HTTP."),
+	ROW (cluster_key_file, SET_STRING, .required = true,
+	     .doc = "File with the key all our processes share: 64 hex "
+		    "digits."),
+	ROW (seeds, SET_LIST, .required = true, .min = 1, .max = 11,
+	     .doc = "API listeners of members to begin with, IP:port each."),
+	ROW (platform, SET_ADDR, .required = true,
+	     .doc = "The platform's interface, for when no member answers."),
+	ROW (platform_calls_per_s, SET_REAL, .def = "10", .min = 1,
+	     .doc = "List calls a second it takes, from all instances."),
+	ROW (grace_s, SET_REAL, .def = "8", .min = 1, .max = 600,
+	     .doc = "Seconds between SIGTERM and SIGKILL."),
+	ROW (retry_ratio, SET_REAL, .def = "0.2", .max = 1,
+	     .doc = "Sends beyond the first, as a share of the requests, of "
+		    "all relays together."),
+	ROW (retry_slack, SET_REAL, .def = "50", .max = 1000000,
+	     .doc = "Sends beyond the first allowed besides in any window."),
+	ROW (retry_window_s, SET_REAL, .def = "10", .min = 1, .max = 600,
+	     .doc = "The retry budget's window in seconds."),
+	ROW (usage_window_s, SET_REAL, .def = "60", .min = 1, .max = 86400,
+	     .doc = "Length of a usage window in seconds."),
+	SET_ROW_END,
+};
+#undef STRUCT
+
 #define STRUCT struct set_dhctl
 const struct set_row set_dhctl_rows[] = {
 	ROW (control, SET_LIST, .max = 11,
--- a/lib/set_daemons.h
+++ b/lib/set_daemons.h
@@ -59,6 +59,51 @@
 /** set_controld_rows - the table of struct set_controld */
 extern const struct set_row set_controld_rows[];
 
+/** struct set_groupd - settings of a group member that serves relays */
+struct set_groupd {
+	char name[SET_NAME_BYTES];
+	char domain[SET_NAME_BYTES];
+	char peer[SET_ADDR_BYTES];
+	char api[SET_ADDR_BYTES];
+	char metrics[SET_ADDR_BYTES];
+	char data_dir[SET_FILE_BYTES];
+	char cluster_key_file[SET_FILE_BYTES];
+	GPtrArray *seeds;
+	bool found;
+	char platform[SET_ADDR_BYTES];
+	double platform_calls_per_s;
+	GPtrArray *duties;
+	double usage_window_s;
+	double usage_late_s;
+	uint32_t lease_ms;
+	uint32_t ack_ms;
+};
+
+/** set_groupd_rows - the table of struct set_groupd */
+extern const struct set_row set_groupd_rows[];
+
+/** struct set_relayd - settings of a relay */
+struct set_relayd {
+	char name[SET_NAME_BYTES];
+	char domain[SET_NAME_BYTES];
+	char listen[SET_ADDR_BYTES];
+	char ready[SET_ADDR_BYTES];
+	char peer[SET_ADDR_BYTES];
+	char metrics[SET_ADDR_BYTES];
+	char cluster_key_file[SET_FILE_BYTES];
+	GPtrArray *seeds;
+	char platform[SET_ADDR_BYTES];
+	double platform_calls_per_s;
+	double grace_s;
+	double retry_ratio;
+	double retry_slack;
+	double retry_window_s;
+	double usage_window_s;
+};
+
+/** set_relayd_rows - the table of struct set_relayd */
+extern const struct set_row set_relayd_rows[];
+
 /** struct set_dhctl - settings of the operators' client */
 struct set_dhctl {
 	GPtrArray *control;
--- a/lib/set_describe.c
+++ b/lib/set_describe.c
@@ -22,6 +22,10 @@
 					" to %" G_GUINT64_FORMAT,
 					r->min, greatest (r));
 		break;
+	case SET_REAL:
+		g_string_append_printf (out, "number, from %" G_GUINT64_FORMAT,
+					r->min);
+		break;
 	case SET_BOOL:
 		g_string_append (out, "true or false");
 		break;
--- a/lib/set_value.c
+++ b/lib/set_value.c
@@ -3,6 +3,7 @@
  */
 #include <arpa/inet.h>
 #include <json-c/json.h>
+#include <float.h>
 #include <string.h>
 
 #include "set_priv.h"
@@ -24,6 +25,7 @@
 	case SET_U32:
 		return UINT32_MAX;
 	case SET_U64:
+	case SET_REAL:
 	case SET_END:
 	case SET_BOOL:
 	case SET_STRING:
@@ -115,6 +117,25 @@
 	return true;
 }
 
+static bool
+read_real (const struct set_row *r, json_object *v, char *to,
+	   const struct set_place *at)
+{
+	double max = r->max != 0 ? (double)r->max : DBL_MAX, d;
+
+	if (!json_object_is_type (v, json_type_int) &&
+	    !json_object_is_type (v, json_type_double))
+		return set_wrong (at, "must be a number");
+	d = json_object_get_double (v);
+	if (!(d >= (double)r->min && d <= max))
+		return set_problem (at->problems, at->line, at->path,
+				    "must be from %" G_GUINT64_FORMAT
+				    " to %g, not %g",
+				    r->min, max, d);
+	memcpy (to, &d, sizeof d);
+	return true;
+}
+
 /* The text of a string, or NULL where it is none or cannot be one of ours. */
 static const char *
 plain_string (json_object *v, const struct set_place *at)
@@ -298,6 +319,8 @@
 	case SET_U32:
 	case SET_U64:
 		return read_uint (r, v, to, at);
+	case SET_REAL:
+		return read_real (r, v, to, at);
 	case SET_STRING:
 	case SET_NAME:
 	case SET_ADDR:
@@ -320,6 +343,7 @@
 	GPtrArray *list;
 	json_object *v;
 	GString *hex;
+	double d;
 
 	switch (r->type) {
 	case SET_BOOL:
@@ -329,6 +353,9 @@
 	case SET_U32:
 	case SET_U64:
 		return json_object_new_uint64 (fetch_uint (r, from));
+	case SET_REAL:
+		memcpy (&d, from, sizeof d);
+		return json_object_new_double (d);
 	case SET_STRING:
 	case SET_NAME:
 	case SET_ADDR:
--- a/lib/tmr.h
+++ b/lib/tmr.h
@@ -7,11 +7,15 @@
 #include <h2o.h>
 
 /*
- * One-shot timers of any duration on an h2o loop, and the clocks.
+ * One-shot timers of any duration on an h2o loop, and the clocks.  They run by
+ * the monotonic clock: h2o's own timeouts follow the time of day, so that a
+ * step of it would fire them early or hold them up.
  */
 
 typedef void (*tmr_cb) (void *ctx);
 
+struct tmr_queue;
+
 /**
  * struct tmr - a timer on memory the caller owns
  *
@@ -19,11 +23,11 @@
  */
 struct tmr {
 	h2o_loop_t *loop;
-	h2o_timeout_t timeout;
-	h2o_timeout_entry_t entry;
+	struct tmr_queue *queue; /* of @loop; NULL where it never ran */
+	uint64_t at_ms;
+	uint32_t place; /* in the queue's heap, from 1 on; 0: not started */
 	tmr_cb cb;
 	void *ctx;
-	bool armed;
 };
 
 /** tmr_init() - prepare @t; it is not started */
@@ -35,8 +39,7 @@
 /** tmr_stop() - stop @t; harmless where it is not started */
 void tmr_stop (struct tmr *t);
 
-/** tmr_finish() - stop @t and take it off the loop; not from its own callback,
- * nor from anything that the callback causes before it returns */
+/** tmr_finish() - stop @t and take it off the loop */
 void tmr_finish (struct tmr *t);
 
 /** tmr_now_ms() - monotonic clock, in milliseconds */
--- a/mk/common.mk
+++ b/mk/common.mk
@@ -17,7 +17,7 @@
 # errors for our own lines only.
 PKG_CFLAGS := $(patsubst -I%,-isystem %,$(shell pkg-config --cflags $(PKGS)))
 CPPFLAGS := -D_GNU_SOURCE -DH2O_USE_LIBUV=0 -DH2O_USE_EPOLL=1 \
-	-I$(TOP)/lib $(PKG_CFLAGS)
+	-I$(TOP)/lib $(CPPFLAGS_EXTRA) $(PKG_CFLAGS)
 CFLAGS := -std=gnu11 -O2 -g -Wall -Wextra -Werror -Wshadow \
 	-Wstrict-prototypes -Wmissing-prototypes -Wconversion \
 	-Wno-sign-conversion -fno-common $(SANFLAGS) $(EXTRA_CFLAGS)
--- a/mk/prog.mk
+++ b/mk/prog.mk
@@ -4,7 +4,8 @@
 include $(TOP)/mk/common.mk
 
 SRCS ?= $(wildcard *.c)
-OBJS := $(SRCS:%.c=$(BUILD)/obj/$(PROG)/%.o)
+OBJS := $(SRCS:%.c=$(BUILD)/obj/$(PROG)/%.o) \
+	$(EXTRA:%.c=$(BUILD)/obj/%.o)
 BIN := $(BUILD)/bin/$(PROG)
 
 all: $(BIN)
@@ -17,6 +18,11 @@
 	@mkdir -p $(@D)
 	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
 
+# Files of other folders, named in EXTRA by their paths from the root.
+$(EXTRA:%.c=$(BUILD)/obj/%.o): $(BUILD)/obj/%.o: $(TOP)/%.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
+
 -include $(OBJS:.o=.d)
 
 .PHONY: all
--- /dev/null
+++ b/relayd/back.c
@@ -0,0 +1,317 @@
+/*
+ * Exchanges with endpoints, and what of them goes to the caller.
+ */
+#include <string.h>
+
+#include "relayd.h"
+
+/* An endpoint that takes no connection in this time is not used; a round trip
+ * and its accepting take a few milliseconds. */
+#define CONNECT_MS 400
+
+/* Bytes that are not acknowledged, or probes that are not answered, for so
+ * long: the endpoint is cut off or gone. */
+#define USER_TIMEOUT_MS 1500
+#define PROBE_S 1
+
+/* A kept connection may be closing as we send.  Where the request can't go
+ * elsewhere then, only a connection that was in use just now will do. */
+#define IDLE_MAX_MS 60000
+#define IDLE_ONCE_MS 1000
+
+#define BUFFER_MAX_BYTES (8U << 20)
+#define PENDING_MAX_BYTES (256U << 10)
+
+/* How fast the observed time to the first token moves what is expected. */
+#define SLOW_WEIGHT 0.1
+#define SLOW_MAX 8.0
+
+static bool
+repeatable (const struct call *c)
+{
+	return c->route->kind == PLAN_REPEATABLE || c->route->resumable;
+}
+
+/* The answer's headers for the caller; framing is ours. */
+static void
+keep_headers (struct call *c, const struct h1_head *h)
+{
+	g_string_truncate (c->head, 0);
+	for (size_t i = 0; i < h->count; i++) {
+		const struct h1_header *x = &h->headers[i];
+
+		if (h1_hop_header (h, x) || h1_is (x, "content-length"))
+			continue;
+		g_string_append_len (c->head, x->name, (gssize)x->name_len);
+		g_string_append (c->head, ": ");
+		g_string_append_len (c->head, x->value, (gssize)x->value_len);
+		g_string_append (c->head, "\r\n");
+	}
+}
+
+/* The first byte of the answer: the endpoint has begun. */
+static void
+first_byte (struct call *c)
+{
+	uint64_t now_ms = tmr_now_ms ();
+	double took_ms = (double)(now_ms - c->sent_ms);
+	struct fleet_ep *ep = c->ep;
+
+	if (c->read)
+		return;
+	c->read = true;
+	ep->unread = MAX (ep->unread - c->to_read, 0);
+	if (c->account[0] != '\0')
+		usage_count (c->r, c->account);
+	if (c->predicted_ms > 1 && c->service->is_engine) {
+		double x = took_ms / (c->predicted_ms + 30);
+
+		ep->slow += SLOW_WEIGHT * (MIN (x, SLOW_MAX) - ep->slow);
+	}
+}
+
+static void
+on_head (struct h1cli *x, const struct h1_head *h, bool echoed, void *ctx)
+{
+	struct call *c = ctx;
+	uint64_t now_ms = tmr_now_ms ();
+
+	(void)x;
+	c->r->dialect->answer (h, &c->answer);
+	if (c->answer.cold_ms > 0)
+		fleet_cold (c->ep, c->answer.cold_ms, now_ms);
+	c->status = h->status;
+	if (h->status / 100 == 2 && (!echoed || !c->answer.signed_off)) {
+		/* Whose answer it is can't be told. */
+		c->status = 0;
+		return;
+	}
+	if (!c->begun)
+		keep_headers (c, h);
+	c->streams = c->route->kind == PLAN_STREAM && h->status == 200;
+	if (!c->answer.not_run && !c->streams)
+		first_byte (c);
+}
+
+static void
+begin_answer (struct call *c)
+{
+	GString *out = g_string_new (NULL);
+
+	c->begun = true;
+	c->first_ms = tmr_now_ms ();
+	h1srv_head (c->caller, c->status, c->head->str, out);
+	g_string_append (out, "Transfer-Encoding: chunked\r\n\r\n");
+	h1srv_write (c->caller, out->str, out->len);
+	g_string_free (out, TRUE);
+}
+
+static void
+write_chunk (struct call *c, const char *data, size_t len)
+{
+	char size[24];
+	int n;
+
+	if (len == 0)
+		return;
+	if (!c->begun)
+		begin_answer (c);
+	n = g_snprintf (size, sizeof size, "%zx\r\n", len);
+	h1srv_write (c->caller, size, (size_t)n);
+	h1srv_write (c->caller, data, len);
+	h1srv_write (c->caller, "\r\n", 2);
+	if (h1srv_pending (c->caller) > PENDING_MAX_BYTES && !c->paused) {
+		c->paused = true;
+		h1cli_pause (c->x);
+	}
+}
+
+static void
+on_data (struct h1cli *x, const char *data, size_t len, void *ctx)
+{
+	struct call *c = ctx;
+
+	(void)x;
+	if (c->status == 0)
+		return;
+	if (!c->streams) {
+		if (c->buffer->len + len <= BUFFER_MAX_BYTES)
+			g_string_append_len (c->buffer, data, (gssize)len);
+		else
+			c->status = 0;
+		return;
+	}
+	first_byte (c);
+	g_string_truncate (c->buffer, 0);
+	if (!evs_feed (&c->evs, data, len, c->buffer))
+		c->status = 0;
+	else
+		write_chunk (c, c->buffer->str, c->buffer->len);
+}
+
+static bool
+answer_is_whole (const struct call *c, enum h1cli_end end)
+{
+	if (end != H1CLI_WHOLE || c->status == 0 || (c->begun && !c->streams))
+		return false;
+	return !c->streams || !evs_is_partial (&c->evs);
+}
+
+static void
+serve (struct call *c)
+{
+	struct h1srv_conn *caller = c->caller;
+
+	c->r->stats.served++;
+	if (c->streams) {
+		if (!c->begun)
+			begin_answer (c);
+		h1srv_write (caller, "0\r\n\r\n", 5);
+		h1srv_set_data (caller, NULL);
+		call_done (c, "served");
+		h1srv_end (caller, true);
+	} else {
+		GString *head = g_string_new (c->head->str);
+		GString *body = g_string_new_len (c->buffer->str,
+						  (gssize)c->buffer->len);
+		int status = c->status;
+
+		c->first_ms = tmr_now_ms ();
+		h1srv_set_data (caller, NULL);
+		call_done (c, "served");
+		h1srv_answer (caller, status, head->str, body->str, body->len);
+		g_string_free (head, TRUE);
+		g_string_free (body, TRUE);
+	}
+}
+
+/* What the end of an exchange says of the endpoint. */
+static void
+learn (struct call *c, enum h1cli_end end, bool reused)
+{
+	struct fleet_ep *ep = c->ep;
+	uint64_t now_ms = tmr_now_ms ();
+
+	if (c->answer.elsewhere) {
+		log_event (LOG_LV_INFO, "endpoint",
+			   "ep=%s addr=%s gone=another-has-its-address",
+			   ep->info.id, ep->info.addr);
+		fleet_gone (ep);
+		return;
+	}
+	if (end == H1CLI_UNSENT || (end == H1CLI_BROKEN && !reused &&
+				    c->status == 0 && !c->answer.not_run)) {
+		log_event (LOG_LV_INFO, "endpoint",
+			   "ep=%s addr=%s doubted=1 end=%d", ep->info.id,
+			   ep->info.addr, end);
+		fleet_doubt (ep, now_ms);
+		return;
+	}
+	if (!c->answer.not_run)
+		fleet_outcome (ep,
+			       end == H1CLI_WHOLE && c->status > 0 &&
+				       c->status < 500,
+			       now_ms);
+}
+
+static void
+on_done (struct h1cli *x, enum h1cli_end end, void *ctx)
+{
+	struct call *c = ctx;
+	bool whole = answer_is_whole (c, end);
+
+	learn (c, end, h1cli_reused (x));
+	if (end == H1CLI_UNSENT)
+		c->r->stats.unsent++;
+	else if (!c->answer.not_run)
+		c->runs++;
+	/* A failure that another endpoint may mend goes there first. */
+	if (whole && !c->answer.not_run && c->status < 500) {
+		c->x = NULL;
+		serve (c);
+		return;
+	}
+	if (!whole)
+		c->status = 0;
+	call_after (c);
+}
+
+static const struct h1cli_ops back_ops = {
+	.head = on_head,
+	.data = on_data,
+	.done = on_done,
+};
+
+static GString *
+request_text (struct call *c, uint64_t left_ms)
+{
+	GString *out = g_string_sized_new (512 + c->body->len);
+	struct dia_send s = {
+		.expect = c->ep->info.id,
+		.account = c->account[0] != '\0' ? c->account : NULL,
+		.left_ms = left_ms,
+		.tier = c->tier,
+		.is_engine = c->service->is_engine,
+		.last_event = c->evs.last_id,
+	};
+
+	g_string_append_printf (out, "%s HTTP/1.1\r\n%s", c->line->str,
+				c->headers->str);
+	c->r->dialect->send (&s, out);
+	if (c->body->len > 0 || strncmp (c->line->str, "GET ", 4) != 0)
+		g_string_append_printf (out, "Content-Length: %u\r\n",
+					c->body->len);
+	g_string_append (out, "\r\n");
+	g_string_append_len (out, (const char *)c->body->data, c->body->len);
+	return out;
+}
+
+void
+back_send (struct call *c, const struct place_verdict *v)
+{
+	struct upstream *u = v->ep->io;
+	uint64_t now_ms = tmr_now_ms ();
+	uint64_t left_ms = c->deadline_ms > now_ms ? c->deadline_ms - now_ms : 1;
+	struct h1cli_req req = {
+		.to_head = c->to_head,
+		.echo_name = c->r->dialect->echo,
+		.echo_value = c->req.id,
+		.idle_max_ms = repeatable (c) ? IDLE_MAX_MS : IDLE_ONCE_MS,
+		.connect_ms = (uint32_t)MIN (CONNECT_MS, left_ms),
+		.limits = {USER_TIMEOUT_MS, PROBE_S},
+	};
+	GString *text;
+
+	c->ep = v->ep;
+	c->sends++;
+	c->r->stats.sends++;
+	c->sent_ms = now_ms;
+	c->to_read = v->to_read;
+	c->predicted_ms = v->first_ms;
+	c->read = false;
+	c->status = 0;
+	c->answer = (struct dia_answer){0};
+	g_string_truncate (c->buffer, 0);
+	evs_restart (&c->evs);
+	c->ep->inflight++;
+	c->ep->unread += c->to_read;
+	if (fleet_is_cold (c->ep, now_ms))
+		c->ep->cold_sent_ms = now_ms;
+	if (c->service->is_engine)
+		fleet_remember (c->ep, c->req.parts, c->req.part_count,
+				c->service->memory_tokens);
+	log_event (LOG_LV_INFO, "send",
+		   "req=%s service=%s ep=%s domain=%s why=%s predicted_ms=%.0f "
+		   "to_read=%.0f inflight=%u tier=%u left_ms=%" G_GUINT64_FORMAT
+		   " list_age_ms=%" G_GUINT64_FORMAT
+		   " version=%" G_GUINT64_FORMAT,
+		   c->req.id, c->service->name, c->ep->info.id,
+		   c->ep->info.domain, place_why_name (v->why), v->first_ms,
+		   v->to_read, c->ep->inflight, c->tier, left_ms,
+		   now_ms - c->r->list_ms, c->plan->version);
+	text = request_text (c, left_ms);
+	req.bytes = text->str;
+	req.len = text->len;
+	c->x = h1cli_start (&u->host, &req, &back_ops, c);
+	g_string_free (text, TRUE);
+}
--- /dev/null
+++ b/relayd/call.c
@@ -0,0 +1,274 @@
+/*
+ * The life of a request: it waits for an endpoint, is sent, perhaps again,
+ * and is answered.
+ */
+#include <string.h>
+
+#include "relayd.h"
+
+/* A request waits for an endpoint for this part of its latency objective;
+ * beyond it the caller does better to come again. */
+#define WAIT_PART 8
+
+/* What a refused caller is told to wait, spread so that they don't return
+ * together: about what a lost endpoint's neighbours take to be free again. */
+#define AFTER_MIN_MS 300
+#define AFTER_SPREAD_MS 500
+
+/* A caller that reads slowly stops the endpoint's stream beyond this. */
+#define PENDING_MAX_BYTES (256U << 10)
+
+static uint64_t
+left_ms (const struct call *c, uint64_t now_ms)
+{
+	return c->deadline_ms > now_ms ? c->deadline_ms - now_ms : 0;
+}
+
+static uint32_t
+after_ms (struct call *c)
+{
+	return AFTER_MIN_MS +
+	       (uint32_t)g_rand_int_range (c->r->rand, 0, AFTER_SPREAD_MS);
+}
+
+static void
+call_free (struct call *c)
+{
+	struct relay *r = c->r;
+
+	call_leave_ep (c);
+	g_ptr_array_remove_fast (r->calls, c);
+	plan_unref (c->plan);
+	g_string_free (c->line, TRUE);
+	g_string_free (c->headers, TRUE);
+	g_byte_array_unref (c->body);
+	g_string_free (c->head, TRUE);
+	g_string_free (c->buffer, TRUE);
+	evs_finish (&c->evs);
+	g_free (c);
+}
+
+/* Take the request off its endpoint's account; a running exchange ends. */
+void
+call_leave_ep (struct call *c)
+{
+	if (c->x != NULL)
+		h1cli_cancel (c->x);
+	c->x = NULL;
+	if (c->ep == NULL)
+		return;
+	c->ep->inflight--;
+	if (!c->read)
+		c->ep->unread = MAX (c->ep->unread - c->to_read, 0);
+	c->ep = NULL;
+}
+
+void
+call_done (struct call *c, const char *outcome)
+{
+	uint64_t now_ms = tmr_now_ms ();
+
+	log_event (LOG_LV_INFO, "done",
+		   "req=%s outcome=%s status=%d route=%s account=%s sends=%u "
+		   "first_ms=%" G_GUINT64_FORMAT " ms=%" G_GUINT64_FORMAT
+		   " events=%" G_GUINT64_FORMAT,
+		   c->req.id, outcome, c->status, c->route->name, c->account,
+		   c->sends,
+		   c->first_ms > 0 ? c->first_ms - c->arrived_ms : 0,
+		   now_ms - c->arrived_ms, c->evs.events);
+	if (c->first_ms > 0) {
+		hist_add (&c->r->stats.first_us,
+			  (c->first_ms - c->arrived_ms) * 1000);
+		hist_add (&c->r->stats.whole_us,
+			  (now_ms - c->arrived_ms) * 1000);
+	}
+	call_free (c);
+}
+
+void
+call_gone (struct call *c)
+{
+	c->r->stats.gone++;
+	c->caller = NULL;
+	call_done (c, "caller-gone");
+}
+
+void
+call_fail (struct call *c, int status, uint32_t wait_ms, const char *why)
+{
+	struct h1srv_conn *caller = c->caller;
+	struct relay *r = c->r;
+	char id[DIA_ID_BYTES];
+
+	g_strlcpy (id, c->req.id, sizeof id);
+	c->status = status;
+	h1srv_set_data (caller, NULL);
+	call_done (c, status == 503 ? "refused" : "failed");
+	front_refuse (r, caller, id, status, wait_ms, why);
+}
+
+void
+call_begin (struct call *c)
+{
+	c->refuse_ms = c->arrived_ms + c->route->target_ms / WAIT_PART;
+	spend_request (c->r->spend, c->service->name, c->arrived_ms);
+	call_try (c);
+}
+
+/* Send the request, or let it wait, or refuse it. */
+void
+call_try (struct call *c)
+{
+	uint64_t now_ms = tmr_now_ms ();
+	struct place_rules rules = {c->r->set.domain, MAX (c->r->relays, 1)};
+	struct place_req req = {.service = c->service,
+				.parts = c->req.parts,
+				.part_count = c->req.part_count,
+				.prompt_tokens = c->req.prompt_tokens,
+				.tried_count = c->tried_count,
+				.dice = g_rand_int (c->r->rand)};
+	struct place_verdict v;
+
+	for (uint32_t i = 0; i < c->tried_count; i++)
+		req.tried[i] = c->tried[i];
+	v = place_choose (&c->r->fleet, &rules, &req, now_ms);
+	if (v.ep != NULL) {
+		c->waits = false;
+		back_send (c, &v);
+		return;
+	}
+	if (c->begun) {
+		c->waits = false;
+		h1srv_end (c->caller, false);
+		c->r->stats.cut++;
+		call_done (c, "cut");
+		return;
+	}
+	if (now_ms < c->refuse_ms) {
+		c->waits = true;
+		return;
+	}
+	call_fail (c, c->runs > 0 ? 502 : 503, after_ms (c),
+		   v.why == PLACE_FULL ? "endpoints are full"
+				       : "no endpoint");
+}
+
+static void
+pass_on (struct call *c)
+{
+	struct h1srv_conn *caller = c->caller;
+	GString *headers = g_string_new (c->head->str);
+	GString *body = g_string_new_len (c->buffer->str,
+					  (gssize)c->buffer->len);
+	int status = c->status;
+
+	c->r->stats.passed++;
+	c->first_ms = tmr_now_ms ();
+	h1srv_set_data (caller, NULL);
+	call_done (c, "passed");
+	h1srv_answer (caller, status, headers->str, body->str, body->len);
+	g_string_free (headers, TRUE);
+	g_string_free (body, TRUE);
+}
+
+static void
+finish_as (struct call *c, enum again v)
+{
+	switch (v) {
+	case AGAIN_SEND:
+	case AGAIN_FREE:
+		call_try (c);
+		break;
+	case AGAIN_PASS:
+		pass_on (c);
+		break;
+	case AGAIN_REFUSE:
+		call_fail (c, 503, after_ms (c), "not run");
+		break;
+	case AGAIN_UNKNOWN:
+		call_fail (c, 502, 0, "outcome unknown");
+		break;
+	case AGAIN_CUT:
+		h1srv_set_data (c->caller, NULL);
+		h1srv_end (c->caller, false);
+		c->r->stats.cut++;
+		call_done (c, "cut");
+		break;
+	}
+}
+
+/* A send did not bring the answer; the exchange is over. */
+void
+call_after (struct call *c)
+{
+	uint64_t now_ms = tmr_now_ms ();
+	struct again_facts f = {
+		.kind = c->route->kind,
+		.resumable = c->route->resumable,
+		.sent = c->x == NULL || h1cli_sent (c->x),
+		.not_run = c->answer.not_run,
+		.answered = c->status > 0 && !c->begun,
+		.begun = c->begun,
+		.runs = c->runs,
+		.attempts = c->route->attempts,
+		.sends = c->sends,
+		.left_ms = left_ms (c, now_ms),
+	};
+	enum again v = again_ask (&f);
+
+	if (v == AGAIN_SEND &&
+	    !spend_take (c->r->spend, c->service->name, c->r->relays, now_ms))
+		v = again_last (&f);
+	log_event (LOG_LV_INFO, "again",
+		   "req=%s verdict=%s status=%d sent=%d not_run=%d begun=%d "
+		   "runs=%u sends=%u left_ms=%" G_GUINT64_FORMAT,
+		   c->req.id, again_name (v), c->status, f.sent, f.not_run,
+		   f.begun, f.runs, f.sends, f.left_ms);
+	if (v == AGAIN_SEND || v == AGAIN_FREE) {
+		c->r->stats.again++;
+		if (c->tried_count < PLACE_TRIED_MAX && c->ep != NULL)
+			c->tried[c->tried_count++] = c->ep;
+		c->refuse_ms = MAX (c->refuse_ms,
+				    now_ms + c->route->target_ms / WAIT_PART);
+	}
+	c->x = NULL;
+	call_leave_ep (c);
+	finish_as (c, v);
+}
+
+static void
+call_expire (struct call *c)
+{
+	if (c->begun) {
+		h1srv_set_data (c->caller, NULL);
+		h1srv_end (c->caller, false);
+		c->r->stats.cut++;
+		call_done (c, "timeout-cut");
+	} else if (c->sends == 0 ||
+		   (c->runs == 0 && (c->x == NULL || !h1cli_sent (c->x)))) {
+		call_fail (c, 503, after_ms (c), "no endpoint in time");
+	} else {
+		call_fail (c, 504, 0, "no answer in time");
+	}
+}
+
+void
+call_tick (struct relay *r, uint64_t now_ms)
+{
+	for (guint i = r->calls->len; i > 0; i--) {
+		struct call *c;
+
+		if (i > r->calls->len)
+			continue;
+		c = g_ptr_array_index (r->calls, i - 1);
+		if (now_ms >= c->deadline_ms) {
+			call_expire (c);
+		} else if (c->waits) {
+			call_try (c);
+		} else if (c->paused &&
+			   h1srv_pending (c->caller) < PENDING_MAX_BYTES / 2) {
+			c->paused = false;
+			h1cli_resume (c->x);
+		}
+	}
+}
--- /dev/null
+++ b/relayd/front.c
@@ -0,0 +1,216 @@
+/*
+ * Requests as they come in: route, key, time, and what goes on.
+ */
+#include <string.h>
+
+#include "relayd.h"
+
+/* Until a configuration says otherwise. */
+#define HEADER_MAX_BYTES (16U << 10)
+#define BODY_MAX_BYTES (4U << 20)
+#define HEADER_TIMEOUT_MS 3000
+#define IDLE_TIMEOUT_MS 15000
+
+/* For an answer to be on its way before the caller gives up. */
+#define ANSWER_MARGIN_MS 20
+
+void
+front_refuse (struct relay *r, struct h1srv_conn *c, const char *id, int status,
+	      uint32_t after_ms, const char *why)
+{
+	GString *headers = g_string_new (NULL);
+	char *body = g_strdup_printf ("{\"error\":\"%s\"}\n", why);
+
+	log_event (LOG_LV_INFO, "refuse",
+		   "req=%s status=%d after_ms=%u why=\"%s\" version=%"
+		   G_GUINT64_FORMAT,
+		   id, status, after_ms, why,
+		   r->plan != NULL ? r->plan->version : 0);
+	r->stats.refused++;
+	if (id[0] != '\0')
+		g_string_append_printf (headers, "%s: %s\r\n", r->dialect->echo,
+					id);
+	if (after_ms > 0)
+		g_string_append_printf (headers, "Retry-After: %u.%03u\r\n",
+					after_ms / 1000, after_ms % 1000);
+	g_string_append (headers, "Content-Type: application/json\r\n");
+	h1srv_answer (c, status, headers->str, body, strlen (body));
+	g_string_free (headers, TRUE);
+	g_free (body);
+}
+
+/* Headers that go on, those about one connection and our own left out. */
+static void
+copy_headers (struct call *c, const struct h1_head *h)
+{
+	for (size_t i = 0; i < h->count; i++) {
+		const struct h1_header *x = &h->headers[i];
+
+		if (h1_hop_header (h, x) || h1_is (x, "content-length") ||
+		    !c->r->dialect->forwards (x))
+			continue;
+		g_string_append_len (c->headers, x->name, (gssize)x->name_len);
+		g_string_append (c->headers, ": ");
+		g_string_append_len (c->headers, x->value,
+				     (gssize)x->value_len);
+		g_string_append (c->headers, "\r\n");
+	}
+}
+
+static void
+set_times (struct call *c)
+{
+	uint64_t wait_ms = c->route->timeout_ms;
+
+	if (c->req.wait_ms > 0)
+		wait_ms = MIN (wait_ms, c->req.wait_ms);
+	c->arrived_ms = tmr_now_ms ();
+	c->deadline_ms =
+		c->arrived_ms + MAX (wait_ms, 2 * ANSWER_MARGIN_MS) -
+		ANSWER_MARGIN_MS;
+}
+
+static void
+admit (struct relay *r, struct h1srv_conn *conn, const struct h1_head *h,
+       const GByteArray *body, const struct dia_request *req,
+       const struct plan_route *route, const struct plan_account *account)
+{
+	struct call *c = g_new0 (struct call, 1);
+
+	c->r = r;
+	c->caller = conn;
+	c->req = *req;
+	c->plan = plan_ref (r->plan);
+	c->route = route;
+	c->service = plan_pick (route, g_rand_int (r->rand));
+	c->tier = route->tier;
+	if (account != NULL) {
+		g_strlcpy (c->account, account->name, sizeof c->account);
+		if (account->has_tier)
+			c->tier = account->tier;
+	}
+	c->line = g_string_new_len (h->method, (gssize)h->method_len);
+	c->to_head = strcmp (c->line->str, "HEAD") == 0;
+	g_string_append_c (c->line, ' ');
+	g_string_append_len (c->line, h->path, (gssize)h->path_len);
+	c->headers = g_string_new (NULL);
+	copy_headers (c, h);
+	c->body = g_byte_array_new ();
+	g_byte_array_append (c->body, body->data, body->len);
+	c->head = g_string_new (NULL);
+	c->buffer = g_string_new (NULL);
+	evs_init (&c->evs, req->last_event);
+	set_times (c);
+	h1srv_set_data (conn, c);
+	g_ptr_array_add (r->calls, c);
+	call_begin (c);
+}
+
+static void
+on_request (struct h1srv_conn *conn, const struct h1_head *h,
+	    const GByteArray *body, void *ctx)
+{
+	struct relay *r = ctx;
+	const struct h1_header *host = h1_find (h, "host");
+	const struct plan_account *account = NULL;
+	const struct plan_route *route;
+	struct dia_request req;
+
+	r->stats.requests++;
+	r->dialect->request (h, &req);
+	if (r->plan == NULL) {
+		front_refuse (r, conn, req.id, 503, 500, "no configuration");
+		return;
+	}
+	route = host != NULL ? plan_match (r->plan, host->value,
+					   host->value_len, h->path,
+					   h->path_len)
+			     : NULL;
+	if (route == NULL) {
+		front_refuse (r, conn, req.id, 404, 0, "no route");
+		return;
+	}
+	if (!route->open) {
+		account = plan_key (r->plan, req.key);
+		if (account == NULL) {
+			front_refuse (r, conn, req.id, 401, 0, "unknown key");
+			return;
+		}
+	}
+	admit (r, conn, h, body, &req, route, account);
+}
+
+static void
+on_gone (struct h1srv_conn *conn, void *ctx)
+{
+	struct call *c = h1srv_data (conn);
+
+	(void)ctx;
+	if (c != NULL)
+		call_gone (c);
+}
+
+static const struct h1srv_ops front_ops = {
+	.request = on_request,
+	.gone = on_gone,
+};
+
+static void
+on_ready (struct h1srv_conn *conn, const struct h1_head *h,
+	  const GByteArray *body, void *ctx)
+{
+	struct relay *r = ctx;
+	char domain[PLAN_NAME_BYTES];
+	bool ready = relay_is_ready (r);
+
+	(void)body;
+	if (r->dialect->call (h, domain, sizeof domain) != DIA_READY)
+		h1srv_answer (conn, 404, NULL, "", 0);
+	else
+		h1srv_answer (conn, ready ? 200 : 503, NULL,
+			      ready ? "ready\n" : "no\n", ready ? 6 : 3);
+}
+
+static void
+on_metrics (struct h1srv_conn *conn, const struct h1_head *h,
+	    const GByteArray *body, void *ctx)
+{
+	GString *out = g_string_new (NULL);
+
+	(void)h;
+	(void)body;
+	stat_print (ctx, out);
+	h1srv_answer (conn, 200, "Content-Type: text/plain\r\n", out->str,
+		      out->len);
+	g_string_free (out, TRUE);
+}
+
+static void
+nobody_gone (struct h1srv_conn *conn, void *ctx)
+{
+	(void)conn;
+	(void)ctx;
+}
+
+static const struct h1srv_ops ready_ops = {on_ready, nobody_gone};
+static const struct h1srv_ops metrics_ops = {on_metrics, nobody_gone};
+
+bool
+front_init (struct relay *r, struct err *e)
+{
+	static const struct h1srv_limits limits = {
+		HEADER_MAX_BYTES, BODY_MAX_BYTES, HEADER_TIMEOUT_MS,
+		IDLE_TIMEOUT_MS};
+	struct sockaddr_in at;
+
+	if (!link_addr_parse (r->set.listen, &at, e) ||
+	    !h1srv_init (&r->front, r->d.loop, &at, &limits, &front_ops, r, e))
+		return false;
+	if (!link_addr_parse (r->set.ready, &at, e) ||
+	    !h1srv_init (&r->ready, r->d.loop, &at, &limits, &ready_ops, r, e))
+		return false;
+	return r->set.metrics[0] == '\0' ||
+	       (link_addr_parse (r->set.metrics, &at, e) &&
+		h1srv_init (&r->metrics, r->d.loop, &at, &limits, &metrics_ops,
+			    r, e));
+}
--- /dev/null
+++ b/relayd/main.c
@@ -0,0 +1,199 @@
+/*
+ * relayd: a relay.
+ */
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform/platform.h"
+#include "relayd.h"
+
+#define TICK_MS 20
+
+#define LOG_LINES_PER_S 200
+
+/* The balancer asks once a second and leaves after two misses; until then new
+ * callers may still come. */
+#define BALANCER_MS 3500
+
+/* Of the time until SIGKILL, what is left for the last answers to go out. */
+#define END_MARGIN_MS 500
+
+bool
+relay_is_ready (const struct relay *r)
+{
+	return r->plan != NULL && r->list_ms != 0 && !r->leaving &&
+	       fleet_ready (&r->fleet, tmr_now_ms ()) > 0;
+}
+
+static gint
+by_number (gconstpointer a, gconstpointer b)
+{
+	int64_t x = *(const int64_t *)a, y = *(const int64_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+/* The time of day as most members have it, since our own may be stepped. */
+uint64_t
+relay_wall_ms (const struct relay *r)
+{
+	GArray *clocks = g_array_new (FALSE, FALSE, sizeof (int64_t));
+	int64_t own = (int64_t)tmr_wall_ms () - (int64_t)tmr_now_ms ();
+
+	g_array_append_val (clocks, own);
+	for (guint i = 0; i < r->members->len; i++) {
+		struct member *m = g_ptr_array_index (r->members, i);
+
+		if (m->clock_ms != 0)
+			g_array_append_val (clocks, m->clock_ms);
+	}
+	g_array_sort (clocks, by_number);
+	own = g_array_index (clocks, int64_t, clocks->len / 2);
+	g_array_free (clocks, TRUE);
+	return (uint64_t)(own + (int64_t)tmr_now_ms ());
+}
+
+static void
+leave_tick (struct relay *r, uint64_t now_ms)
+{
+	uint64_t since_ms = now_ms - r->leave_ms;
+
+	if (since_ms < BALANCER_MS)
+		return;
+	h1srv_close_idle (&r->front);
+	if (r->calls->len > 0 && since_ms + END_MARGIN_MS < (uint64_t)(r->set.grace_s * 1000))
+		return;
+	log_event (LOG_LV_INFO, "stop", "calls=%u", r->calls->len);
+	daemon_stop (&r->d);
+}
+
+static void
+on_terminate (void *ctx)
+{
+	struct relay *r = ctx;
+
+	if (r->leaving)
+		return;
+	log_event (LOG_LV_INFO, "leave", "calls=%u", r->calls->len);
+	r->leaving = true;
+	r->leave_ms = tmr_now_ms ();
+	h1srv_leave (&r->front);
+}
+
+static void
+on_reload (void *ctx)
+{
+	struct relay *r = ctx;
+
+	log_event (LOG_LV_INFO, "reload", "version=%" G_GUINT64_FORMAT,
+		   r->plan != NULL ? r->plan->version : 0);
+}
+
+static void
+on_tick (void *ctx)
+{
+	struct relay *r = ctx;
+	uint64_t now_ms = tmr_now_ms ();
+
+	tmr_start (&r->tick, TICK_MS);
+	call_tick (r, now_ms);
+	member_tick (r, now_ms);
+	upstream_tick (r, now_ms);
+	usage_tick (r, now_ms);
+	if (r->leaving)
+		leave_tick (r, now_ms);
+}
+
+static bool
+relay_load (struct relay *r, const char *file, struct err *e)
+{
+	struct sockaddr_in peer;
+
+	if (!set_load (file, set_relayd_rows, &r->set, NULL, e) ||
+	    !set_secret_load (r->set.cluster_key_file, r->self.cluster_key,
+			      sizeof r->self.cluster_key, e) ||
+	    !link_addr_parse (r->set.peer, &peer, e))
+		return false;
+	g_strlcpy (r->self.name, r->set.name, sizeof r->self.name);
+	g_strlcpy (r->self.role, "relay", sizeof r->self.role);
+	r->self.incarnation = tmr_wall_ms ();
+	r->self.from = r->from = peer.sin_addr;
+	r->peer_port = ntohs (peer.sin_port);
+	return true;
+}
+
+static bool
+relay_start (struct relay *r, struct err *e)
+{
+	static const struct daemon_ops ops = {.terminate = on_terminate,
+					      .reload = on_reload};
+	struct spend_rules rules = {
+		.ratio = r->set.retry_ratio,
+		.slack = r->set.retry_slack,
+		.window_ms = (uint32_t)(r->set.retry_window_s * 1000),
+	};
+
+	if (!daemon_init (&r->d, &ops, r, e))
+		return false;
+	r->rand = g_rand_new ();
+	r->spend = spend_new (&rules);
+	r->calls = g_ptr_array_new ();
+	r->started_ms = tmr_now_ms ();
+	usage_init (r);
+	upstream_init (r);
+	if (!front_init (r, e))
+		return false;
+	member_init (r);
+	tmr_init (&r->tick, r->d.loop, on_tick, r);
+	tmr_start (&r->tick, 1);
+	log_event (LOG_LV_INFO, "start", "listen=%s", r->set.listen);
+	return true;
+}
+
+static void
+relay_finish (struct relay *r)
+{
+	tmr_finish (&r->tick);
+	h1srv_finish (&r->front);
+	h1srv_finish (&r->ready);
+	h1srv_finish (&r->metrics);
+	member_finish (r);
+	upstream_finish (r);
+	usage_finish (r);
+	spend_free (r->spend);
+	g_ptr_array_free (r->calls, TRUE);
+	plan_unref (r->plan);
+	g_rand_free (r->rand);
+	daemon_finish (&r->d);
+}
+
+int
+main (int argc, char **argv)
+{
+	struct relay *r = g_new0 (struct relay, 1);
+	struct daemon_opts opts;
+	struct err e = {0};
+	bool ok;
+
+	daemon_args (&opts, "relayd", "relayd -- relay of dragonflyhinge", argc,
+		     argv);
+	r->dialect = &platform_dialect;
+	ok = opts.file != NULL ? relay_load (r, opts.file, &e)
+			       : err_set (&e, ERR_SETTINGS, "-f is missing");
+	if (ok && !opts.check_only) {
+		log_init ("relayd", r->set.name, opts.level);
+		log_to_stdout (LOG_LINES_PER_S);
+		ok = relay_start (r, &e);
+		if (ok) {
+			daemon_run (&r->d);
+			relay_finish (r);
+		}
+	}
+	if (!ok)
+		fprintf (stderr, "relayd: %s\n", e.msg);
+	set_release (set_relayd_rows, &r->set);
+	g_free (r);
+	return ok ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/relayd/member.c
@@ -0,0 +1,292 @@
+/*
+ * The group: links to all of its members, and what they hold.
+ */
+#include <arpa/inet.h>
+#include <string.h>
+
+#include "relayd.h"
+
+/* A link that carried nothing for so long may be silent for good; members
+ * tell their state every GROUP_STATE_MS. */
+#define SILENT_MS 1500
+
+/* An address that nothing names any more is no longer tried. */
+#define UNWANTED_MS 60000
+
+/* What was asked for and did not come is asked for again, elsewhere. */
+#define ASK_AGAIN_MS 300
+
+/* A member that hears no leader is believed only after this time without one
+ * that does, so that a relay that starts does not begin with what is old. */
+#define STALE_WAIT_MS 2500
+
+/* A list that a member read longer ago says nothing of now. */
+#define LIST_OLD_MS 3000
+
+static const struct link_ops member_ops;
+
+static struct member *
+member_get (struct relay *r, const char *addr)
+{
+	struct sockaddr_in to;
+	struct member *m;
+
+	for (guint i = 0; i < r->members->len; i++) {
+		m = g_ptr_array_index (r->members, i);
+		if (strcmp (m->addr, addr) == 0) {
+			m->wanted_ms = tmr_now_ms ();
+			return m;
+		}
+	}
+	if (!link_addr_parse (addr, &to, NULL))
+		return NULL;
+	m = g_new0 (struct member, 1);
+	m->r = r;
+	m->wanted_ms = tmr_now_ms ();
+	g_strlcpy (m->addr, addr, sizeof m->addr);
+	g_ptr_array_add (r->members, m);
+	m->link = link_connect (r->d.loop, &r->self, &to, &member_ops, m);
+	return m;
+}
+
+static void
+member_free (struct member *m)
+{
+	link_free (m->link);
+	g_free (m);
+}
+
+static void
+seeds_wanted (struct relay *r)
+{
+	for (guint i = 0; i < r->set.seeds->len; i++) {
+		const char *seed = g_ptr_array_index (r->set.seeds, i);
+		const char *colon = strrchr (seed, ':');
+		char addr[RAFT_NAME_BYTES];
+
+		g_snprintf (addr, sizeof addr, "%.*s:%u", (int)(colon - seed),
+			    seed, r->peer_port);
+		member_get (r, addr);
+	}
+}
+
+/* Whether what a member holds may be taken. */
+static bool
+believed (struct relay *r, const struct member *m, uint64_t now_ms)
+{
+	if (m->fresh || now_ms - r->started_ms > STALE_WAIT_MS)
+		return true;
+	return false;
+}
+
+static void
+ask (struct member *m, bool plan, bool list)
+{
+	struct gmsg_ask a = {plan, list};
+
+	link_send (m->link, FRAME_GROUP_ASK, gmsg_ask_fields, &a);
+}
+
+static void
+take_drains (struct relay *r, const struct gmsg_state *s)
+{
+	const struct gstate_drain *d = s->domains.items;
+	GPtrArray *names;
+
+	if (s->drain_index <= r->drain_index)
+		return;
+	names = g_ptr_array_new ();
+	for (uint32_t i = 0; i < s->domains.count; i++)
+		g_ptr_array_add (names, (char *)d[i].domain);
+	fleet_set_out (&r->fleet, names);
+	g_ptr_array_free (names, TRUE);
+	r->drain_index = s->drain_index;
+	log_event (LOG_LV_INFO, "domains-out", "index=%" G_GUINT64_FORMAT
+					       " domains=%u",
+		   s->drain_index, s->domains.count);
+}
+
+static void
+take_state (struct relay *r, struct member *m, const struct gmsg_state *s)
+{
+	const struct gmsg_addr *a = s->members.items;
+	uint64_t now_ms = tmr_now_ms ();
+
+	m->fresh = s->fresh;
+	m->leads = s->leads;
+	m->version = s->version;
+	m->list_stamp = s->list_stamp;
+	m->list_ms = now_ms - MIN (s->list_age_ms, now_ms);
+	m->clock_ms = (int64_t)s->wall_ms - (int64_t)now_ms;
+	m->relays = s->relays;
+	r->sealed = MAX (r->sealed, s->sealed);
+	for (uint32_t i = 0; i < s->members.count; i++)
+		member_get (r, a[i].addr);
+	take_drains (r, s);
+	if (!believed (r, m, now_ms))
+		return;
+	if (m->list_stamp != 0 && m->list_stamp == r->list_stamp)
+		r->list_ms = MAX (r->list_ms, m->list_ms);
+	if (s->version > (r->plan != NULL ? r->plan->version : 0) &&
+	    now_ms - r->asked_ms > ASK_AGAIN_MS) {
+		r->asked_ms = now_ms;
+		ask (m, true, false);
+	}
+	if (m->list_stamp != 0 && m->list_stamp != r->list_stamp &&
+	    m->list_ms > r->list_ms)
+		ask (m, false, true);
+}
+
+static void
+take_plan (struct relay *r, const struct gmsg_plan *g)
+{
+	struct err e = {0};
+	struct plan *p;
+
+	if (g->version <= (r->plan != NULL ? r->plan->version : 0))
+		return;
+	p = r->dialect->plan ((const char *)g->text.data, g->text.len, &e);
+	if (p == NULL) {
+		log_event (LOG_LV_ERROR, "plan", "why=\"%s\"", e.msg);
+		return;
+	}
+	plan_unref (r->plan);
+	r->plan = p;
+	r->asked_ms = 0;
+	if (p->limits.max_header_bytes > 0)
+		r->front.limits.max_header_bytes = p->limits.max_header_bytes;
+	if (p->limits.max_body_bytes > 0)
+		r->front.limits.max_body_bytes = p->limits.max_body_bytes;
+	if (p->limits.header_timeout_ms > 0)
+		r->front.limits.header_timeout_ms =
+			p->limits.header_timeout_ms;
+	if (p->limits.idle_timeout_ms > 0)
+		r->front.limits.idle_timeout_ms = p->limits.idle_timeout_ms;
+	log_event (LOG_LV_INFO, "plan",
+		   "version=%" G_GUINT64_FORMAT
+		   " routes=%u services=%u accounts=%u",
+		   p->version, p->routes->len, p->services->len,
+		   p->accounts->len);
+}
+
+static void
+take_list (struct relay *r, struct member *m, const struct gmsg_list *g)
+{
+	uint64_t now_ms = tmr_now_ms ();
+	uint64_t read_ms = now_ms - MIN (g->age_ms, now_ms);
+
+	if (read_ms <= r->list_ms || g->age_ms > LIST_OLD_MS ||
+	    !believed (r, m, now_ms))
+		return;
+	fleet_update (&r->fleet, g->list.items, g->list.count, now_ms,
+		      g->age_ms);
+	r->list_ms = read_ms;
+	r->list_stamp = g->stamp;
+	log_event (LOG_LV_INFO, "list",
+		   "from=%s endpoints=%u age_ms=%u ready=%u", m->addr,
+		   g->list.count, g->age_ms, fleet_ready (&r->fleet, now_ms));
+}
+
+static void
+on_frame (struct link *l, uint8_t kind, const uint8_t *body, size_t len,
+	  void *ctx)
+{
+	struct member *m = ctx;
+	msgpack_zone zone;
+	struct err e = {0};
+	union {
+		struct gmsg_state state;
+		struct gmsg_plan plan;
+		struct gmsg_list list;
+	} u;
+	bool ok = true;
+
+	m->heard_ms = tmr_now_ms ();
+	msgpack_zone_init (&zone, MSGPACK_ZONE_CHUNK_SIZE);
+	if (kind == FRAME_GROUP_STATE) {
+		ok = msg_unpack (gmsg_state_fields, body, len, &u.state, &zone,
+				 &e);
+		if (ok)
+			take_state (m->r, m, &u.state);
+	} else if (kind == FRAME_GROUP_PLAN) {
+		ok = msg_unpack (gmsg_plan_fields, body, len, &u.plan, &zone,
+				 &e);
+		if (ok)
+			take_plan (m->r, &u.plan);
+	} else if (kind == FRAME_GROUP_LIST) {
+		ok = msg_unpack (gmsg_list_fields, body, len, &u.list, &zone,
+				 &e);
+		if (ok)
+			take_list (m->r, m, &u.list);
+	}
+	msgpack_zone_destroy (&zone);
+	if (!ok)
+		log_event (LOG_LV_WARN, "frame", "peer=%s kind=%u why=\"%s\"",
+			   link_peer_name (l), kind, e.msg);
+}
+
+static void
+on_up (struct link *l, void *ctx)
+{
+	struct member *m = ctx;
+
+	(void)l;
+	m->heard_ms = tmr_now_ms ();
+	log_event (LOG_LV_INFO, "member-up", "addr=%s", m->addr);
+}
+
+static void
+on_down (struct link *l, const char *why, void *ctx)
+{
+	struct member *m = ctx;
+
+	(void)l;
+	m->fresh = m->leads = false;
+	m->clock_ms = 0;
+	log_event (LOG_LV_INFO, "member-down", "addr=%s why=\"%s\"", m->addr,
+		   why);
+}
+
+static const struct link_ops member_ops = {
+	.up = on_up,
+	.frame = on_frame,
+	.down = on_down,
+};
+
+void
+member_init (struct relay *r)
+{
+	r->members = g_ptr_array_new ();
+	seeds_wanted (r);
+}
+
+void
+member_finish (struct relay *r)
+{
+	for (guint i = 0; i < r->members->len; i++)
+		member_free (g_ptr_array_index (r->members, i));
+	g_ptr_array_free (r->members, TRUE);
+}
+
+void
+member_tick (struct relay *r, uint64_t now_ms)
+{
+	uint32_t relays = 0;
+
+	seeds_wanted (r);
+	for (guint i = r->members->len; i > 0; i--) {
+		struct member *m = g_ptr_array_index (r->members, i - 1);
+
+		relays = MAX (relays, m->relays);
+		if (now_ms - m->wanted_ms > UNWANTED_MS) {
+			g_ptr_array_remove_index_fast (r->members, i - 1);
+			member_free (m);
+		} else if (link_is_up (m->link) &&
+			   now_ms - m->heard_ms > SILENT_MS) {
+			m->heard_ms = now_ms;
+			link_close (m->link, "silent");
+		}
+	}
+	/* Those that are cut off from here still share the endpoints. */
+	r->relays = MAX (relays, r->relays);
+}
--- /dev/null
+++ b/relayd/upstream.c
@@ -0,0 +1,282 @@
+/*
+ * Endpoints: their connections, questions to those in doubt, and the list read
+ * by ourselves while no member of the group tells it.
+ */
+#include <string.h>
+
+#include "relayd.h"
+
+#define PROBE_CONNECT_MS 300
+#define PROBE_MS 700
+
+/* Without word from a member for so long, the list is read here. */
+#define LIST_SILENT_MS 1500
+#define LIST_PAUSE_MS 1000
+#define LIST_ANSWER_MS 3000
+#define LIST_MAX_BYTES (8U << 20)
+
+static void
+ep_added (struct fleet_ep *ep, void *ctx)
+{
+	struct relay *r = ctx;
+	struct upstream *u = g_new0 (struct upstream, 1);
+	struct sockaddr_in addr = {.sin_family = AF_INET};
+	struct err e = {0};
+
+	if (!link_addr_parse (ep->info.addr, &addr, &e)) {
+		log_event (LOG_LV_WARN, "endpoint", "ep=%s why=\"%s\"",
+			   ep->info.id, e.msg);
+		fleet_gone (ep);
+	}
+	u->r = r;
+	u->ep = ep;
+	h1cli_host_init (&u->host, r->d.loop, &addr, r->from);
+	ep->io = u;
+	log_event (LOG_LV_INFO, "endpoint",
+		   "ep=%s addr=%s service=%s domain=%s added=1 cold_ms=%u "
+		   "leaving=%d",
+		   ep->info.id, ep->info.addr, ep->info.service,
+		   ep->info.domain, ep->info.cold_ms, ep->info.leaving);
+}
+
+static void
+ep_removed (struct fleet_ep *ep, void *ctx)
+{
+	struct upstream *u = ep->io;
+
+	(void)ctx;
+	log_event (LOG_LV_INFO, "endpoint", "ep=%s removed=1", ep->info.id);
+	h1cli_host_finish (&u->host);
+	g_free (u);
+}
+
+const struct fleet_ops upstream_fleet_ops = {
+	.added = ep_added,
+	.removed = ep_removed,
+};
+
+static void
+probe_head (struct h1cli *x, const struct h1_head *h, bool echoed, void *ctx)
+{
+	struct upstream *u = ctx;
+
+	(void)x;
+	(void)echoed;
+	u->status = h->status;
+	u->r->dialect->answer (h, &u->answer);
+}
+
+static void
+drop_data (struct h1cli *x, const char *data, size_t len, void *ctx)
+{
+	(void)x;
+	(void)data;
+	(void)len;
+	(void)ctx;
+}
+
+static void
+probe_done (struct h1cli *x, enum h1cli_end end, void *ctx)
+{
+	struct upstream *u = ctx;
+	uint64_t now_ms = tmr_now_ms ();
+	bool other = u->answer.instance[0] != '\0' &&
+		     strcmp (u->answer.instance, u->ep->info.id) != 0;
+	bool well = end == H1CLI_WHOLE && u->status == 200 && !other;
+
+	(void)x;
+	u->probe = NULL;
+	log_event (LOG_LV_INFO, "probe",
+		   "ep=%s status=%d well=%d cold_ms=%u other=%d",
+		   u->ep->info.id, u->status, well, u->answer.cold_ms, other);
+	if (other)
+		fleet_gone (u->ep);
+	if (well && u->answer.cold_ms > 0)
+		fleet_cold (u->ep, u->answer.cold_ms, now_ms);
+	fleet_asked (u->ep, well, now_ms);
+}
+
+static const struct h1cli_ops probe_ops = {
+	.head = probe_head,
+	.data = drop_data,
+	.done = probe_done,
+};
+
+static void
+probe (struct upstream *u, const char *path, uint64_t now_ms)
+{
+	char *text = g_strdup_printf ("GET %s HTTP/1.1\r\nHost: %s\r\n\r\n",
+				      path, u->ep->info.addr);
+	struct h1cli_req req = {.bytes = text,
+				.len = strlen (text),
+				.connect_ms = PROBE_CONNECT_MS,
+				.limits = {.user_timeout_ms = PROBE_MS}};
+
+	h1cli_host_drop_idle (&u->host);
+	u->status = 0;
+	u->answer = (struct dia_answer){0};
+	u->probe_ms = now_ms;
+	u->r->stats.probes++;
+	u->probe = h1cli_start (&u->host, &req, &probe_ops, u);
+	g_free (text);
+}
+
+static void
+probe_tick (struct relay *r, struct upstream *u, uint64_t now_ms)
+{
+	const struct plan_service *s;
+
+	if (u->probe != NULL && now_ms - u->probe_ms > PROBE_MS) {
+		h1cli_cancel (u->probe);
+		u->probe = NULL;
+		fleet_asked (u->ep, false, now_ms);
+	}
+	if (u->probe != NULL || u->ep->trust == FLEET_SOUND || !u->ep->listed ||
+	    u->ep->leaving || now_ms < u->ep->ask_at_ms || r->plan == NULL)
+		return;
+	s = plan_service (r->plan, u->ep->info.service);
+	if (s != NULL)
+		probe (u, s->health_path, now_ms);
+}
+
+static void list_fetch (struct relay *r, const char *token);
+
+static void
+list_head (struct h1cli *x, const struct h1_head *h, bool echoed, void *ctx)
+{
+	struct relay *r = ctx;
+
+	(void)x;
+	(void)echoed;
+	r->list_status = h->status;
+}
+
+static void
+list_data (struct h1cli *x, const char *data, size_t len, void *ctx)
+{
+	struct relay *r = ctx;
+
+	(void)x;
+	if (r->list_body->len + len <= LIST_MAX_BYTES)
+		g_string_append_len (r->list_body, data, (gssize)len);
+}
+
+static void
+list_done (struct h1cli *x, enum h1cli_end end, void *ctx)
+{
+	struct relay *r = ctx;
+	struct err e = {0};
+	char *next = NULL;
+	uint32_t skipped = 0;
+	uint64_t now_ms = tmr_now_ms ();
+
+	(void)x;
+	r->list_call = NULL;
+	if (end != H1CLI_WHOLE || r->list_status != 200)
+		err_set (&e, ERR_IO, "status %d, end %d", r->list_status, end);
+	else
+		r->dialect->list (r->list_body->str, r->list_body->len,
+				  r->list_pages, &next, &skipped, &e);
+	if (e.kind != ERR_NONE) {
+		log_event (LOG_LV_WARN, "own-list", "why=\"%s\"", e.msg);
+	} else if (next != NULL) {
+		list_fetch (r, next);
+	} else {
+		log_event (LOG_LV_INFO, "own-list", "endpoints=%u skipped=%u",
+			   r->list_pages->len, skipped);
+		fleet_update (&r->fleet,
+			      (struct fleet_info *)r->list_pages->data,
+			      r->list_pages->len, now_ms,
+			      now_ms - r->list_begun_ms);
+		r->list_ms = r->list_begun_ms;
+		r->list_stamp = 0;
+	}
+	g_free (next);
+}
+
+static const struct h1cli_ops list_ops = {
+	.head = list_head,
+	.data = list_data,
+	.done = list_done,
+};
+
+static void
+list_fetch (struct relay *r, const char *token)
+{
+	char *path = r->dialect->list_path (token);
+	char *text = g_strdup_printf ("GET %s HTTP/1.1\r\nHost: platform\r\n"
+				      "\r\n",
+				      path);
+	struct h1cli_req req = {.bytes = text,
+				.len = strlen (text),
+				.idle_max_ms = LIST_ANSWER_MS,
+				.connect_ms = PROBE_CONNECT_MS,
+				.limits = {.user_timeout_ms = LIST_ANSWER_MS}};
+
+	r->list_status = 0;
+	g_string_truncate (r->list_body, 0);
+	r->list_call = h1cli_start (&r->cloud, &req, &list_ops, r);
+	g_free (text);
+	g_free (path);
+}
+
+/* The relays share the platform's rate; each uses an even part of half. */
+static uint64_t
+list_pause_ms (struct relay *r)
+{
+	uint64_t even_ms = (uint64_t)(2000.0 * MAX (r->relays, 8) /
+				      r->set.platform_calls_per_s);
+
+	return MAX (even_ms, LIST_PAUSE_MS) +
+	       (uint64_t)g_rand_int_range (r->rand, 0, 300);
+}
+
+static void
+list_tick (struct relay *r, uint64_t now_ms)
+{
+	uint64_t since_ms = MAX (r->list_ms, r->started_ms);
+
+	if (r->list_call != NULL && now_ms - r->list_begun_ms > LIST_ANSWER_MS) {
+		h1cli_cancel (r->list_call);
+		r->list_call = NULL;
+	}
+	if (r->list_call != NULL || now_ms < r->list_next_ms ||
+	    now_ms - since_ms < LIST_SILENT_MS)
+		return;
+	r->list_begun_ms = now_ms;
+	r->list_next_ms = now_ms + list_pause_ms (r);
+	g_array_set_size (r->list_pages, 0);
+	list_fetch (r, NULL);
+}
+
+void
+upstream_init (struct relay *r)
+{
+	struct sockaddr_in addr;
+
+	link_addr_parse (r->set.platform, &addr, NULL);
+	h1cli_host_init (&r->cloud, r->d.loop, &addr, r->from);
+	r->list_body = g_string_new (NULL);
+	r->list_pages = g_array_new (FALSE, TRUE, sizeof (struct fleet_info));
+	fleet_init (&r->fleet, &upstream_fleet_ops, r);
+}
+
+void
+upstream_finish (struct relay *r)
+{
+	fleet_finish (&r->fleet);
+	h1cli_host_finish (&r->cloud);
+	g_string_free (r->list_body, TRUE);
+	g_array_free (r->list_pages, TRUE);
+}
+
+void
+upstream_tick (struct relay *r, uint64_t now_ms)
+{
+	for (guint i = 0; i < r->fleet.eps->len; i++) {
+		struct fleet_ep *ep = g_ptr_array_index (r->fleet.eps, i);
+
+		probe_tick (r, ep->io, now_ms);
+	}
+	list_tick (r, now_ms);
+}
