A member that was just added answers on the link it was reached on

Besides, a relay that got SIGTERM kept its listener, and callers whose domain had few ready instances came to the end (LOST 9). Change: answers go over the accepted link where no address is known; the listener closes 2.3 s after SIGTERM, idle connections at 2.8 s.

--- a/groupd/groupd.h
+++ b/groupd/groupd.h
@@ -38,6 +38,7 @@
 struct asker {
 	struct link *link;
 	bool is_relay;
+	uint64_t id; /* of the member that sends its log messages on it, or 0 */
 	uint64_t heard_ms;
 	uint64_t told_stamp; /* of the list sent last */
 };
--- a/groupd/peer.c
+++ b/groupd/peer.c
@@ -86,14 +86,27 @@
 	return m != NULL ? m->addr : NULL;
 }
 
+/*
+ * A member that was just added has no configuration yet, so it answers on the
+ * link that the leader's messages came on.
+ */
 void
 peer_send_raft (struct group *g, const struct raft_msg *m)
 {
 	const char *addr = member_addr (g, m->to);
 	struct member *to = addr != NULL ? member_get (g, addr) : NULL;
 
-	if (to != NULL)
-		link_send (to->out, FRAME_RAFT, raft_msg_fields, m);
+	if (to != NULL &&
+	    link_send (to->out, FRAME_RAFT, raft_msg_fields, m))
+		return;
+	for (guint i = 0; i < g->askers->len; i++) {
+		struct asker *a = g_ptr_array_index (g->askers, i);
+
+		if (a->id == m->to) {
+			link_send (a->link, FRAME_RAFT, raft_msg_fields, m);
+			return;
+		}
+	}
 }
 
 static uint32_t
@@ -209,6 +222,8 @@
 	if (kind == FRAME_RAFT) {
 		ok = msg_unpack (raft_msg_fields, body, len, &u.raft, &zone,
 				 &e);
+		if (ok && a != NULL)
+			a->id = u.raft.from;
 		if (ok)
 			raft_step (&g->raft, &u.raft, now_ms);
 		group_wake (g);
--- a/lib/h1srv.c
+++ b/lib/h1srv.c
@@ -308,6 +308,14 @@
 	s->leaving = true;
 }
 
+void
+h1srv_close_listener (struct h1srv *s)
+{
+	if (s->listener != NULL)
+		h2o_socket_close (s->listener);
+	s->listener = NULL;
+}
+
 void
 h1srv_close_idle (struct h1srv *s)
 {
@@ -325,9 +333,7 @@
 void
 h1srv_finish (struct h1srv *s)
 {
-	if (s->listener != NULL)
-		h2o_socket_close (s->listener);
-	s->listener = NULL;
+	h1srv_close_listener (s);
 	while (s->conns != NULL && s->conns->len > 0)
 		on_ended (NULL, g_ptr_array_index (s->conns, 0));
 	if (s->conns != NULL)
--- a/lib/h1srv.h
+++ b/lib/h1srv.h
@@ -70,6 +70,9 @@
  */
 void h1srv_leave (struct h1srv *s);
 
+/** h1srv_close_listener() - take no new connections */
+void h1srv_close_listener (struct h1srv *s);
+
 /** h1srv_close_idle() - close the connections that have no request */
 void h1srv_close_idle (struct h1srv *s);
 
--- a/relayd/main.c
+++ b/relayd/main.c
@@ -13,9 +13,14 @@
 
 #define LOG_LINES_PER_S 200
 
-/* The balancer asks once a second and leaves after two misses; until then new
- * callers may still come. */
-#define BALANCER_MS 3500
+/* The balancer asks once a second and leaves after two misses.  From then on
+ * new callers come only where too few other instances are ready; they find
+ * the port closed, which tells them that nothing was read. */
+#define BALANCER_MS 2300
+
+/* A caller's next request may be on its way when an answer closes its
+ * connection, so the idle ones are closed a little later. */
+#define IDLE_MS 2800
 
 /* Of the time until SIGKILL, what is left for the last answers to go out. */
 #define END_MARGIN_MS 500
@@ -60,7 +65,9 @@
 {
 	uint64_t since_ms = now_ms - r->leave_ms;
 
-	if (since_ms < BALANCER_MS)
+	if (since_ms >= BALANCER_MS)
+		h1srv_close_listener (&r->front);
+	if (since_ms < IDLE_MS)
 		return;
 	h1srv_close_idle (&r->front);
 	if (r->calls->len > 0 && since_ms + END_MARGIN_MS < (uint64_t)(r->set.grace_s * 1000))
