Relays share their loads; lanes for short prompts; backlog is held at the relay

Change: relays tell the leader what they have at each engine and get the sum of the others; a third of each domain's engines is a lane for short prompts; what an engine can't read soon waits at the relay, the urgent first; cold engines get work by turns instead of none.

--- a/groupd/groupd.h
+++ b/groupd/groupd.h
@@ -15,6 +15,7 @@
 #include "h1cli.h"
 #include "h1srv.h"
 #include "link.h"
+#include "loads.h"
 #include "raft.h"
 #include "set_daemons.h"
 #include "tmr.h"
@@ -103,6 +104,9 @@
 	struct h1cli_host cloud;
 	struct lister lister;
 	struct duty duty;
+	struct loads loads;
+	bool loads_changed;
+	uint64_t loads_told_ms;
 	struct tmr tick;
 	struct tmr flush;
 	bool flush_armed;
--- a/groupd/peer.c
+++ b/groupd/peer.c
@@ -14,6 +14,10 @@
 /* An address that nothing names any more is no longer tried. */
 #define UNWANTED_MS 60000
 
+/* Between two tellings of loads: at least, and for each relay. */
+#define LOADS_MIN_MS 25
+#define LOADS_RELAY_MS 4
+
 static const struct link_ops asker_ops;
 static const struct link_ops member_ops;
 
@@ -191,6 +195,43 @@
 	link_send (l, FRAME_GROUP_PLAN, gmsg_plan_fields, &m);
 }
 
+/*
+ * Relays decide by what the others have at each endpoint, so they are told
+ * within a fraction of the time that a prompt takes to read; the pause grows
+ * with their number, so that the leader's work does not grow with its square.
+ */
+static uint64_t
+loads_pause_ms (struct group *g)
+{
+	return MAX (LOADS_MIN_MS, relay_count (g) * LOADS_RELAY_MS);
+}
+
+static void
+tell_loads (struct group *g, uint64_t now_ms)
+{
+	GArray *list;
+
+	if (!g->loads_changed || !group_leads (g) ||
+	    now_ms - g->loads_told_ms < loads_pause_ms (g))
+		return;
+	g->loads_changed = false;
+	g->loads_told_ms = now_ms;
+	list = g_array_new (FALSE, FALSE, sizeof (struct load));
+	for (guint i = 0; i < g->askers->len; i++) {
+		struct asker *a = g_ptr_array_index (g->askers, i);
+		struct loads_msg m;
+
+		if (!a->is_relay)
+			continue;
+		g_array_set_size (list, 0);
+		loads_others (&g->loads, a, list);
+		m.loads.items = list->data;
+		m.loads.count = list->len;
+		link_send (a->link, FRAME_GROUP_OTHERS, loads_msg_fields, &m);
+	}
+	g_array_free (list, TRUE);
+}
+
 /* A state that another member told names members that we may not know. */
 static void
 take_state (struct group *g, const struct gmsg_state *s)
@@ -215,6 +256,7 @@
 		struct gmsg_state state;
 		struct gmsg_ask ask;
 		struct gmsg_report report;
+		struct loads_msg loads;
 	} u;
 	bool ok = true;
 
@@ -244,6 +286,12 @@
 			tell_plan (g, l);
 		if (ok && u.ask.list)
 			tell_list (g, a, now_ms);
+	} else if (kind == FRAME_GROUP_LOAD && a != NULL) {
+		ok = msg_unpack (loads_msg_fields, body, len, &u.loads, &zone,
+				 &e);
+		if (ok)
+			loads_take (&g->loads, a, &u.loads);
+		g->loads_changed = true;
 	} else if (kind == FRAME_GROUP_REPORT) {
 		ok = msg_unpack (gmsg_report_fields, body, len, &u.report,
 				 &zone, &e);
@@ -326,6 +374,8 @@
 	(void)why;
 	if (a == NULL)
 		return;
+	loads_drop (&g->loads, a);
+	g->loads_changed = true;
 	g_ptr_array_remove_fast (g->askers, a);
 	g_free (a);
 }
@@ -341,6 +391,7 @@
 {
 	g->members = g_ptr_array_new ();
 	g->askers = g_ptr_array_new ();
+	loads_init (&g->loads);
 	g->server = link_listen (g->d.loop, &g->self, &g->peer_addr, &asker_ops,
 				 g, e);
 	if (g->server == NULL)
@@ -359,6 +410,7 @@
 	for (guint i = 0; i < g->askers->len; i++)
 		g_free (g_ptr_array_index (g->askers, i));
 	g_ptr_array_free (g->askers, TRUE);
+	loads_finish (&g->loads);
 }
 
 static void
@@ -381,6 +433,7 @@
 void
 peer_tick (struct group *g, uint64_t now_ms)
 {
+	tell_loads (g, now_ms);
 	if (!g->changed && now_ms - g->told_ms < GROUP_STATE_MS)
 		return;
 	g->changed = false;
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -5,6 +5,7 @@
 
 #include "dialect.h"
 #include "fleet.h"
+#include "loads.h"
 
 /* A lost connection is mostly one endpoint's restart, which takes seconds;
  * asking costs a slot there. */
@@ -107,6 +108,14 @@
 		ep->info.born_ms == 0);
 }
 
+static void
+set_cold (struct fleet_ep *ep, uint64_t until_ms, uint64_t now_ms)
+{
+	if (now_ms >= ep->cold_until_ms)
+		ep->cold_from_ms = now_ms;
+	ep->cold_until_ms = MAX (ep->cold_until_ms, until_ms);
+}
+
 static void
 ep_update (struct fleet_ep *ep, const struct fleet_info *info, uint64_t now_ms,
 	   uint64_t age_ms)
@@ -115,8 +124,8 @@
 
 	ep->listed = true;
 	ep->leaving = ep->leaving || info->leaving;
-	if (info->cold_ms > age_ms && until - age_ms > ep->cold_until_ms)
-		ep->cold_until_ms = until - age_ms;
+	if (info->cold_ms > age_ms)
+		set_cold (ep, until - age_ms, now_ms);
 	ep->info.slots = info->slots;
 	ep->info.cheap = info->cheap;
 	if (info->born_ms != 0)
@@ -189,7 +198,7 @@
 void
 fleet_cold (struct fleet_ep *ep, uint32_t cold_ms, uint64_t now_ms)
 {
-	ep->cold_until_ms = MAX (ep->cold_until_ms, now_ms + cold_ms);
+	set_cold (ep, now_ms + cold_ms, now_ms);
 	ep_forget_parts (ep);
 }
 
@@ -278,6 +287,23 @@
 		part_drop_oldest (ep);
 }
 
+void
+fleet_others (struct fleet *f, const struct load *loads, uint32_t count)
+{
+	for (guint i = 0; i < f->eps->len; i++) {
+		struct fleet_ep *ep = g_ptr_array_index (f->eps, i);
+		uint32_t name = loads_ep (ep->info.id);
+
+		ep->others_running = ep->others_unread = 0;
+		for (uint32_t k = 0; k < count; k++) {
+			if (loads[k].ep != name)
+				continue;
+			ep->others_running = loads[k].running;
+			ep->others_unread = loads[k].unread;
+		}
+	}
+}
+
 uint32_t
 fleet_ready (const struct fleet *f, uint64_t now_ms)
 {
--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -54,7 +54,6 @@
 	bool listed;
 	bool leaving; /* once so, it stays so until another start */
 	uint64_t cold_until_ms;
-	uint64_t cold_sent_ms; /* when it got work last while cold */
 	enum fleet_trust trust;
 	uint64_t ask_at_ms; /* when a doubted one is asked next */
 	uint32_t ask_pause_ms;
@@ -62,6 +61,11 @@
 	double failing;          /* share of failed answers, smoothed */
 	uint32_t inflight;       /* requests of this relay there */
 	double unread;           /* prompt tokens of them not yet read */
+	uint32_t others_running; /* requests of other relays there */
+	uint32_t others_unread;  /* their prompt tokens not yet read */
+	uint64_t sent_ms;        /* when this relay sent it work last */
+	uint64_t cold_from_ms;   /* when it was first known to be cold */
+	bool short_lane;         /* kept for short prompts; see place.h */
 	double slow;             /* observed time over predicted, smoothed */
 	GHashTable *parts;       /* part id to struct fleet_part */
 	GQueue part_ages;        /* of struct fleet_part, oldest first */
@@ -94,6 +98,7 @@
 	GPtrArray *out; /* domains taken out, of char * */
 };
 
+
 /** fleet_init() - an empty table */
 void fleet_init (struct fleet *f, const struct fleet_ops *ops, void *ctx);
 
@@ -148,6 +153,13 @@
 void fleet_remember (struct fleet_ep *ep, const struct dia_part *parts,
 		     uint32_t count, uint64_t memory);
 
+/**
+ * fleet_others() - what the other relays have at the endpoints
+ * @loads: of struct load; endpoints that are not among them have nothing
+ */
+struct load;
+void fleet_others (struct fleet *f, const struct load *loads, uint32_t count);
+
 /** fleet_ready() - how many endpoints may get work */
 uint32_t fleet_ready (const struct fleet *f, uint64_t now_ms);
 
--- a/lib/frame.c
+++ b/lib/frame.c
@@ -38,6 +38,8 @@
 		[FRAME_GROUP_PLAN] = "group_plan",
 		[FRAME_GROUP_LIST] = "group_list",
 		[FRAME_GROUP_REPORT] = "group_report",
+		[FRAME_GROUP_LOAD] = "group_load",
+		[FRAME_GROUP_OTHERS] = "group_others",
 	};
 
 	return kind < FRAME_KINDS ? names[kind] : NULL;
--- a/lib/frame.h
+++ b/lib/frame.h
@@ -58,6 +58,8 @@
 	FRAME_GROUP_PLAN = 33,
 	FRAME_GROUP_LIST = 34,
 	FRAME_GROUP_REPORT = 35,
+	FRAME_GROUP_LOAD = 36,   /* relay to leader */
+	FRAME_GROUP_OTHERS = 37, /* leader to relay */
 };
 
 /** FRAME_KINDS - every kind is a lower number */
--- a/lib/place.c
+++ b/lib/place.c
@@ -1,6 +1,7 @@
 /*
  * Choice of an endpoint.
  */
+#include <math.h>
 #include <string.h>
 
 #include <xxhash.h>
@@ -10,33 +11,46 @@
 /* Ranks of a prompt that are weighed against each other before any other. */
 #define RANKS 2
 
-/* Prompt tokens an engine reads in a millisecond, before anything was
- * measured; the order of what today's engines do. */
+/* Prompt tokens an engine reads in a millisecond; the order of what engines
+ * of today's users do. */
 #define READ_PER_MS 50.0
 
 /* How likely an engine holds the shared parts when another relay may have
  * sent them: by rank, for those this relay did not send itself. */
 static const double held_by_rank[RANKS] = {0.7, 0.2};
 
-/* A request that streams beside a new one slows its reading by about a
- * batch step's share. */
-#define BATCH_MS 1.5
+/* What one more request in the batch adds to the time of a few steps. */
+#define BATCH_MS 0.5
 
 /* One way between domains, twice, and dear bytes. */
 #define FAR_MS 4.0
 
-/* Plain services: what one request of ours there costs the next. */
-#define PLAIN_MS 30.0
+/* Plain services: what one request there costs the next. */
+#define PLAIN_MS 10.0
 
 /* A later rank must be quicker by this, so that parts stay where they are. */
 #define SHIFT_MS 120.0
 
-/* Beyond this predicted time any engine may be tried. */
-#define SPILL_MS 600.0
+/* An engine beyond the ranks must be quicker by this. */
+#define SPILL_MS 300.0
+
+/* The other lane must be quicker by this. */
+#define CROSS_MS 400.0
+
+/* Prompts of more tokens take an engine several steps to read. */
+#define LONG_TOKENS 4096
+
+/* Share of a domain's engines that is the lane for short prompts: about what
+ * their part of the work is with three classes of prompts. */
+#define SHORT_LANE_SHARE 0.34
 
 /* Of an endpoint's connections, what the relays together may fill. */
 #define CONNECTION_SHARE 0.85
 
+/* A relay's turn at a cold endpoint passes if it is not used in this time, so
+ * that turns don't add up. */
+#define COLD_TURN_MS 700.0
+
 static bool
 was_tried (const struct place_req *req, const struct fleet_ep *ep)
 {
@@ -63,19 +77,24 @@
 }
 
 /*
- * While cold, an endpoint bears a few requests a second from all relays; each
- * takes its part of that, by time since its own last.
+ * While cold, an endpoint bears a few requests a second from all relays.  Each
+ * has its turns, one an interval, at times that its name spreads.
  */
 static bool
 cold_allows (const struct plan_service *s, const struct place_rules *rules,
 	     const struct fleet_ep *ep, uint64_t now_ms)
 {
-	if (!fleet_is_cold (ep, now_ms))
-		return true;
-	if (s->cold_per_s <= 0)
+	double turn, at;
+
+	if (!fleet_is_cold (ep, now_ms) || s->cold_per_s <= 0)
 		return true;
-	return (double)(now_ms - ep->cold_sent_ms) * s->cold_per_s >=
-	       1000.0 * rules->relays;
+	turn = 1000.0 * rules->relays / s->cold_per_s;
+	at = (double)(now_ms - ep->cold_from_ms) +
+	     turn * (double)(rank_hash (rules->self, ep->info.id) % 1024) /
+		     1024.0;
+	if (fmod (at, turn) > COLD_TURN_MS)
+		return false;
+	return (double)(now_ms - ep->sent_ms) > COLD_TURN_MS;
 }
 
 struct pick {
@@ -95,23 +114,42 @@
 	return req->part_count == 1 ? req->parts[0].id : req->dice;
 }
 
+static bool
+is_short (const struct place_req *req)
+{
+	return req->prompt_tokens <= LONG_TOKENS;
+}
+
+static double
+backlog_ms (const struct fleet_ep *ep)
+{
+	return (ep->unread + ep->others_unread) / READ_PER_MS *
+	       MAX (ep->slow, 0.5);
+}
+
+static double
+running (const struct fleet_ep *ep)
+{
+	return ep->inflight + ep->others_running;
+}
+
 static void
 weigh (struct pick *p, const struct place_rules *rules,
        const struct place_req *req, uint32_t rank)
 {
 	const struct fleet_ep *ep = p->ep;
-	uint32_t shared = 0, known;
+	uint32_t shared = 0;
 	double held;
 
 	for (uint32_t i = 0; i + 1 < req->part_count; i++)
 		shared += req->parts[i].tokens;
-	known = fleet_cached (ep, req->parts, req->part_count);
-	held = rank < RANKS ? held_by_rank[rank] * shared : 0;
-	held = MAX (held, known);
+	held = rank < RANKS && !is_short (req) ? held_by_rank[rank] * shared
+					       : 0;
+	held = MAX (held, fleet_cached (ep, req->parts, req->part_count));
 	p->to_read = req->prompt_tokens > held ? req->prompt_tokens - held : 0;
-	p->cost_ms = (ep->unread + p->to_read) / READ_PER_MS +
-		     BATCH_MS * ep->inflight * rules->relays;
-	p->cost_ms *= MAX (ep->slow, 0.5);
+	p->cost_ms = backlog_ms (ep) +
+		     p->to_read / READ_PER_MS * MAX (ep->slow, 0.5) +
+		     BATCH_MS * running (ep);
 	if (strcmp (ep->info.domain, rules->domain) != 0)
 		p->cost_ms += FAR_MS;
 }
@@ -124,33 +162,70 @@
 	return x->hash == y->hash ? 0 : x->hash > y->hash ? -1 : 1;
 }
 
+/* How much quicker than the first rank this one must be. */
+static double
+margin_ms (const struct place_req *req, const struct pick *p, uint32_t rank,
+	   enum place_why *why)
+{
+	if (p->ep->short_lane != is_short (req)) {
+		*why = PLACE_CROSS;
+		return CROSS_MS;
+	}
+	*why = rank < RANKS ? PLACE_SHIFT : PLACE_SPILL;
+	if (is_short (req))
+		return 0;
+	return rank < RANKS ? SHIFT_MS : SPILL_MS;
+}
+
+/* Picks of the request's own lane come first, each lane by rank. */
+static uint32_t
+order_picks (GArray *picks, bool is_short_one)
+{
+	struct pick *all = (struct pick *)picks->data;
+	uint32_t own = 0;
+
+	g_array_sort (picks, by_hash);
+	for (guint i = 0; i < picks->len; i++) {
+		struct pick p = all[i];
+
+		if (p.ep->short_lane != is_short_one)
+			continue;
+		memmove (&all[own + 1], &all[own], (i - own) * sizeof p);
+		all[own++] = p;
+	}
+	return own;
+}
+
 static struct place_verdict
 choose_engine (GArray *picks, const struct place_rules *rules,
 	       const struct place_req *req)
 {
-	struct pick *all = (struct pick *)picks->data, *best;
-	enum place_why why = PLACE_HOME;
+	uint32_t own = order_picks (picks, is_short (req));
+	struct pick *all = (struct pick *)picks->data, *best = &all[0];
+	struct place_verdict v = {.why = PLACE_HOME};
+	double best_ms = 0;
 
-	g_array_sort (picks, by_hash);
-	for (guint i = 0; i < picks->len; i++)
-		weigh (&all[i], rules, req, i);
-	best = &all[0];
-	for (guint i = 1; i < MIN (picks->len, RANKS); i++) {
-		if (all[i].cost_ms + SHIFT_MS < best->cost_ms) {
-			best = &all[i];
-			why = PLACE_SHIFT;
-		}
-	}
-	if (best->cost_ms > SPILL_MS) {
-		for (guint i = RANKS; i < picks->len; i++) {
-			if (all[i].cost_ms + SHIFT_MS < best->cost_ms) {
-				best = &all[i];
-				why = PLACE_SPILL;
-			}
-		}
+	for (guint i = 0; i < picks->len; i++) {
+		enum place_why why = PLACE_HOME;
+		double ms;
+
+		weigh (&all[i], rules, req, i < own ? i : RANKS);
+		ms = all[i].cost_ms;
+		if (i > 0)
+			ms += margin_ms (req, &all[i], i, &why);
+		if (i > 0 && ms >= best_ms)
+			continue;
+		best = &all[i];
+		best_ms = ms;
+		v.why = why;
 	}
-	return (struct place_verdict){best->ep, why, best->cost_ms,
-				      best->to_read};
+	v.first_ms = best->cost_ms;
+	v.to_read = best->to_read;
+	if (backlog_ms (best->ep) > req->hold_ms)
+		v.why = PLACE_BUSY;
+	else
+		v.ep = best->ep;
+	return v;
 }
 
 static struct place_verdict
@@ -163,7 +238,7 @@
 	for (guint i = 0; i < picks->len; i++) {
 		struct pick *p = &all[(i + req->dice) % picks->len];
 
-		p->cost_ms = PLAIN_MS * p->ep->inflight * MAX (p->ep->slow, 1);
+		p->cost_ms = PLAIN_MS * running (p->ep) * MAX (p->ep->slow, 1);
 		if (strcmp (p->ep->info.domain, rules->domain) != 0)
 			p->cost_ms += FAR_MS;
 		if (best == NULL || p->cost_ms < best->cost_ms)
@@ -172,10 +247,7 @@
 	return (struct place_verdict){best->ep, PLACE_LEAST, best->cost_ms, 0};
 }
 
-/*
- * Three passes, each with less to be asked: sound and warm; avoided ones too;
- * cold ones too, at their pace.
- */
+/* Two passes: without those that fail a part of their answers, and with. */
 struct place_verdict
 place_choose (const struct fleet *f, const struct place_rules *rules,
 	      const struct place_req *req, uint64_t now_ms)
@@ -183,7 +255,7 @@
 	GArray *picks = g_array_new (FALSE, FALSE, sizeof (struct pick));
 	struct place_verdict v = {.why = PLACE_NONE};
 
-	for (int pass = 0; pass < 3 && picks->len == 0; pass++) {
+	for (int pass = 0; pass < 2 && picks->len == 0; pass++) {
 		for (guint i = 0; i < f->eps->len; i++) {
 			struct pick p = {g_ptr_array_index (f->eps, i), 0, 0,
 					 0};
@@ -191,10 +263,8 @@
 			if (strcmp (p.ep->info.service, req->service->name) !=
 				    0 ||
 			    !fleet_usable (f, p.ep, now_ms) ||
-			    was_tried (req, p.ep))
-				continue;
-			if ((pass < 1 && now_ms < p.ep->wrong_until_ms) ||
-			    (pass < 2 && fleet_is_cold (p.ep, now_ms)))
+			    was_tried (req, p.ep) ||
+			    (pass < 1 && now_ms < p.ep->wrong_until_ms))
 				continue;
 			if (p.ep->inflight >= room (req->service, rules) ||
 			    !cold_allows (req->service, rules, p.ep, now_ms)) {
@@ -213,6 +283,33 @@
 	return v;
 }
 
+/*
+ * An endpoint is in the short lane if few of its domain's stand before it in
+ * an order that all relays see alike.
+ */
+void
+place_lanes (struct fleet *f)
+{
+	for (guint i = 0; i < f->eps->len; i++) {
+		struct fleet_ep *ep = g_ptr_array_index (f->eps, i);
+		uint64_t own = rank_hash (1, ep->info.id);
+		uint32_t all = 0, before = 0;
+
+		for (guint k = 0; k < f->eps->len; k++) {
+			const struct fleet_ep *o =
+				g_ptr_array_index (f->eps, k);
+
+			if (!o->listed || o->leaving ||
+			    strcmp (o->info.service, ep->info.service) != 0 ||
+			    strcmp (o->info.domain, ep->info.domain) != 0)
+				continue;
+			all++;
+			before += rank_hash (1, o->info.id) < own;
+		}
+		ep->short_lane = before < SHORT_LANE_SHARE * all - 0.5;
+	}
+}
+
 const char *
 place_why_name (enum place_why why)
 {
@@ -221,12 +318,16 @@
 		return "none";
 	case PLACE_FULL:
 		return "full";
+	case PLACE_BUSY:
+		return "busy";
 	case PLACE_HOME:
 		return "home";
 	case PLACE_SHIFT:
 		return "shift";
 	case PLACE_SPILL:
 		return "spill";
+	case PLACE_CROSS:
+		return "cross";
 	case PLACE_LEAST:
 		return "least";
 	}
--- a/lib/place.h
+++ b/lib/place.h
@@ -9,15 +9,23 @@
 #include "plan.h"
 
 /*
- * Which endpoint gets a request.  The load it answers: prompts that share long
- * parts, whose parts together exceed one engine's memory but not the pool's,
- * while other relays that are not heard from send to the same engines.
+ * Which endpoint gets a request.  Three loads are answered:
  *
- * Engines: every relay ranks the engines for a prompt's shared parts by the
- * same hash, so that without a word between them the parts are read at one
- * engine and kept there; among the first few ranks the predicted time to the
- * first token decides, with what this relay sent there.  Plain services: the
- * least work of ours, in our own domain first.
+ * Prompts that share long parts, whose parts together exceed one engine's
+ * memory but not the pool's.  Every relay ranks the engines for a prompt's
+ * shared parts by the same hash, so that the parts are read at one engine and
+ * kept there; the predicted time to the first token decides among the first
+ * ranks, and among all where those are far behind.
+ *
+ * Long prompts beside streams that need short pauses.  An engine reads prompts
+ * in pieces between the tokens of what it runs, so each long prompt slows every
+ * stream there.  In each failure domain some engines are a lane for short
+ * prompts; the others take the long ones.  A lane is left only where the other
+ * is far quicker.
+ *
+ * More prompts than can be read.  What is sent to an engine is read about in
+ * the order it came, so a backlog there can't be overtaken; beyond a bound the
+ * request waits here, where the more urgent ones go first.
  */
 
 #define PLACE_TRIED_MAX 8
@@ -27,6 +35,8 @@
  * @service: whose endpoints
  * @parts: of the prompt; @part_count of them
  * @prompt_tokens: to be read
+ * @hold_ms: time of reading already due at an engine beyond which the request
+ *	waits
  * @tried: endpoints that had it, to be left out
  * @dice: any number, for ties
  */
@@ -35,6 +45,7 @@
 	const struct dia_part *parts;
 	uint32_t part_count;
 	uint32_t prompt_tokens;
+	double hold_ms;
 	const struct fleet_ep *tried[PLACE_TRIED_MAX];
 	uint32_t tried_count;
 	uint32_t dice;
@@ -43,31 +54,38 @@
 /**
  * struct place_rules - how a relay places
  * @domain: its own failure domain
+ * @self: hash of its name
  * @relays: that share the endpoints, at least 1
  */
 struct place_rules {
 	const char *domain;
+	uint32_t self;
 	uint32_t relays;
 };
 
 /** enum place_why - what decided */
 enum place_why {
-	PLACE_NONE,   /* no endpoint may get it */
-	PLACE_FULL,   /* those that may have no room for more of ours */
-	PLACE_HOME,   /* the first rank of its prompt */
-	PLACE_SHIFT,  /* a later rank, that is quicker */
-	PLACE_SPILL,  /* any engine: the ranks are busy or lost */
-	PLACE_LEAST,  /* least work */
+	PLACE_NONE,  /* no endpoint may get it */
+	PLACE_FULL,  /* those that may have no room for more of ours */
+	PLACE_BUSY,  /* the best one has too much to read */
+	PLACE_HOME,  /* the first rank of its prompt */
+	PLACE_SHIFT, /* a later rank, that is quicker */
+	PLACE_SPILL, /* another engine of its lane */
+	PLACE_CROSS, /* an engine of the other lane */
+	PLACE_LEAST, /* least work */
 };
 
 /** struct place_verdict - the choice */
 struct place_verdict {
-	struct fleet_ep *ep; /* NULL for PLACE_NONE and PLACE_FULL */
+	struct fleet_ep *ep; /* NULL for PLACE_NONE, _FULL and _BUSY */
 	enum place_why why;
-	double first_ms;   /* predicted time to the first token */
-	double to_read;    /* prompt tokens that it has to read */
+	double first_ms; /* predicted time to the first token */
+	double to_read;  /* prompt tokens that it has to read */
 };
 
+/** place_lanes() - choose the lanes anew; after each change of the list */
+void place_lanes (struct fleet *f);
+
 /** place_choose() - choose an endpoint */
 struct place_verdict place_choose (const struct fleet *f,
 				   const struct place_rules *rules,
--- a/relayd/back.c
+++ b/relayd/back.c
@@ -60,7 +60,9 @@
 	if (c->read)
 		return;
 	c->read = true;
+	c->r->load_changed = true;
 	ep->unread = MAX (ep->unread - c->to_read, 0);
+	call_wake (c->r);
 	if (c->account[0] != '\0')
 		usage_count (c->r, c->account);
 	if (c->predicted_ms > 1 && c->service->is_engine) {
@@ -293,10 +295,10 @@
 	c->answer = (struct dia_answer){0};
 	g_string_truncate (c->buffer, 0);
 	evs_restart (&c->evs);
+	c->r->load_changed = true;
+	c->ep->sent_ms = now_ms;
 	c->ep->inflight++;
 	c->ep->unread += c->to_read;
-	if (fleet_is_cold (c->ep, now_ms))
-		c->ep->cold_sent_ms = now_ms;
 	if (c->service->is_engine)
 		fleet_remember (c->ep, c->req.parts, c->req.part_count,
 				c->service->memory_tokens);
--- a/relayd/call.c
+++ b/relayd/call.c
@@ -6,10 +6,29 @@
 
 #include "relayd.h"
 
-/* A request waits for an endpoint for this part of its latency objective;
- * beyond it the caller does better to come again. */
+/* With no endpoint at all, a request waits for this part of its latency
+ * objective; beyond it the caller does better to come again. */
 #define WAIT_PART 8
 
+/* Where endpoints are only busy, it waits for this share of the time that its
+ * caller stays. */
+#define BUSY_SHARE 0.6
+
+/* How long a caller stays for a stream without a byte: the longest of these.
+ * As the users' clients do. */
+#define STAY_MIN_MS 2000
+#define STAY_TARGETS 4
+#define STAY_GAPS 8
+
+/* Reading that may be due at an engine when a request is sent there, as a share
+ * of the request's latency objective, and for any request at most: what comes
+ * after it and is more urgent has to wait for that. */
+#define HOLD_SHARE 0.5
+#define HOLD_MAX_MS 250.0
+
+/* Waiting requests that are looked at in one turn. */
+#define WAKE_MAX 200
+
 /* What a refused caller is told to wait, spread so that they don't return
  * together: about what a lost endpoint's neighbours take to be free again. */
 #define AFTER_MIN_MS 300
@@ -31,12 +50,15 @@
 	       (uint32_t)g_rand_int_range (c->r->rand, 0, AFTER_SPREAD_MS);
 }
 
+static void wait_no_more (struct call *c);
+
 static void
 call_free (struct call *c)
 {
 	struct relay *r = c->r;
 
 	call_leave_ep (c);
+	wait_no_more (c);
 	g_ptr_array_remove_fast (r->calls, c);
 	plan_unref (c->plan);
 	g_string_free (c->line, TRUE);
@@ -57,6 +79,8 @@
 	c->x = NULL;
 	if (c->ep == NULL)
 		return;
+	c->r->load_changed = true;
+	call_wake (c->r);
 	c->ep->inflight--;
 	if (!c->read)
 		c->ep->unread = MAX (c->ep->unread - c->to_read, 0);
@@ -107,50 +131,107 @@
 	front_refuse (r, caller, id, status, wait_ms, why);
 }
 
+/* The most urgent first, then the one that came first. */
+static gint
+more_urgent (gconstpointer a, gconstpointer b, gpointer data)
+{
+	const struct call *x = a, *y = b;
+
+	(void)data;
+	if (x->tier != y->tier)
+		return x->tier < y->tier ? -1 : 1;
+	return x->arrived_ms < y->arrived_ms ? -1
+					     : x->arrived_ms > y->arrived_ms;
+}
+
+static void
+wait_more (struct call *c)
+{
+	struct relay *r = c->r;
+
+	if (c->waits != NULL)
+		return;
+	g_queue_insert_sorted (&r->waiting, c, more_urgent, NULL);
+	c->waits = g_queue_find (&r->waiting, c);
+}
+
+static void
+wait_no_more (struct call *c)
+{
+	if (c->waits != NULL)
+		g_queue_delete_link (&c->r->waiting, c->waits);
+	c->waits = NULL;
+}
+
 void
 call_begin (struct call *c)
 {
-	c->refuse_ms = c->arrived_ms + c->route->target_ms / WAIT_PART;
+	const struct plan_route *route = c->route;
+	uint64_t stay_ms = c->deadline_ms - c->arrived_ms;
+
+	if (route->kind == PLAN_STREAM)
+		stay_ms = MIN (stay_ms, MAX (STAY_MIN_MS,
+					     MAX (STAY_TARGETS *
+							  route->target_ms,
+						  STAY_GAPS * route->gap_ms)));
+	c->patience_ms = c->arrived_ms + stay_ms;
+	c->refuse_ms = c->arrived_ms + route->target_ms / WAIT_PART;
 	spend_request (c->r->spend, c->service->name, c->arrived_ms);
 	call_try (c);
 }
 
+static void
+choose (struct call *c, struct place_verdict *v, uint64_t now_ms)
+{
+	struct place_rules rules = {c->r->set.domain,
+				    g_str_hash (c->r->set.name),
+				    MAX (c->r->relays, 1)};
+	struct place_req req = {
+		.service = c->service,
+		.parts = c->req.parts,
+		.part_count = c->req.part_count,
+		.prompt_tokens = c->req.prompt_tokens,
+		.hold_ms = MIN (HOLD_SHARE * c->route->target_ms, HOLD_MAX_MS),
+		.tried_count = c->tried_count,
+		.dice = g_rand_int (c->r->rand),
+	};
+
+	for (uint32_t i = 0; i < c->tried_count; i++)
+		req.tried[i] = c->tried[i];
+	*v = place_choose (&c->r->fleet, &rules, &req, now_ms);
+}
+
 /* Send the request, or let it wait, or refuse it. */
 void
 call_try (struct call *c)
 {
-	uint64_t now_ms = tmr_now_ms ();
-	struct place_rules rules = {c->r->set.domain, MAX (c->r->relays, 1)};
-	struct place_req req = {.service = c->service,
-				.parts = c->req.parts,
-				.part_count = c->req.part_count,
-				.prompt_tokens = c->req.prompt_tokens,
-				.tried_count = c->tried_count,
-				.dice = g_rand_int (c->r->rand)};
+	uint64_t now_ms = tmr_now_ms (), until_ms = c->refuse_ms;
 	struct place_verdict v;
 
-	for (uint32_t i = 0; i < c->tried_count; i++)
-		req.tried[i] = c->tried[i];
-	v = place_choose (&c->r->fleet, &rules, &req, now_ms);
+	choose (c, &v, now_ms);
 	if (v.ep != NULL) {
-		c->waits = false;
+		wait_no_more (c);
 		back_send (c, &v);
 		return;
 	}
+	if (v.why == PLACE_BUSY || v.why == PLACE_FULL)
+		until_ms = c->arrived_ms +
+			   (uint64_t)(BUSY_SHARE *
+				      (double)(c->patience_ms - c->arrived_ms));
+	if (now_ms < until_ms) {
+		wait_more (c);
+		return;
+	}
+	wait_no_more (c);
 	if (c->begun) {
-		c->waits = false;
+		h1srv_set_data (c->caller, NULL);
 		h1srv_end (c->caller, false);
 		c->r->stats.cut++;
 		call_done (c, "cut");
 		return;
 	}
-	if (now_ms < c->refuse_ms) {
-		c->waits = true;
-		return;
-	}
 	call_fail (c, c->runs > 0 ? 502 : 503, after_ms (c),
-		   v.why == PLACE_FULL ? "endpoints are full"
-				       : "no endpoint");
+		   v.why == PLACE_NONE ? "no endpoint" : "endpoints are busy");
 }
 
 static void
@@ -252,6 +333,37 @@
 	}
 }
 
+static void
+on_wake (void *ctx)
+{
+	struct relay *r = ctx;
+	struct call *list[WAKE_MAX];
+	uint32_t n = 0;
+
+	for (GList *at = r->waiting.head; at != NULL && n < WAKE_MAX;
+	     at = at->next)
+		list[n++] = at->data;
+	/* One that is tried may end, but none of the others does by it. */
+	for (uint32_t i = 0; i < n; i++)
+		call_try (list[i]);
+}
+
+/* Endpoints may have become free: look at what waits, after this turn. */
+void
+call_wake (struct relay *r)
+{
+	if (r->waiting.length > 0)
+		tmr_start (&r->wake, 0);
+}
+
+void
+call_init (struct relay *r)
+{
+	r->calls = g_ptr_array_new ();
+	g_queue_init (&r->waiting);
+	tmr_init (&r->wake, r->d.loop, on_wake, r);
+}
+
 void
 call_tick (struct relay *r, uint64_t now_ms)
 {
@@ -263,12 +375,11 @@
 		c = g_ptr_array_index (r->calls, i - 1);
 		if (now_ms >= c->deadline_ms) {
 			call_expire (c);
-		} else if (c->waits) {
-			call_try (c);
 		} else if (c->paused &&
 			   h1srv_pending (c->caller) < PENDING_MAX_BYTES / 2) {
 			c->paused = false;
 			h1cli_resume (c->x);
 		}
 	}
+	on_wake (r);
 }
--- a/relayd/main.c
+++ b/relayd/main.c
@@ -146,8 +146,8 @@
 		return false;
 	r->rand = g_rand_new ();
 	r->spend = spend_new (&rules);
-	r->calls = g_ptr_array_new ();
 	r->started_ms = tmr_now_ms ();
+	call_init (r);
 	usage_init (r);
 	upstream_init (r);
 	if (!front_init (r, e))
@@ -163,6 +163,7 @@
 relay_finish (struct relay *r)
 {
 	tmr_finish (&r->tick);
+	tmr_finish (&r->wake);
 	h1srv_finish (&r->front);
 	h1srv_finish (&r->ready);
 	h1srv_finish (&r->metrics);
--- a/relayd/member.c
+++ b/relayd/member.c
@@ -20,6 +20,13 @@
  * that does, so that a relay that starts does not begin with what is old. */
 #define STALE_WAIT_MS 2500
 
+/* The others' loads are no longer believed after so long; prompts are read in
+ * less. */
+#define OTHERS_OLD_MS 2000
+
+/* Between two tellings of our load to the leader. */
+#define LOAD_MS 20
+
 /* A list that a member read longer ago says nothing of now. */
 #define LIST_OLD_MS 3000
 
@@ -113,6 +120,9 @@
 	uint64_t now_ms = tmr_now_ms ();
 
 	m->fresh = s->fresh;
+	/* A new leader has to be told anew. */
+	if (s->leads && !m->leads)
+		r->load_changed = true;
 	m->leads = s->leads;
 	m->version = s->version;
 	m->list_stamp = s->list_stamp;
@@ -180,6 +190,7 @@
 		return;
 	fleet_update (&r->fleet, g->list.items, g->list.count, now_ms,
 		      g->age_ms);
+	place_lanes (&r->fleet);
 	r->list_ms = read_ms;
 	r->list_stamp = g->stamp;
 	log_event (LOG_LV_INFO, "list",
@@ -187,6 +198,46 @@
 		   g->list.count, g->age_ms, fleet_ready (&r->fleet, now_ms));
 }
 
+static void
+take_others (struct relay *r, const struct loads_msg *m)
+{
+	r->others_ms = tmr_now_ms ();
+	fleet_others (&r->fleet, m->loads.items, m->loads.count);
+	call_wake (r);
+}
+
+/* Tell the leader what this relay has at the endpoints. */
+static void
+tell_load (struct relay *r, uint64_t now_ms)
+{
+	struct loads_msg m = {0};
+	GArray *list;
+
+	if (!r->load_changed || now_ms - r->load_told_ms < LOAD_MS)
+		return;
+	r->load_changed = false;
+	r->load_told_ms = now_ms;
+	list = g_array_new (FALSE, FALSE, sizeof (struct load));
+	for (guint i = 0; i < r->fleet.eps->len; i++) {
+		struct fleet_ep *ep = g_ptr_array_index (r->fleet.eps, i);
+		struct load x = {loads_ep (ep->info.id), (uint32_t)ep->unread,
+				 ep->inflight};
+
+		if (x.running > 0)
+			g_array_append_val (list, x);
+	}
+	m.loads.items = list->data;
+	m.loads.count = list->len;
+	for (guint i = 0; i < r->members->len; i++) {
+		struct member *to = g_ptr_array_index (r->members, i);
+
+		if (to->leads)
+			link_send (to->link, FRAME_GROUP_LOAD,
+				   loads_msg_fields, &m);
+	}
+	g_array_free (list, TRUE);
+}
+
 static void
 on_frame (struct link *l, uint8_t kind, const uint8_t *body, size_t len,
 	  void *ctx)
@@ -198,6 +249,7 @@
 		struct gmsg_state state;
 		struct gmsg_plan plan;
 		struct gmsg_list list;
+		struct loads_msg loads;
 	} u;
 	bool ok = true;
 
@@ -218,6 +270,11 @@
 				 &e);
 		if (ok)
 			take_list (m->r, m, &u.list);
+	} else if (kind == FRAME_GROUP_OTHERS) {
+		ok = msg_unpack (loads_msg_fields, body, len, &u.loads, &zone,
+				 &e);
+		if (ok)
+			take_others (m->r, &u.loads);
 	}
 	msgpack_zone_destroy (&zone);
 	if (!ok)
@@ -274,6 +331,7 @@
 	uint32_t relays = 0;
 
 	seeds_wanted (r);
+	tell_load (r, now_ms);
 	for (guint i = r->members->len; i > 0; i--) {
 		struct member *m = g_ptr_array_index (r->members, i - 1);
 
@@ -287,6 +345,8 @@
 			link_close (m->link, "silent");
 		}
 	}
+	if (now_ms - r->others_ms > OTHERS_OLD_MS)
+		fleet_others (&r->fleet, NULL, 0);
 	/* Those that are cut off from here still share the endpoints. */
 	r->relays = MAX (relays, r->relays);
 }
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -17,6 +17,7 @@
 #include "h1srv.h"
 #include "hist.h"
 #include "link.h"
+#include "loads.h"
 #include "place.h"
 #include "plan.h"
 #include "set_daemons.h"
@@ -47,8 +48,9 @@
 	bool to_head;
 	uint64_t arrived_ms;
 	uint64_t deadline_ms;
+	uint64_t patience_ms; /* its caller leaves without a byte by then */
 	uint64_t refuse_ms; /* it waits for an endpoint no longer than this */
-	bool waits;
+	GList *waits;       /* its place in r->waiting, or NULL */
 	/* sends */
 	struct fleet_ep *tried[PLACE_TRIED_MAX];
 	uint32_t tried_count;
@@ -128,9 +130,13 @@
 	uint64_t list_stamp;
 	GPtrArray *members; /* of struct member * */
 	GPtrArray *calls;   /* of struct call * */
+	GQueue waiting;     /* of struct call *, the most urgent first */
 	uint32_t relays;    /* that share the endpoints */
 	uint64_t started_ms;
 	uint64_t asked_ms;
+	bool load_changed; /* since the leader was told */
+	uint64_t load_told_ms;
+	uint64_t others_ms; /* when the others' loads came last */
 	/* own reading of the platform's list */
 	struct h1cli_host cloud;
 	struct h1cli *list_call;
@@ -142,7 +148,7 @@
 	GPtrArray *windows; /* of struct window * */
 	uint64_t reported_ms;
 	uint64_t sealed;
-	struct tmr tick;
+	struct tmr tick, wake;
 	bool leaving;
 	uint64_t leave_ms;
 	struct relay_stats stats;
@@ -166,6 +172,8 @@
 		const char *why);
 void call_done (struct call *c, const char *outcome);
 void call_leave_ep (struct call *c);
+void call_wake (struct relay *r);
+void call_init (struct relay *r);
 void call_tick (struct relay *r, uint64_t now_ms);
 
 /* back.c: exchanges with endpoints */
--- a/relayd/upstream.c
+++ b/relayd/upstream.c
@@ -188,6 +188,7 @@
 			      (struct fleet_info *)r->list_pages->data,
 			      r->list_pages->len, now_ms,
 			      now_ms - r->list_begun_ms);
+		place_lanes (&r->fleet);
 		r->list_ms = r->list_begun_ms;
 		r->list_stamp = 0;
 	}
