The leader orders endpoints: many cheap ones, few that can't be reclaimed

Change: lib/size decides for each domain, groupd orders under the leader's lease and term; relays tell the reading time that they ask for.

--- a/groupd/duty.c
+++ b/groupd/duty.c
@@ -212,8 +212,8 @@
  * Whether this member may act.  A new leader waits for half of the lease, so
  * that within one lease no third turn can follow the second.
  */
-static bool
-may_act (struct group *g, uint64_t now_ms)
+bool
+duty_may_act (struct group *g, uint64_t now_ms)
 {
 	if (!group_leads (g) || g->leaving) {
 		g->duty.leading_ms = 0;
@@ -225,16 +225,6 @@
 	       raft_lease_until (&g->raft) > now_ms;
 }
 
-static bool
-has_duty (const struct group *g)
-{
-	for (guint i = 0; i < g->set.duties->len; i++) {
-		if (strcmp (g_ptr_array_index (g->set.duties, i), "usage") == 0)
-			return true;
-	}
-	return false;
-}
-
 void
 duty_tick (struct group *g, uint64_t now_ms)
 {
@@ -243,7 +233,7 @@
 	uint64_t late_ms = tmr_wall_ms () % window_ms;
 	uint64_t seal_ms = (uint64_t)(SEAL_PART * g->set.usage_late_s * 1000);
 
-	if (!has_duty (g) || !may_act (g, now_ms))
+	if (!group_has_duty (g, "usage") || !duty_may_act (g, now_ms))
 		return;
 	if (g->duty.call != NULL && now_ms > g->duty.again_ms + ANSWER_MS) {
 		h1cli_cancel (g->duty.call);
--- a/groupd/groupd.h
+++ b/groupd/groupd.h
@@ -18,6 +18,7 @@
 #include "loads.h"
 #include "raft.h"
 #include "set_daemons.h"
+#include "size.h"
 #include "tmr.h"
 #include "wal.h"
 
@@ -69,6 +70,26 @@
 	uint64_t again_ms;   /* not before this */
 };
 
+/** struct subject - one kind of endpoints of a service in a domain */
+struct subject {
+	char service[PLAN_NAME_BYTES];
+	char domain[PLAN_NAME_BYTES];
+	bool cheap;
+	uint32_t ordered;    /* the count ordered last */
+	uint64_t ordered_ms; /* when; 0: never by this leader */
+	uint64_t scarce_until_ms;
+};
+
+/** struct scaler - orders of endpoints */
+struct scaler {
+	GPtrArray *subjects; /* of struct subject * */
+	struct size_need need;
+	struct h1cli *call;
+	struct subject *call_subject;
+	uint64_t call_ms;
+	uint64_t next_ms;
+};
+
 /** struct lister - the reading of the platform's list */
 struct lister {
 	struct h1cli *call;
@@ -105,6 +126,8 @@
 	struct lister lister;
 	struct duty duty;
 	struct loads loads;
+	struct plan *plan; /* of the state's configuration, or NULL */
+	struct scaler scaler;
 	bool loads_changed;
 	uint64_t loads_told_ms;
 	struct tmr tick;
@@ -124,6 +147,7 @@
 void group_wake (struct group *g);
 bool group_leads (const struct group *g);
 bool group_is_fresh (const struct group *g);
+bool group_has_duty (const struct group *g, const char *name);
 
 /* store.c: durable state */
 bool store_open (struct group *g, struct err *e);
@@ -156,5 +180,11 @@
 void duty_take (struct group *g, const struct link *l,
 		const struct gmsg_report *r);
 void duty_tick (struct group *g, uint64_t now_ms);
+bool duty_may_act (struct group *g, uint64_t now_ms);
+
+/* scale.c: orders of endpoints */
+void scale_init (struct group *g);
+void scale_finish (struct group *g);
+void scale_tick (struct group *g, uint64_t now_ms);
 
 #endif
--- a/groupd/main.c
+++ b/groupd/main.c
@@ -65,6 +65,16 @@
 		tmr_now_ms () < g->raft.contact_ms + FRESH_MS);
 }
 
+bool
+group_has_duty (const struct group *g, const char *name)
+{
+	for (guint i = 0; i < g->set.duties->len; i++) {
+		if (strcmp (g_ptr_array_index (g->set.duties, i), name) == 0)
+			return true;
+	}
+	return false;
+}
+
 static void
 leave_tick (struct group *g, uint64_t now_ms)
 {
@@ -109,6 +119,7 @@
 	peer_tick (g, now_ms);
 	cloud_tick (g, now_ms);
 	duty_tick (g, now_ms);
+	scale_tick (g, now_ms);
 	if (g->leaving)
 		leave_tick (g, now_ms);
 }
@@ -152,6 +163,7 @@
 		return false;
 	cloud_init (g);
 	duty_init (g);
+	scale_init (g);
 	if (!peer_init (g, e))
 		return false;
 	raft_start (&g->raft, tmr_now_ms ());
@@ -168,6 +180,7 @@
 	tmr_finish (&g->flush);
 	h1srv_finish (&g->api);
 	peer_finish (g);
+	scale_finish (g);
 	duty_finish (g);
 	cloud_finish (g);
 	g_ptr_array_free (g->waitings, TRUE);
--- /dev/null
+++ b/groupd/scale.c
@@ -0,0 +1,236 @@
+/*
+ * Orders of endpoints: the leader compares what the platform lists with what
+ * each domain should have.
+ */
+#include <string.h>
+
+#include "groupd.h"
+
+/* Between two looks. */
+#define LOOK_MS 250
+
+/* Beyond an endpoint's boot, for the list to show it. */
+#define LISTED_MS 2500
+
+/* No cheap endpoints were to be had: not asked again before. */
+#define SCARCE_MS 1500
+
+#define CONNECT_MS 500
+#define ANSWER_MS 3000
+
+void
+scale_init (struct group *g)
+{
+	g->scaler.subjects = g_ptr_array_new_with_free_func (g_free);
+}
+
+void
+scale_finish (struct group *g)
+{
+	g_ptr_array_free (g->scaler.subjects, TRUE);
+	plan_unref (g->plan);
+}
+
+static struct subject *
+subject_get (struct group *g, const char *service, const char *domain,
+	     bool cheap)
+{
+	struct subject *s;
+
+	for (guint i = 0; i < g->scaler.subjects->len; i++) {
+		s = g_ptr_array_index (g->scaler.subjects, i);
+		if (s->cheap == cheap && strcmp (s->service, service) == 0 &&
+		    strcmp (s->domain, domain) == 0)
+			return s;
+	}
+	s = g_new0 (struct subject, 1);
+	g_strlcpy (s->service, service, sizeof s->service);
+	g_strlcpy (s->domain, domain, sizeof s->domain);
+	s->cheap = cheap;
+	g_ptr_array_add (g->scaler.subjects, s);
+	return s;
+}
+
+static uint32_t
+present (const struct group *g, const struct subject *s)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < g->lister.list->len; i++) {
+		const struct fleet_info *info =
+			&g_array_index (g->lister.list, struct fleet_info, i);
+
+		n += !info->leaving && info->cheap == s->cheap &&
+		     strcmp (info->service, s->service) == 0 &&
+		     strcmp (info->domain, s->domain) == 0;
+	}
+	return n;
+}
+
+static void
+on_head (struct h1cli *x, const struct h1_head *h, bool echoed, void *ctx)
+{
+	struct group *g = ctx;
+	struct subject *s = g->scaler.call_subject;
+
+	(void)x;
+	(void)echoed;
+	log_event (LOG_LV_INFO, "order-answer",
+		   "service=%s domain=%s cheap=%d count=%u status=%d",
+		   s->service, s->domain, s->cheap, s->ordered, h->status);
+	if (h->status == 409)
+		s->scarce_until_ms = tmr_now_ms () + SCARCE_MS;
+	if (h->status != 200)
+		s->ordered_ms = 0;
+}
+
+static void
+on_data (struct h1cli *x, const char *data, size_t len, void *ctx)
+{
+	(void)x;
+	(void)data;
+	(void)len;
+	(void)ctx;
+}
+
+static void
+on_done (struct h1cli *x, enum h1cli_end end, void *ctx)
+{
+	struct group *g = ctx;
+
+	(void)x;
+	if (end != H1CLI_WHOLE)
+		g->scaler.call_subject->ordered_ms = 0;
+	g->scaler.call = NULL;
+}
+
+static const struct h1cli_ops order_ops = {
+	.head = on_head,
+	.data = on_data,
+	.done = on_done,
+};
+
+static void
+order (struct group *g, struct subject *s, uint32_t count, uint32_t have,
+       uint64_t now_ms)
+{
+	struct dia_order o = {s->service, s->domain, count, s->cheap};
+	GString *text = g_string_new (NULL);
+	struct h1cli_req req = {.connect_ms = CONNECT_MS,
+				.limits = {.user_timeout_ms = ANSWER_MS}};
+
+	log_event (LOG_LV_INFO, "order",
+		   "service=%s domain=%s cheap=%d count=%u have=%u need=%.1f "
+		   "list_age_ms=%" G_GUINT64_FORMAT,
+		   s->service, s->domain, s->cheap, count, have,
+		   g->scaler.need.engines, now_ms - g->lister.list_ms);
+	g->dialect->order (&o, g->set.name, g->raft.term, text);
+	req.bytes = text->str;
+	req.len = text->len;
+	s->ordered = count;
+	s->ordered_ms = now_ms;
+	g->scaler.call_subject = s;
+	g->scaler.call_ms = now_ms;
+	g->scaler.call = h1cli_start (&g->cloud, &req, &order_ops, g);
+	g_string_free (text, TRUE);
+}
+
+/* Order @count where it differs from what is there or under way. */
+static bool
+settle (struct group *g, struct subject *s, uint32_t count, uint32_t boot_ms,
+	uint64_t now_ms)
+{
+	uint32_t have = present (g, s);
+	bool under_way = s->ordered_ms != 0 &&
+			 now_ms < s->ordered_ms + boot_ms + LISTED_MS;
+
+	if (under_way ? s->ordered == count : have == count)
+		return false;
+	if (now_ms < s->scarce_until_ms && count > have)
+		return false;
+	order (g, s, count, have, now_ms);
+	return true;
+}
+
+static uint32_t
+scarce_domains (struct group *g, const struct plan_service *s, uint64_t now_ms)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < s->price_count; i++)
+		n += now_ms < subject_get (g, s->name, s->prices[i].domain,
+					   true)
+				      ->scarce_until_ms;
+	return n;
+}
+
+static bool
+look_domain (struct group *g, const struct plan_service *s, const char *domain,
+	     uint32_t scarce, uint64_t now_ms)
+{
+	struct subject *firm = subject_get (g, s->name, domain, false);
+	struct subject *cheap = subject_get (g, s->name, domain, true);
+	struct size_in in = {
+		.min = s->min,
+		.max = s->max,
+		.cheap_factor = s->cheap_factor,
+		.need = g->scaler.need.engines,
+		.domains = MAX (s->price_count, 1),
+		.scarce_domains = scarce,
+		.firm = present (g, firm),
+		.cheap = present (g, cheap),
+		.scarce = now_ms < cheap->scarce_until_ms,
+	};
+	struct size_out out = size_domain (&in);
+
+	return settle (g, cheap, out.cheap, s->boot_ms, now_ms) ||
+	       settle (g, firm, out.firm, s->boot_ms, now_ms);
+}
+
+/* The configuration in force, read again when it changed. */
+static bool
+plan_read (struct group *g)
+{
+	struct err e = {0};
+	gsize len = 0;
+	const char *text;
+
+	if (g->state.text == NULL)
+		return false;
+	if (g->plan != NULL && g->plan->version == g->state.version)
+		return true;
+	text = g_bytes_get_data (g->state.text, &len);
+	plan_unref (g->plan);
+	g->plan = g->dialect->plan (text, len, &e);
+	return g->plan != NULL;
+}
+
+void
+scale_tick (struct group *g, uint64_t now_ms)
+{
+	struct scaler *sc = &g->scaler;
+
+	if (now_ms < sc->next_ms || !group_has_duty (g, "scaling"))
+		return;
+	sc->next_ms = now_ms + LOOK_MS;
+	size_need_add (&sc->need, loads_work (&g->loads), now_ms);
+	if (sc->call != NULL && now_ms > sc->call_ms + ANSWER_MS) {
+		h1cli_cancel (sc->call);
+		sc->call_subject->ordered_ms = 0;
+		sc->call = NULL;
+	}
+	if (!duty_may_act (g, now_ms) || sc->call != NULL ||
+	    g->lister.list == NULL || !plan_read (g))
+		return;
+	for (guint i = 0; i < g->plan->services->len; i++) {
+		const struct plan_service *s =
+			g_ptr_array_index (g->plan->services, i);
+		uint32_t scarce = scarce_domains (g, s, now_ms);
+
+		for (uint32_t k = 0; s->elastic && k < s->price_count; k++) {
+			if (look_domain (g, s, s->prices[k].domain, scarce,
+					 now_ms))
+				return;
+		}
+	}
+}
--- a/lib/dialect.h
+++ b/lib/dialect.h
@@ -82,6 +82,14 @@
 	char instance[FLEET_NAME_BYTES];
 };
 
+/** struct dia_order - so many endpoints of a service in a domain */
+struct dia_order {
+	const char *service;
+	const char *domain;
+	uint32_t count;
+	bool cheap; /* of those that may be reclaimed */
+};
+
 /** enum dia_call - calls at our own interfaces */
 enum dia_call {
 	DIA_OTHER,
@@ -107,6 +115,7 @@
  *	@next: token of the following page, or NULL; free with g_free().
  *	Entries that can't be read are counted in @skipped.
  * @usage: append the request, head and body, that reports a window
+ * @order: the same, that orders a number of endpoints
  */
 struct dialect {
 	const char *echo;
@@ -122,6 +131,8 @@
 		      uint32_t *skipped, struct err *e);
 	void (*usage) (const struct gstate_window *w, const char *holder,
 		       uint64_t fence, GString *out);
+	void (*order) (const struct dia_order *o, const char *holder,
+		       uint64_t fence, GString *out);
 };
 
 #endif
--- a/lib/loads.c
+++ b/lib/loads.c
@@ -17,6 +17,7 @@
 const struct msg_field loads_msg_fields[] = {
 	MSG_FIELD_LIST (1, struct loads_msg, loads, struct load, load_fields,
 			LOADS_MAX),
+	MSG_FIELD (2, MSG_U64, struct loads_msg, work_ms),
 	MSG_FIELD_END,
 };
 
@@ -28,6 +29,9 @@
 	l->reports =
 		g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL,
 				       (GDestroyNotify)g_array_unref);
+	l->works = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL,
+					  g_free);
+	l->work_ms = 0;
 }
 
 void
@@ -35,6 +39,7 @@
 {
 	g_hash_table_destroy (l->sum);
 	g_hash_table_destroy (l->reports);
+	g_hash_table_destroy (l->works);
 }
 
 static struct load *
@@ -51,8 +56,8 @@
 	return s;
 }
 
-void
-loads_drop (struct loads *l, const void *reporter)
+static void
+report_drop (struct loads *l, const void *reporter)
 {
 	const GArray *old = g_hash_table_lookup (l->reports, reporter);
 
@@ -68,13 +73,46 @@
 	g_hash_table_remove (l->reports, reporter);
 }
 
+void
+loads_drop (struct loads *l, const void *reporter)
+{
+	report_drop (l, reporter);
+	g_hash_table_remove (l->works, reporter);
+}
+
+/* Totals since the reporter's start; the first one only sets the mark. */
+static void
+work_take (struct loads *l, const void *reporter, uint64_t work_ms)
+{
+	uint64_t *last = g_hash_table_lookup (l->works, reporter);
+
+	if (last == NULL) {
+		last = g_new (uint64_t, 1);
+		*last = work_ms;
+		g_hash_table_insert (l->works, (void *)reporter, last);
+	}
+	if (work_ms > *last)
+		l->work_ms += (double)(work_ms - *last);
+	*last = work_ms;
+}
+
+double
+loads_work (struct loads *l)
+{
+	double work_ms = l->work_ms;
+
+	l->work_ms = 0;
+	return work_ms;
+}
+
 void
 loads_take (struct loads *l, const void *reporter, const struct loads_msg *m)
 {
 	GArray *own = g_array_new (FALSE, FALSE, sizeof (struct load));
 	const struct load *x = m->loads.items;
 
-	loads_drop (l, reporter);
+	report_drop (l, reporter);
+	work_take (l, reporter, m->work_ms);
 	for (uint32_t i = 0; i < m->loads.count; i++) {
 		struct load *s = sum_of (l, x[i].ep);
 
--- a/lib/loads.h
+++ b/lib/loads.h
@@ -31,6 +31,7 @@
 /** struct loads_msg - a table of loads; endpoints not in it have none */
 struct loads_msg {
 	struct msg_list loads; /* of struct load */
+	uint64_t work_ms;      /* reading time asked of engines since the start */
 };
 
 extern const struct msg_field loads_msg_fields[];
@@ -39,6 +40,8 @@
 struct loads {
 	GHashTable *sum;     /* ep to struct load */
 	GHashTable *reports; /* reporter to GArray of struct load */
+	GHashTable *works;   /* reporter to its work_ms */
+	double work_ms;      /* asked by all, since it was taken last */
 };
 
 /** loads_init() - an empty table */
@@ -58,6 +61,9 @@
  * array of struct load */
 void loads_others (const struct loads *l, const void *reporter, GArray *out);
 
+/** loads_work() - take the reading time asked of engines since the last call */
+double loads_work (struct loads *l);
+
 /** loads_ep() - the hash that names an endpoint */
 uint32_t loads_ep (const char *id);
 
--- a/lib/place.c
+++ b/lib/place.c
@@ -11,10 +11,6 @@
 /* Ranks of a prompt that are weighed against each other before any other. */
 #define RANKS 2
 
-/* Prompt tokens an engine reads in a millisecond; the order of what engines
- * of today's users do. */
-#define READ_PER_MS 50.0
-
 /* How likely an engine holds the shared parts when another relay may have
  * sent them: by rank, for those this relay did not send itself. */
 static const double held_by_rank[RANKS] = {0.7, 0.2};
@@ -123,7 +119,7 @@
 static double
 backlog_ms (const struct fleet_ep *ep)
 {
-	return (ep->unread + ep->others_unread) / READ_PER_MS *
+	return (ep->unread + ep->others_unread) / PLACE_READ_PER_MS *
 	       MAX (ep->slow, 0.5);
 }
 
@@ -148,7 +144,7 @@
 	held = MAX (held, fleet_cached (ep, req->parts, req->part_count));
 	p->to_read = req->prompt_tokens > held ? req->prompt_tokens - held : 0;
 	p->cost_ms = backlog_ms (ep) +
-		     p->to_read / READ_PER_MS * MAX (ep->slow, 0.5) +
+		     p->to_read / PLACE_READ_PER_MS * MAX (ep->slow, 0.5) +
 		     BATCH_MS * running (ep);
 	if (strcmp (ep->info.domain, rules->domain) != 0)
 		p->cost_ms += FAR_MS;
--- a/lib/place.h
+++ b/lib/place.h
@@ -30,6 +30,10 @@
 
 #define PLACE_TRIED_MAX 8
 
+/* Prompt tokens an engine reads in a millisecond; the order of what engines of
+ * today's users do. */
+#define PLACE_READ_PER_MS 50.0
+
 /**
  * struct place_req - what is to be placed
  * @service: whose endpoints
--- a/relayd/member.c
+++ b/relayd/member.c
@@ -226,6 +226,7 @@
 		if (x.running > 0)
 			g_array_append_val (list, x);
 	}
+	m.work_ms = (uint64_t)r->work_ms;
 	m.loads.items = list->data;
 	m.loads.count = list->len;
 	for (guint i = 0; i < r->members->len; i++) {
