Relays tell each other which engine holds which shared parts

Cause: each relay knew only its own sends, so a prefix was read again wherever another relay's choice differed.

--- a/groupd/peer.c
+++ b/groupd/peer.c
@@ -209,7 +209,7 @@
 static void
 tell_loads (struct group *g, uint64_t now_ms)
 {
-	GArray *list;
+	GArray *list, *parts;
 
 	if (!g->loads_changed || !group_leads (g) ||
 	    now_ms - g->loads_told_ms < loads_pause_ms (g))
@@ -217,19 +217,26 @@
 	g->loads_changed = false;
 	g->loads_told_ms = now_ms;
 	list = g_array_new (FALSE, FALSE, sizeof (struct load));
+	parts = g_array_new (FALSE, FALSE, sizeof (struct load_part));
 	for (guint i = 0; i < g->askers->len; i++) {
 		struct asker *a = g_ptr_array_index (g->askers, i);
-		struct loads_msg m;
+		struct loads_msg m = {0};
 
 		if (!a->is_relay)
 			continue;
 		g_array_set_size (list, 0);
+		g_array_set_size (parts, 0);
+		loads_parts (&g->loads, a, parts);
+		m.parts.items = parts->data;
+		m.parts.count = parts->len;
 		loads_others (&g->loads, a, list);
 		m.loads.items = list->data;
 		m.loads.count = list->len;
 		link_send (a->link, FRAME_GROUP_OTHERS, loads_msg_fields, &m);
 	}
+	loads_parts_told (&g->loads);
 	g_array_free (list, TRUE);
+	g_array_free (parts, TRUE);
 }
 
 /* A state that another member told names members that we may not know. */
--- a/groupd/scale.c
+++ b/groupd/scale.c
@@ -13,7 +13,7 @@
 #define LISTED_MS 2500
 
 /* No cheap endpoints were to be had: not asked again before. */
-#define SCARCE_MS 1500
+#define SCARCE_MS 3000
 
 #define CONNECT_MS 500
 #define ANSWER_MS 3000
@@ -67,6 +67,20 @@
 	return n;
 }
 
+static uint32_t
+present_all (const struct group *g, const struct plan_service *s)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < g->lister.list->len; i++) {
+		const struct fleet_info *info =
+			&g_array_index (g->lister.list, struct fleet_info, i);
+
+		n += !info->leaving && strcmp (info->service, s->name) == 0;
+	}
+	return n;
+}
+
 static void
 on_head (struct h1cli *x, const struct h1_head *h, bool echoed, void *ctx)
 {
@@ -180,6 +194,7 @@
 		.firm = present (g, firm),
 		.cheap = present (g, cheap),
 		.scarce = now_ms < cheap->scarce_until_ms,
+		.present = present_all (g, s),
 	};
 	struct size_out out = size_domain (&in);
 
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -88,6 +88,7 @@
 	struct fleet_ep *ep = g_new0 (struct fleet_ep, 1);
 
 	ep->info = *info;
+	ep->name = loads_ep (info->id);
 	ep->slow = 1;
 	ep->parts = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
 					   g_free);
@@ -292,11 +293,9 @@
 {
 	for (guint i = 0; i < f->eps->len; i++) {
 		struct fleet_ep *ep = g_ptr_array_index (f->eps, i);
-		uint32_t name = loads_ep (ep->info.id);
-
 		ep->others_running = ep->others_unread = 0;
 		for (uint32_t k = 0; k < count; k++) {
-			if (loads[k].ep != name)
+			if (loads[k].ep != ep->name)
 				continue;
 			ep->others_running = loads[k].running;
 			ep->others_unread = loads[k].unread;
@@ -304,6 +303,22 @@
 	}
 }
 
+void
+fleet_parts (struct fleet *f, const struct load_part *parts, uint32_t count,
+	     uint64_t memory)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		struct dia_part p = {parts[i].id, parts[i].tokens};
+
+		for (guint k = 0; k < f->eps->len; k++) {
+			struct fleet_ep *ep = g_ptr_array_index (f->eps, k);
+
+			if (ep->name == parts[i].ep)
+				fleet_remember (ep, &p, 1, memory);
+		}
+	}
+}
+
 uint32_t
 fleet_ready (const struct fleet *f, uint64_t now_ms)
 {
--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -51,6 +51,7 @@
 /** struct fleet_ep - one endpoint */
 struct fleet_ep {
 	struct fleet_info info;
+	uint32_t name; /* loads_ep() of its id */
 	bool listed;
 	bool leaving; /* once so, it stays so until another start */
 	uint64_t cold_until_ms;
@@ -160,6 +161,15 @@
 struct load;
 void fleet_others (struct fleet *f, const struct load *loads, uint32_t count);
 
+/**
+ * fleet_parts() - shared parts that other relays sent
+ * @parts: of struct load_part
+ * @memory: tokens that an endpoint holds
+ */
+struct load_part;
+void fleet_parts (struct fleet *f, const struct load_part *parts,
+		  uint32_t count, uint64_t memory);
+
 /** fleet_ready() - how many endpoints may get work */
 uint32_t fleet_ready (const struct fleet *f, uint64_t now_ms);
 
--- a/lib/loads.c
+++ b/lib/loads.c
@@ -14,10 +14,24 @@
 	MSG_FIELD_END,
 };
 
+static const struct msg_field part_fields[] = {
+	MSG_FIELD (1, MSG_U64, struct load_part, id),
+	MSG_FIELD (2, MSG_U32, struct load_part, ep),
+	MSG_FIELD (3, MSG_U32, struct load_part, tokens),
+	MSG_FIELD_END,
+};
+
+struct told_part {
+	const void *by;
+	struct load_part part;
+};
+
 const struct msg_field loads_msg_fields[] = {
 	MSG_FIELD_LIST (1, struct loads_msg, loads, struct load, load_fields,
 			LOADS_MAX),
 	MSG_FIELD (2, MSG_U64, struct loads_msg, work_ms),
+	MSG_FIELD_LIST (3, struct loads_msg, parts, struct load_part,
+			part_fields, LOADS_PARTS_MAX),
 	MSG_FIELD_END,
 };
 
@@ -32,6 +46,7 @@
 	l->works = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL,
 					  g_free);
 	l->work_ms = 0;
+	l->parts = g_array_new (FALSE, FALSE, sizeof (struct told_part));
 }
 
 void
@@ -40,6 +55,7 @@
 	g_hash_table_destroy (l->sum);
 	g_hash_table_destroy (l->reports);
 	g_hash_table_destroy (l->works);
+	g_array_free (l->parts, TRUE);
 }
 
 static struct load *
@@ -105,6 +121,37 @@
 	return work_ms;
 }
 
+static void
+parts_take (struct loads *l, const void *reporter, const struct loads_msg *m)
+{
+	const struct load_part *p = m->parts.items;
+
+	for (uint32_t i = 0;
+	     i < m->parts.count && l->parts->len < LOADS_PARTS_MAX; i++) {
+		struct told_part t = {reporter, p[i]};
+
+		g_array_append_val (l->parts, t);
+	}
+}
+
+void
+loads_parts (const struct loads *l, const void *reporter, GArray *out)
+{
+	for (guint i = 0; i < l->parts->len; i++) {
+		const struct told_part *t =
+			&g_array_index (l->parts, struct told_part, i);
+
+		if (t->by != reporter)
+			g_array_append_val (out, t->part);
+	}
+}
+
+void
+loads_parts_told (struct loads *l)
+{
+	g_array_set_size (l->parts, 0);
+}
+
 void
 loads_take (struct loads *l, const void *reporter, const struct loads_msg *m)
 {
@@ -113,6 +160,7 @@
 
 	report_drop (l, reporter);
 	work_take (l, reporter, m->work_ms);
+	parts_take (l, reporter, m);
 	for (uint32_t i = 0; i < m->loads.count; i++) {
 		struct load *s = sum_of (l, x[i].ep);
 
--- a/lib/place.c
+++ b/lib/place.c
@@ -11,24 +11,25 @@
 /* Ranks of a prompt that are weighed against each other before any other. */
 #define RANKS 2
 
-/* How likely an engine holds the shared parts when another relay may have
- * sent them: by rank, for those this relay did not send itself. */
-static const double held_by_rank[RANKS] = {0.7, 0.2};
+/* How much of the shared parts the first rank is taken to hold where nobody is
+ * known to have sent them there: enough for relays that meet the same new
+ * prompt at once to choose the same engine. */
+#define HOME_SHARE 0.15
 
 /* What one more request in the batch adds to the time of a few steps. */
 #define BATCH_MS 0.5
 
 /* One way between domains, twice, and dear bytes. */
-#define FAR_MS 4.0
+#define FAR_MS 12.0
 
 /* Plain services: what one request there costs the next. */
 #define PLAIN_MS 10.0
 
 /* A later rank must be quicker by this, so that parts stay where they are. */
-#define SHIFT_MS 120.0
+#define SHIFT_MS 60.0
 
 /* An engine beyond the ranks must be quicker by this. */
-#define SPILL_MS 300.0
+#define SPILL_MS 60.0
 
 /* The other lane must be quicker by this. */
 #define CROSS_MS 400.0
@@ -139,8 +140,7 @@
 
 	for (uint32_t i = 0; i + 1 < req->part_count; i++)
 		shared += req->parts[i].tokens;
-	held = rank < RANKS && !is_short (req) ? held_by_rank[rank] * shared
-					       : 0;
+	held = rank == 0 && !is_short (req) ? HOME_SHARE * shared : 0;
 	held = MAX (held, fleet_cached (ep, req->parts, req->part_count));
 	p->to_read = req->prompt_tokens > held ? req->prompt_tokens - held : 0;
 	p->cost_ms = backlog_ms (ep) +
--- a/lib/size.c
+++ b/lib/size.c
@@ -13,6 +13,9 @@
 /* Busy share of an engine at which it still answers at once. */
 #define BUSY_SHARE 0.3
 
+/* Busy share of all engines beyond which requests wait long. */
+#define FULL_SHARE 0.6
+
 /* In each domain, endpoints that no reclaim takes. */
 #define FIRM 1
 
@@ -34,10 +37,10 @@
 	uint32_t firm = MIN (MAX (FIRM, in->min), total);
 	struct size_out out = {.firm = firm, .cheap = total - firm};
 
-	/* Where cheap ones cost as much, or are not to be had anywhere. */
 	if (in->cheap_factor <= 0 || in->cheap_factor >= 1)
 		return (struct size_out){total, 0};
-	if (in->scarce && in->scarce_domains == in->domains) {
+	/* What can't be had cheaply is bought where the rest would not do. */
+	if (in->scarce && in->need > FULL_SHARE * in->present) {
 		out.firm = MAX (firm, total - MIN (in->cheap, total));
 		out.cheap = total - out.firm;
 		return out;
--- a/lib/size.h
+++ b/lib/size.h
@@ -26,6 +26,7 @@
  * @firm: present and not leaving
  * @cheap: the same, that may be reclaimed
  * @scarce: no cheap ones are to be had here
+ * @present: of both kinds, in all domains
  */
 struct size_in {
 	uint32_t min;
@@ -37,6 +38,7 @@
 	uint32_t firm;
 	uint32_t cheap;
 	bool scarce;
+	uint32_t present;
 };
 
 /** struct size_out - to be ordered */
--- a/relayd/back.c
+++ b/relayd/back.c
@@ -268,6 +268,22 @@
 	return out;
 }
 
+/* The engine will hold the prompt's parts; the other relays are told of those
+ * that other prompts share. */
+static void
+remember (struct call *c)
+{
+	fleet_remember (c->ep, c->req.parts, c->req.part_count,
+			c->service->memory_tokens);
+	for (uint32_t i = 0; i + 1 < c->req.part_count; i++) {
+		struct load_part p = {c->req.parts[i].id, c->ep->name,
+				      c->req.parts[i].tokens};
+
+		if (c->r->sent_parts->len < LOADS_PARTS_MAX)
+			g_array_append_val (c->r->sent_parts, p);
+	}
+}
+
 void
 back_send (struct call *c, const struct place_verdict *v)
 {
@@ -302,8 +318,7 @@
 	if (c->service->is_engine)
 		c->r->work_ms += c->to_read / PLACE_READ_PER_MS;
 	if (c->service->is_engine)
-		fleet_remember (c->ep, c->req.parts, c->req.part_count,
-				c->service->memory_tokens);
+		remember (c);
 	log_event (LOG_LV_INFO, "send",
 		   "req=%s service=%s ep=%s domain=%s why=%s predicted_ms=%.0f "
 		   "to_read=%.0f inflight=%u tier=%u left_ms=%" G_GUINT64_FORMAT
--- a/relayd/member.c
+++ b/relayd/member.c
@@ -198,11 +198,29 @@
 		   g->list.count, g->age_ms, fleet_ready (&r->fleet, now_ms));
 }
 
+/* What an engine holds; the least of them, where there are several kinds. */
+static uint64_t
+engine_memory (const struct relay *r)
+{
+	uint64_t least = 0;
+
+	for (guint i = 0; r->plan != NULL && i < r->plan->services->len; i++) {
+		const struct plan_service *s =
+			g_ptr_array_index (r->plan->services, i);
+
+		if (s->is_engine && (least == 0 || s->memory_tokens < least))
+			least = s->memory_tokens;
+	}
+	return least;
+}
+
 static void
 take_others (struct relay *r, const struct loads_msg *m)
 {
 	r->others_ms = tmr_now_ms ();
 	fleet_others (&r->fleet, m->loads.items, m->loads.count);
+	fleet_parts (&r->fleet, m->parts.items, m->parts.count,
+		     engine_memory (r));
 	call_wake (r);
 }
 
@@ -220,13 +238,14 @@
 	list = g_array_new (FALSE, FALSE, sizeof (struct load));
 	for (guint i = 0; i < r->fleet.eps->len; i++) {
 		struct fleet_ep *ep = g_ptr_array_index (r->fleet.eps, i);
-		struct load x = {loads_ep (ep->info.id), (uint32_t)ep->unread,
-				 ep->inflight};
+		struct load x = {ep->name, (uint32_t)ep->unread, ep->inflight};
 
 		if (x.running > 0)
 			g_array_append_val (list, x);
 	}
 	m.work_ms = (uint64_t)r->work_ms;
+	m.parts.items = r->sent_parts->data;
+	m.parts.count = r->sent_parts->len;
 	m.loads.items = list->data;
 	m.loads.count = list->len;
 	for (guint i = 0; i < r->members->len; i++) {
@@ -237,6 +256,7 @@
 				   loads_msg_fields, &m);
 	}
 	g_array_free (list, TRUE);
+	g_array_set_size (r->sent_parts, 0);
 }
 
 static void
@@ -315,6 +335,7 @@
 member_init (struct relay *r)
 {
 	r->members = g_ptr_array_new ();
+	r->sent_parts = g_array_new (FALSE, FALSE, sizeof (struct load_part));
 	seeds_wanted (r);
 }
 
@@ -324,6 +345,7 @@
 	for (guint i = 0; i < r->members->len; i++)
 		member_free (g_ptr_array_index (r->members, i));
 	g_ptr_array_free (r->members, TRUE);
+	g_array_free (r->sent_parts, TRUE);
 }
 
 void
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -135,6 +135,7 @@
 	uint64_t started_ms;
 	uint64_t asked_ms;
 	double work_ms;    /* reading time asked of engines since the start */
+	GArray *sent_parts; /* of struct load_part, not yet told the leader */
 	bool load_changed; /* since the leader was told */
 	uint64_t load_told_ms;
 	uint64_t others_ms; /* when the others' loads came last */
