Sizing: a quarter firm, more firm ones only by need, fewer only after a while

Cause: firm endpoints were ordered and released every second while cheap ones could not be had; what went took its cache along.

--- a/groupd/groupd.h
+++ b/groupd/groupd.h
@@ -78,6 +78,7 @@
 	uint32_t ordered;    /* the count ordered last */
 	uint64_t ordered_ms; /* when; 0: never by this leader */
 	uint64_t scarce_until_ms;
+	uint64_t lower_since_ms; /* more are there than needed; 0: not so */
 };
 
 /** struct scaler - orders of endpoints */
--- a/groupd/scale.c
+++ b/groupd/scale.c
@@ -12,6 +12,9 @@
 /* Beyond an endpoint's boot, for the list to show it. */
 #define LISTED_MS 2500
 
+/* Fewer endpoints are ordered once they were too many for so long. */
+#define LOWER_MS 3000
+
 /* No cheap endpoints were to be had: not asked again before. */
 #define SCARCE_MS 3000
 
@@ -68,16 +71,13 @@
 }
 
 static uint32_t
-present_all (const struct group *g, const struct plan_service *s)
+cheap_all (struct group *g, const struct plan_service *s)
 {
 	uint32_t n = 0;
 
-	for (guint i = 0; i < g->lister.list->len; i++) {
-		const struct fleet_info *info =
-			&g_array_index (g->lister.list, struct fleet_info, i);
-
-		n += !info->leaving && strcmp (info->service, s->name) == 0;
-	}
+	for (uint32_t i = 0; i < s->price_count; i++)
+		n += present (g, subject_get (g, s->name, s->prices[i].domain,
+					      true));
 	return n;
 }
 
@@ -158,7 +158,16 @@
 	bool under_way = s->ordered_ms != 0 &&
 			 now_ms < s->ordered_ms + boot_ms + LISTED_MS;
 
-	if (under_way ? s->ordered == count : have == count)
+	if (under_way ? s->ordered == count : have == count) {
+		s->lower_since_ms = 0;
+		return false;
+	}
+	/* Fewer only after a while, since what goes takes its cache along. */
+	if (count < have && s->lower_since_ms == 0)
+		s->lower_since_ms = now_ms;
+	if (count >= have)
+		s->lower_since_ms = 0;
+	else if (now_ms < s->lower_since_ms + LOWER_MS)
 		return false;
 	if (now_ms < s->scarce_until_ms && count > have)
 		return false;
@@ -166,21 +175,9 @@
 	return true;
 }
 
-static uint32_t
-scarce_domains (struct group *g, const struct plan_service *s, uint64_t now_ms)
-{
-	uint32_t n = 0;
-
-	for (uint32_t i = 0; i < s->price_count; i++)
-		n += now_ms < subject_get (g, s->name, s->prices[i].domain,
-					   true)
-				      ->scarce_until_ms;
-	return n;
-}
-
 static bool
 look_domain (struct group *g, const struct plan_service *s, const char *domain,
-	     uint32_t scarce, uint64_t now_ms)
+	     uint64_t now_ms)
 {
 	struct subject *firm = subject_get (g, s->name, domain, false);
 	struct subject *cheap = subject_get (g, s->name, domain, true);
@@ -190,11 +187,9 @@
 		.cheap_factor = s->cheap_factor,
 		.need = g->scaler.need.engines,
 		.domains = MAX (s->price_count, 1),
-		.scarce_domains = scarce,
 		.firm = present (g, firm),
 		.cheap = present (g, cheap),
-		.scarce = now_ms < cheap->scarce_until_ms,
-		.present = present_all (g, s),
+		.cheap_all = cheap_all (g, s),
 	};
 	struct size_out out = size_domain (&in);
 
@@ -240,11 +235,8 @@
 	for (guint i = 0; i < g->plan->services->len; i++) {
 		const struct plan_service *s =
 			g_ptr_array_index (g->plan->services, i);
-		uint32_t scarce = scarce_domains (g, s, now_ms);
-
 		for (uint32_t k = 0; s->elastic && k < s->price_count; k++) {
-			if (look_domain (g, s, s->prices[k].domain, scarce,
-					 now_ms))
+			if (look_domain (g, s, s->prices[k].domain, now_ms))
 				return;
 		}
 	}
--- a/lib/size.c
+++ b/lib/size.c
@@ -10,14 +10,14 @@
 /* Of the most that a domain may have, what stands on a calm day. */
 #define BASE_SHARE 0.6
 
-/* Busy share of an engine at which it still answers at once. */
-#define BUSY_SHARE 0.3
+/* Busy share of the engines to which cheap ones are ordered ahead. */
+#define CALM_SHARE 0.3
 
-/* Busy share of all engines beyond which requests wait long. */
-#define FULL_SHARE 0.6
+/* Busy share beyond which requests wait long: firm ones are bought then. */
+#define FULL_SHARE 0.5
 
-/* In each domain, endpoints that no reclaim takes. */
-#define FIRM 1
+/* Of a domain's endpoints, those that no reclaim takes. */
+#define FIRM_SHARE 0.25
 
 /* Need rises at once and falls over this time: bursts come again. */
 #define FALL_MS 15000.0
@@ -28,29 +28,25 @@
 struct size_out
 size_domain (const struct size_in *in)
 {
-	uint32_t open = MAX (in->domains - MIN (in->scarce_domains,
-						in->domains - 1),
-			     1);
 	double wanted = MAX (BASE_SHARE * in->max,
-			     in->need / BUSY_SHARE / open);
+			     in->need / CALM_SHARE / in->domains);
 	uint32_t total = (uint32_t)CLAMP (ceil (wanted), in->min, in->max);
-	uint32_t firm = MIN (MAX (FIRM, in->min), total);
-	struct size_out out = {.firm = firm, .cheap = total - firm};
+	uint32_t firm = (uint32_t)ceil (FIRM_SHARE * BASE_SHARE * in->max);
+	double short_of = in->need / FULL_SHARE - in->cheap_all;
+	struct size_out out;
 
 	if (in->cheap_factor <= 0 || in->cheap_factor >= 1)
 		return (struct size_out){total, 0};
-	/* What can't be had cheaply is bought where the rest would not do. */
-	if (in->scarce && in->need > FULL_SHARE * in->present) {
-		out.firm = MAX (firm, total - MIN (in->cheap, total));
-		out.cheap = total - out.firm;
-		return out;
-	}
-	/* Firm ones go only as cheap ones have come. */
-	if (in->firm > out.firm && in->cheap < out.cheap)
-		out.firm = MIN (in->firm,
-				MAX (firm, total - MIN (in->cheap, total)));
-	if (out.firm + out.cheap > in->max)
-		out.firm = in->max - out.cheap;
+	firm = MIN (MAX (firm, in->min), total);
+	out.cheap = total - firm;
+	/* What is not there of the cheap ones, where the rest won't do. */
+	if (short_of > (double)firm * in->domains)
+		firm = (uint32_t)ceil (short_of / in->domains);
+	/* Firm ones go only as cheap ones come. */
+	if (in->cheap < out.cheap)
+		firm = MAX (firm, MIN (in->firm, total - in->cheap));
+	out.firm = MIN (firm, in->max);
+	out.cheap = MIN (out.cheap, in->max - out.firm);
 	return out;
 }
 
--- a/lib/size.h
+++ b/lib/size.h
@@ -22,11 +22,9 @@
  * @cheap_factor: price of a cheap one against a firm one
  * @need: engines that the work of all domains keeps busy
  * @domains: that have endpoints of the service, at least 1
- * @scarce_domains: of them, without cheap ones to be had
- * @firm: present and not leaving
+ * @firm: present here and not leaving
  * @cheap: the same, that may be reclaimed
- * @scarce: no cheap ones are to be had here
- * @present: of both kinds, in all domains
+ * @cheap_all: cheap ones present in all domains
  */
 struct size_in {
 	uint32_t min;
@@ -34,11 +32,9 @@
 	double cheap_factor;
 	double need;
 	uint32_t domains;
-	uint32_t scarce_domains;
 	uint32_t firm;
 	uint32_t cheap;
-	bool scarce;
-	uint32_t present;
+	uint32_t cheap_all;
 };
 
 /** struct size_out - to be ordered */
