--- /dev/null
+++ b/tests/test_evs.c
@@ -0,0 +1,89 @@
+/*
+ * Opaque event streams: whole events only, once, in order, also over a change
+ * of endpoint in the middle of an event.
+ */
+#include <string.h>
+
+#include "evs.h"
+#include "t_run.h"
+
+static const char events[] = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"
+			     ": comment\n\nid: 3\ndata: c\n\n";
+
+static void
+test_pieces (void)
+{
+	for (size_t step = 1; step < sizeof events; step++) {
+		GString *out = g_string_new (NULL);
+		struct evs s;
+
+		evs_init (&s, -1);
+		for (size_t at = 0; at < sizeof events - 1; at += step)
+			CU_ASSERT (evs_feed (
+				&s, events + at,
+				MIN (step, sizeof events - 1 - at), out));
+		CU_ASSERT_STRING_EQUAL (out->str, events);
+		CU_ASSERT (!evs_is_partial (&s) && s.last_id == 3 &&
+			   s.events == 4);
+		evs_finish (&s);
+		g_string_free (out, TRUE);
+	}
+}
+
+static void
+test_resume (void)
+{
+	GString *out = g_string_new (NULL);
+	struct evs s;
+
+	evs_init (&s, -1);
+	evs_feed (&s, "id: 1\ndata: a\n\nid: 2\nda", 23, out);
+	CU_ASSERT (evs_is_partial (&s) && s.last_id == 1);
+	evs_restart (&s);
+	evs_feed (&s, events, sizeof events - 1, out);
+	CU_ASSERT_STRING_EQUAL (out->str, events);
+	CU_ASSERT (s.repeated == 1);
+	evs_finish (&s);
+	g_string_free (out, TRUE);
+}
+
+static void
+test_caller_resumes (void)
+{
+	GString *out = g_string_new (NULL);
+	struct evs s;
+
+	evs_init (&s, 2);
+	evs_feed (&s, events, sizeof events - 1, out);
+	CU_ASSERT_STRING_EQUAL (out->str,
+				": comment\n\nid: 3\ndata: c\n\n");
+	evs_finish (&s);
+	g_string_free (out, TRUE);
+}
+
+static void
+test_endless (void)
+{
+	char *text = g_strnfill (EVS_EVENT_MAX_BYTES + 1, 'x');
+	GString *out = g_string_new (NULL);
+	struct evs s;
+
+	evs_init (&s, -1);
+	CU_ASSERT (!evs_feed (&s, text, EVS_EVENT_MAX_BYTES + 1, out));
+	evs_finish (&s);
+	g_string_free (out, TRUE);
+	g_free (text);
+}
+
+int
+main (void)
+{
+	static const struct t_case cases[] = {
+		{"pieces", test_pieces},
+		{"resume", test_resume},
+		{"caller resumes", test_caller_resumes},
+		{"endless", test_endless},
+		{NULL, NULL}};
+
+	return t_run ("evs", cases);
+}
--- /dev/null
+++ b/tests/test_plan.c
@@ -0,0 +1,99 @@
+/*
+ * Complete configurations: what is refused, and what a request matches.
+ */
+#include <string.h>
+
+#include "plan.h"
+#include "t_run.h"
+
+static struct plan_route *
+add_route (struct plan *p, const char *host, const char *prefix,
+	   struct plan_service *s, uint32_t weight)
+{
+	struct plan_route *r = plan_add_route (p);
+
+	r->name = g_strdup (prefix);
+	r->host = g_strdup (host);
+	r->prefix = g_strdup (prefix);
+	r->timeout_ms = 1000;
+	r->pools = g_new0 (struct plan_pool, 2);
+	r->pools[r->pool_count++] = (struct plan_pool){s, weight};
+	return r;
+}
+
+static void
+test_match (void)
+{
+	struct plan *p = plan_new ();
+	struct plan_service *s = plan_add_service (p, "s");
+	const struct plan_route *deep, *top;
+
+	top = add_route (p, "h.example", "/a/", s, 1);
+	deep = add_route (p, "h.example", "/a/b/", s, 1);
+	add_route (p, "other.example", "/", s, 1);
+	CU_ASSERT (plan_check (p, NULL));
+	CU_ASSERT (plan_match (p, "h.example", 9, "/a/b/c", 6) == deep);
+	CU_ASSERT (plan_match (p, "h.example:80", 12, "/a/bc", 5) == top);
+	CU_ASSERT (plan_match (p, "h.example", 9, "/b/", 3) == NULL);
+	CU_ASSERT (plan_match (p, "h.example", 9, "/a", 2) == NULL);
+	CU_ASSERT (plan_match (p, "none.example", 12, "/a/", 3) == NULL);
+	plan_unref (p);
+}
+
+static void
+test_refused (void)
+{
+	for (int what = 0; what < 6; what++) {
+		struct plan *p = plan_new ();
+		struct plan_service *s = plan_add_service (p, "s");
+		struct plan_account *a = plan_add_account (p, "a");
+		struct plan_account *b = plan_add_account (p, "b");
+		struct plan_route *r = add_route (p, "h", "/a/", s, 1);
+
+		plan_add_key (p, a, "k1");
+		plan_add_key (p, a, "k1");
+		plan_add_key (p, b, "k2");
+		if (what == 1)
+			add_route (p, "h", "/a/", s, 1);
+		if (what == 2)
+			r->pools[0].weight = 0;
+		if (what == 3)
+			r->timeout_ms = 0;
+		if (what == 4)
+			r->pools[0].service = NULL;
+		if (what == 5)
+			plan_add_key (p, b, "k1");
+		CU_ASSERT (plan_check (p, NULL) == (what == 0));
+		CU_ASSERT (what != 0 || plan_key (p, "k2") == b);
+		CU_ASSERT (plan_key (p, "k3") == NULL);
+		plan_unref (p);
+	}
+}
+
+static void
+test_weights (void)
+{
+	struct plan *p = plan_new ();
+	struct plan_service *s = plan_add_service (p, "s");
+	struct plan_service *t = plan_add_service (p, "t");
+	struct plan_route *r = add_route (p, "h", "/", s, 3);
+	uint32_t to_s = 0;
+
+	r->pools[r->pool_count++] = (struct plan_pool){t, 1};
+	CU_ASSERT (plan_check (p, NULL));
+	for (uint32_t i = 0; i < 400; i++)
+		to_s += plan_pick (r, i) == s;
+	CU_ASSERT (to_s == 300);
+	plan_unref (p);
+}
+
+int
+main (void)
+{
+	static const struct t_case cases[] = {{"match", test_match},
+					      {"refused", test_refused},
+					      {"weights", test_weights},
+					      {NULL, NULL}};
+
+	return t_run ("plan", cases);
+}
--- /dev/null
+++ b/tests/test_size.c
@@ -0,0 +1,109 @@
+/*
+ * Numbers of endpoints: what a calm day, a burst and a reclaim ask for.
+ */
+#include "size.h"
+#include "t_run.h"
+
+static struct size_in
+calm (void)
+{
+	return (struct size_in){.min = 1, .max = 12, .cheap_factor = 0.22,
+				.need = 2, .domains = 3, .firm = 2,
+				.cheap = 6, .cheap_all = 18};
+}
+
+static void
+test_calm (void)
+{
+	struct size_in in = calm ();
+	struct size_out out = size_domain (&in);
+
+	CU_ASSERT (out.firm + out.cheap == 8 && out.cheap > out.firm);
+	/* Firm ones stay until cheap ones stand in for them. */
+	in.firm = 6;
+	in.cheap = in.cheap_all = 0;
+	out = size_domain (&in);
+	CU_ASSERT (out.firm == 6 && out.cheap == 6);
+	in.cheap = 4;
+	in.cheap_all = 12;
+	CU_ASSERT (size_domain (&in).firm == 4);
+}
+
+static void
+test_burst (void)
+{
+	struct size_in in = calm ();
+
+	in.need = 20;
+	CU_ASSERT (size_domain (&in).cheap + size_domain (&in).firm == 12);
+}
+
+/* A reclaim with nothing cheap to be had: firm ones are bought only where the
+ * rest would not do, and no more than a domain may have. */
+static void
+test_reclaim (void)
+{
+	struct size_in in = calm ();
+
+	in.cheap = 0;
+	in.cheap_all = 12;
+	in.need = 4;
+	CU_ASSERT (size_domain (&in).firm == 2);
+	in.cheap_all = 0;
+	in.need = 8;
+	CU_ASSERT (size_domain (&in).firm == 6);
+	in.need = 100;
+	CU_ASSERT (size_domain (&in).firm == 12);
+}
+
+static void
+test_bounds (void)
+{
+	for (uint32_t max = 1; max < 70; max++) {
+		for (uint32_t bits = 0; bits < 64; bits++) {
+			struct size_in in = {
+				.min = 1,
+				.max = max,
+				.cheap_factor = bits & 1 ? 0.2 : 1,
+				.need = (bits >> 1 & 3) * 10.0,
+				.domains = 3,
+				.firm = bits & 8 ? max : 0,
+				.cheap = bits & 16 ? max / 2 : 0,
+				.cheap_all = bits & 32 ? max : 0,
+			};
+			struct size_out out = size_domain (&in);
+
+			CU_ASSERT (out.firm + out.cheap >= 1 &&
+				   out.firm + out.cheap <= max);
+		}
+	}
+}
+
+static void
+test_need (void)
+{
+	struct size_need n = {0};
+	uint64_t now_ms = 1000;
+
+	size_need_add (&n, 0, now_ms);
+	for (int i = 0; i < 12; i++) /* 10 engines' work for 3 s */
+		size_need_add (&n, 2500, now_ms += 250);
+	CU_ASSERT (n.engines > 9);
+	for (int i = 0; i < 12; i++) /* 3 s of nothing */
+		size_need_add (&n, 0, now_ms += 250);
+	CU_ASSERT (n.engines > 7);
+	for (int i = 0; i < 240; i++)
+		size_need_add (&n, 0, now_ms += 250);
+	CU_ASSERT (n.engines < 0.5);
+}
+
+int
+main (void)
+{
+	static const struct t_case cases[] = {
+		{"calm", test_calm},       {"burst", test_burst},
+		{"reclaim", test_reclaim}, {"bounds", test_bounds},
+		{"need", test_need},       {NULL, NULL}};
+
+	return t_run ("size", cases);
+}
