An engine's speed is learned against its plain reading time

After a restart of all processes members waited 0.86 s for a leader. Change: the factor is learned against reading time at the usual speed; election timeout 500 ms in place of 700.

--- a/groupd/store.c
+++ b/groupd/store.c
@@ -14,7 +14,7 @@
 /* Elections end well within the time that operators and relays allow, and a
  * process that is held up for half a second is not taken for dead. */
 #define HEARTBEAT_MS 100
-#define ELECTION_MS 700
+#define ELECTION_MS 500
 #define LEASE_MARGIN_MS 100
 
 #define SNAPSHOT_ENTRIES 200
--- a/lib/place.c
+++ b/lib/place.c
@@ -223,6 +223,9 @@
 	}
 	v.first_ms = best->first_ms;
 	v.to_read = best->to_read;
+	v.plain_ms = (best->ep->unread + best->ep->others_unread +
+		      best->to_read) /
+		     PLACE_READ_PER_MS;
 	if (backlog_ms (best->ep) > req->hold_ms)
 		v.why = PLACE_BUSY;
 	else
@@ -246,7 +249,8 @@
 		if (best == NULL || p->cost_ms < best->cost_ms)
 			best = p;
 	}
-	return (struct place_verdict){best->ep, PLACE_LEAST, best->cost_ms, 0};
+	return (struct place_verdict){
+		.ep = best->ep, .why = PLACE_LEAST, .first_ms = best->cost_ms};
 }
 
 /* Two passes: without those that fail a part of their answers, and with. */
--- a/lib/place.h
+++ b/lib/place.h
@@ -88,6 +88,7 @@
 	enum place_why why;
 	double first_ms; /* predicted time to the first token */
 	double to_read;  /* prompt tokens that it has to read */
+	double plain_ms; /* reading time, had the engine its usual speed */
 };
 
 /** place_lanes() - choose the lanes anew; after each change of the list */
--- a/relayd/back.c
+++ b/relayd/back.c
@@ -22,6 +22,9 @@
 #define BUFFER_MAX_BYTES (8U << 20)
 #define PENDING_MAX_BYTES (256U << 10)
 
+/* What a first token takes beside reading: steps and the way. */
+#define FIRST_MS 20.0
+
 /* How fast the observed time to the first token moves what is expected. */
 #define SLOW_WEIGHT 0.1
 #define SLOW_MAX 8.0
@@ -65,8 +68,9 @@
 	call_wake (c->r);
 	if (c->account[0] != '\0')
 		usage_count (c->r, c->account);
-	if (c->predicted_ms > 1 && c->service->is_engine) {
-		double x = took_ms / (c->predicted_ms + 30);
+	if (c->service->is_engine) {
+		double x = MAX (took_ms - FIRST_MS, 0) /
+			   (c->plain_ms + FIRST_MS);
 
 		ep->slow += SLOW_WEIGHT * (MIN (x, SLOW_MAX) - ep->slow);
 	}
@@ -305,7 +309,7 @@
 	c->r->stats.sends++;
 	c->sent_ms = now_ms;
 	c->to_read = v->to_read;
-	c->predicted_ms = v->first_ms;
+	c->plain_ms = v->plain_ms;
 	c->read = false;
 	c->status = 0;
 	c->answer = (struct dia_answer){0};
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -59,7 +59,7 @@
 	struct h1cli *x;
 	uint64_t sent_ms;
 	double to_read;      /* prompt tokens that this send has to read */
-	double predicted_ms; /* time to its first byte */
+	double plain_ms;     /* reading time before its first byte, as predicted */
 	bool read;           /* its first byte came */
 	/* answer */
 	int status;
