--- a/mk/lint.sh
+++ b/mk/lint.sh
@@ -4,7 +4,7 @@
 set -u
 cd "$(dirname "$0")/.."
 flags="-std=gnu11 -D_GNU_SOURCE -DH2O_USE_LIBUV=0 -DH2O_USE_EPOLL=1 -Ilib
-	-Ifakes -Itests -Idhload"
+	-Ifakes -Itests -Idhload -I."
 for f in $(pkg-config --cflags libh2o-evloop msgpack glib-2.0 json-c); do
 	flags="$flags -isystem ${f#-I}"
 done
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,311 @@
+/*
+ * The adapter: each message of the users' platform into our types and back.
+ */
+#include <string.h>
+
+#include "platform/platform.h"
+#include "t_run.h"
+
+static const struct dialect *d = &platform_dialect;
+
+static struct h1_head
+request (const char *text)
+{
+	struct h1_head h;
+	size_t used;
+
+	CU_ASSERT_FATAL (h1_request (text, strlen (text), &h, &used) == H1_OK);
+	return h;
+}
+
+static void
+test_calls (void)
+{
+	static const struct {
+		const char *text;
+		enum dia_call call;
+		const char *domain;
+	} rows[] = {
+		{"GET /api/ready HTTP/1.1\r\n\r\n", DIA_READY, ""},
+		{"POST /api/config/replace HTTP/1.1\r\n\r\n", DIA_PLAN_PUT, ""},
+		{"GET /api/config/get?x=1 HTTP/1.1\r\n\r\n", DIA_PLAN_GET, ""},
+		{"POST /api/evacuations/north-1/start HTTP/1.1\r\n\r\n",
+		 DIA_DRAIN, "north-1"},
+		{"POST /api/evacuations/north-1/finish HTTP/1.1\r\n\r\n",
+		 DIA_UNDRAIN, "north-1"},
+		{"POST /api/evacuations//start HTTP/1.1\r\n\r\n", DIA_OTHER,
+		 ""},
+		{"GET /api/evacuations/north-1/start HTTP/1.1\r\n\r\n",
+		 DIA_OTHER, ""},
+		{"POST /api/config/get HTTP/1.1\r\n\r\n", DIA_OTHER, ""},
+		{"GET /api/readyx HTTP/1.1\r\n\r\n", DIA_OTHER, ""},
+	};
+
+	for (unsigned i = 0; i < G_N_ELEMENTS (rows); i++) {
+		struct h1_head h = request (rows[i].text);
+		char domain[64] = "";
+
+		CU_ASSERT (d->call (&h, domain, sizeof domain) == rows[i].call);
+		if (rows[i].domain[0] != '\0')
+			CU_ASSERT_STRING_EQUAL (domain, rows[i].domain);
+	}
+}
+
+static void
+test_request (void)
+{
+	struct h1_head h = request (
+		"POST /a/b HTTP/1.1\r\nHost: h\r\nX-Request-Id: r1\r\n"
+		"X-Deadline-Ms: 8000\r\nX-Token-Usage: 1460,80\r\n"
+		"X-Prefix-Hash: 5c1e07a2:800, 91bd3f06:410,e4402b7d:250\r\n"
+		"Authorization: Token k1\r\nLast-Event-Id: 7\r\n"
+		"X-Tenant: me\r\nKv-From: 10.0.0.1:80/x\r\nX-Model: m\r\n"
+		"X-Hold: 5\r\n\r\n");
+	struct dia_request r;
+	uint32_t forwarded = 0;
+
+	d->request (&h, &r);
+	CU_ASSERT_STRING_EQUAL (r.id, "r1");
+	CU_ASSERT_STRING_EQUAL (r.key, "k1");
+	CU_ASSERT (r.wait_ms == 8000 && r.prompt_tokens == 1460 &&
+		   r.output_tokens == 80 && r.last_event == 7);
+	CU_ASSERT (r.part_count == 3 && r.parts[0].id == 0x5c1e07a2 &&
+		   r.parts[1].tokens == 410 && r.parts[2].id == 0xe4402b7d);
+	for (size_t i = 0; i < h.count; i++)
+		forwarded += d->forwards (&h.headers[i]);
+	/* Host, id, usage, parts, model: neither key nor what is ours. */
+	CU_ASSERT (forwarded == 5);
+	h = request ("GET / HTTP/1.1\r\nAuthorization: Basic abc\r\n"
+		     "X-Prefix-Hash: zz:1\r\n\r\n");
+	d->request (&h, &r);
+	CU_ASSERT (r.key[0] == '\0' && r.id[0] == '\0' && r.part_count == 0 &&
+		   r.last_event == -1 && r.wait_ms == 0);
+}
+
+static void
+test_send (void)
+{
+	struct dia_send s = {.expect = "i-1", .account = "acme",
+			     .left_ms = 1234, .tier = 2, .is_engine = true,
+			     .last_event = -1};
+	GString *out = g_string_new (NULL);
+
+	d->send (&s, out);
+	CU_ASSERT_STRING_EQUAL (out->str, "X-Deadline-Ms: 1234\r\n"
+					  "X-Expect-Instance: i-1\r\n"
+					  "X-Tenant: acme\r\n"
+					  "X-Request-Priority: 2\r\n");
+	s = (struct dia_send){.expect = "i-2", .left_ms = 1, .last_event = 0};
+	g_string_truncate (out, 0);
+	d->send (&s, out);
+	CU_ASSERT_STRING_EQUAL (out->str, "X-Deadline-Ms: 1\r\n"
+					  "X-Expect-Instance: i-2\r\n"
+					  "Last-Event-Id: 0\r\n");
+	g_string_free (out, TRUE);
+}
+
+static void
+test_answer (void)
+{
+	static const struct {
+		const char *text;
+		bool not_run, elsewhere, signed_off;
+		uint32_t cold_ms;
+	} rows[] = {
+		{"HTTP/1.1 200 OK\r\nX-Response-Seal: a.b\r\n\r\n", false,
+		 false, true, 0},
+		{"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n\r\n", true, false,
+		 false, 0},
+		{"HTTP/1.1 421 Other\r\nX-Instance-Id: i-9\r\n\r\n", true,
+		 true, false, 0},
+		{"HTTP/1.1 503 Own\r\nX-Response-Seal: a\r\n\r\n", false,
+		 false, true, 0},
+		{"HTTP/1.1 200 OK\r\nX-Cold-Ms: 1500\r\n\r\n", false, false,
+		 false, 1500},
+	};
+
+	for (unsigned i = 0; i < G_N_ELEMENTS (rows); i++) {
+		struct dia_answer a;
+		struct h1_head h;
+		size_t used;
+
+		CU_ASSERT_FATAL (h1_response (rows[i].text,
+					      strlen (rows[i].text), false, &h,
+					      &used) == H1_OK);
+		d->answer (&h, &a);
+		CU_ASSERT (a.not_run == rows[i].not_run &&
+			   a.elsewhere == rows[i].elsewhere &&
+			   a.signed_off == rows[i].signed_off &&
+			   a.cold_ms == rows[i].cold_ms);
+	}
+}
+
+static const char plan_text[] =
+	"{\"version\":7,\"routes\":["
+	"{\"name\":\"a\",\"host\":\"h\",\"path_prefix\":\"/a/\","
+	"\"kind\":\"streaming\",\"timeout_ms\":6000,"
+	"\"target_latency_ms\":600,\"priority\":1,\"service\":\"llm\","
+	"\"max_attempts\":2,\"sticky\":true,\"resumable\":true,"
+	"\"target_gap_ms\":200},"
+	"{\"name\":\"b\",\"host\":\"h\",\"path_prefix\":\"/b/\","
+	"\"kind\":\"non_idempotent\",\"timeout_ms\":800,\"public\":true,"
+	"\"weighted_backends\":[{\"service\":\"llm\",\"weight\":90},"
+	"{\"service\":\"app\",\"weight\":10}]}],"
+	"\"services\":[{\"name\":\"llm\",\"health_path\":\"/health\","
+	"\"max_connections\":370,\"cold_start_s\":3.0,\"cold_per_s\":6.3,"
+	"\"engine\":{\"slots\":64,\"kv_capacity\":539774},"
+	"\"scaling\":{\"min\":1,\"max\":12,\"boot_s\":4.0,"
+	"\"spot_price\":0.22,\"zone_prices\":{\"n\":1.0,\"s\":0.8}}},"
+	"{\"name\":\"app\",\"max_connections\":110}],"
+	"\"limits\":{\"idle_timeout_ms\":15000},"
+	"\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k1\",\"k2\"],"
+	"\"priority\":0}]}";
+
+static void
+test_plan (void)
+{
+	struct err e = {0};
+	struct plan *p = d->plan (plan_text, strlen (plan_text), &e);
+	const struct plan_route *a, *b;
+	const struct plan_service *llm;
+
+	CU_ASSERT_FATAL (p != NULL);
+	a = plan_match (p, "h", 1, "/a/x", 4);
+	b = plan_match (p, "h", 1, "/b/x", 4);
+	CU_ASSERT_FATAL (a != NULL && b != NULL);
+	CU_ASSERT (p->version == 7 && p->limits.idle_timeout_ms == 15000);
+	CU_ASSERT (a->kind == PLAN_STREAM && a->resumable && a->prompts &&
+		   a->tier == 1 && a->attempts == 2 && a->gap_ms == 200);
+	CU_ASSERT (b->kind == PLAN_ONCE && b->open && b->pool_count == 2 &&
+		   b->pools[0].weight == 90 && b->attempts == 1);
+	llm = plan_service (p, "llm");
+	CU_ASSERT (llm->is_engine && llm->elastic && llm->max == 12 &&
+		   llm->boot_ms == 4000 && llm->cold_ms == 3000 &&
+		   llm->price_count == 2 && llm->memory_tokens == 539774);
+	CU_ASSERT (!plan_service (p, "app")->is_engine);
+	CU_ASSERT (plan_key (p, "k2")->has_tier &&
+		   plan_key (p, "k2")->tier == 0);
+	plan_unref (p);
+}
+
+/* What an operator must be refused. */
+static void
+test_plan_refused (void)
+{
+	static const struct {
+		const char *from, *to;
+	} rows[] = {
+		{"\"service\":\"llm\",\"max", "\"service\":\"none\",\"max"},
+		{"\"/b/\"", "\"/a/\""},
+		{"\"weight\":90", "\"weight\":0"},
+		{"\"timeout_ms\":800", "\"timeout_ms\":0"},
+		{"\"k2\"", "\"k2\"]},{\"name\":\"u\",\"api_keys\":[\"k1\""},
+		{"\"version\":7", "\"version\":\"7\""},
+		{"\"streaming\"", "\"unheard-of\""},
+		{"\"routes\":[", "\"routes\":{},\"x\":["},
+	};
+	char **parts, *text;
+	struct err e = {0};
+
+	for (size_t len = 0; len < strlen (plan_text); len += 7)
+		CU_ASSERT (d->plan (plan_text, len, &e) == NULL);
+	for (unsigned i = 0; i < G_N_ELEMENTS (rows); i++) {
+		struct plan *p;
+
+		parts = g_strsplit (plan_text, rows[i].from, 2);
+		CU_ASSERT_FATAL (g_strv_length (parts) == 2);
+		text = g_strconcat (parts[0], rows[i].to, parts[1], NULL);
+		if (strcmp (rows[i].from, "\"weight\":90") == 0) {
+			char **w = g_strsplit (text, "\"weight\":10", 2);
+
+			g_free (text);
+			text = g_strconcat (w[0], "\"weight\":0", w[1], NULL);
+			g_strfreev (w);
+		}
+		p = d->plan (text, strlen (text), &e);
+		CU_ASSERT (p == NULL);
+		plan_unref (p);
+		g_free (text);
+		g_strfreev (parts);
+	}
+}
+
+static void
+test_list (void)
+{
+	const char *text =
+		"{\"instances\":[{\"service\":\"llm\",\"address\":"
+		"\"10.0.0.9:8080\",\"zone\":\"n\",\"slots\":64,"
+		"\"state\":\"ready\",\"cold_remaining_ms\":250,"
+		"\"id\":\"i-1\",\"born\":1700000000000,\"spot\":true},"
+		"{\"service\":\"llm\",\"address\":\"10.0.0.8:8080\","
+		"\"zone\":\"n\",\"state\":\"draining\",\"id\":\"i-2\"},"
+		"{\"service\":\"llm\",\"address\":\"10.0.0.7:8080\","
+		"\"zone\":\"n\",\"state\":\"asleep\",\"id\":\"i-3\"},"
+		"{\"service\":5,\"id\":\"i-4\"},null,\"x\","
+		"{\"service\":\"llm\",\"address\":\"10.0.0.6:8080\","
+		"\"zone\":\"n\",\"state\":\"ready\",\"slots\":\"many\","
+		"\"id\":\"i-5\"}],\"next\":\"p-50\"}";
+	GArray *out = g_array_new (FALSE, TRUE, sizeof (struct fleet_info));
+	struct err e = {0};
+	uint32_t skipped = 0;
+	char *next, *path;
+	const struct fleet_info *i;
+
+	CU_ASSERT (d->list (text, strlen (text), out, &next, &skipped, &e));
+	CU_ASSERT_FATAL (out->len == 2);
+	i = &g_array_index (out, struct fleet_info, 0);
+	CU_ASSERT (strcmp (i->id, "i-1") == 0 && i->cheap && !i->leaving &&
+		   i->cold_ms == 250 && i->born_ms == 1700000000000);
+	CU_ASSERT (i[1].leaving && !i[1].cheap);
+	CU_ASSERT (skipped == 5);
+	CU_ASSERT_STRING_EQUAL (next, "p-50");
+	path = d->list_path ("a&b");
+	CU_ASSERT_STRING_EQUAL (path, "/instances?page_token=a%26b");
+	g_free (path);
+	g_free (next);
+	CU_ASSERT (!d->list ("{\"instances\":", 13, out, &next, &skipped, &e));
+	CU_ASSERT (!d->list ("[]", 2, out, &next, &skipped, &e));
+	g_array_free (out, TRUE);
+}
+
+static void
+test_writes (void)
+{
+	struct gstate_count c[] = {{"acme", 412}, {"zeta", 3}};
+	struct gstate_window w = {353445120, {c, 2}};
+	struct dia_order o = {"llm", "n", 6, true};
+	GString *out = g_string_new (NULL);
+	struct h1_head h;
+
+	d->usage (&w, "core-1", 12, out);
+	h = request (out->str);
+	CU_ASSERT (h.path_len == 6 && memcmp (h.path, "/usage", 6) == 0);
+	CU_ASSERT (h1_find (&h, "X-Fencing-Token")->value_len == 2);
+	CU_ASSERT (strstr (out->str, "{\"window\":353445120,\"counts\":"
+				     "{\"acme\":412,\"zeta\":3}}") != NULL);
+	CU_ASSERT (h.length == strlen (strstr (out->str, "\r\n\r\n") + 4));
+	g_string_truncate (out, 0);
+	d->order (&o, "core-1", 12, out);
+	CU_ASSERT (strstr (out->str, "POST /scale ") == out->str);
+	CU_ASSERT (strstr (out->str, "{\"service\":\"llm\",\"zone\":\"n\","
+				     "\"desired\":6,\"spot\":true}") != NULL);
+	g_string_free (out, TRUE);
+}
+
+int
+main (void)
+{
+	static const struct t_case cases[] = {
+		{"calls", test_calls},
+		{"request", test_request},
+		{"send", test_send},
+		{"answer", test_answer},
+		{"plan", test_plan},
+		{"plan refused", test_plan_refused},
+		{"list", test_list},
+		{"writes", test_writes},
+		{NULL, NULL}};
+
+	return t_run ("platform", cases);
+}
