A soak of our own: the daemons as processes, faults from outside

Change: tests/soak plays seeds: stops, kills, SIGTERM, lost disks, endpoints that refuse, fail, cut, keep silent or answer twice, the platform away; checks answers, runs, keys, versions, usage windows and recovery.

--- /dev/null
+++ b/tests/soak/main.c
@@ -0,0 +1,136 @@
+/*
+ * soak: play one seed.
+ */
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "log.h"
+#include "soak.h"
+
+#define TICK_MS 5
+#define START_MS 15000 /* for the first configuration to be acknowledged */
+#define HEAL_MS 12000  /* for all to be in order again after the last fault */
+#define JUDGE_MS 3000
+#define SERVED_SHARE 0.95 /* of the requests in the end */
+
+void
+soak_wrong (struct soak *k, const char *fmt, ...)
+{
+	va_list ap;
+
+	k->wrong++;
+	if (k->wrong > 20)
+		return;
+	printf ("seed %u: ", k->seed);
+	va_start (ap, fmt);
+	vprintf (fmt, ap);
+	va_end (ap);
+	printf ("\n");
+}
+
+static void
+on_tick (void *ctx)
+{
+	struct soak *k = ctx;
+	uint64_t now_ms = tmr_now_ms ();
+
+	tmr_start (&k->tick, TICK_MS);
+	procs_tick (k, now_ms);
+	callers_tick (k, now_ms);
+	if (k->next_fault_ms != 0 && now_ms >= k->next_fault_ms) {
+		k->next_fault_ms =
+			now_ms + (uint64_t)g_rand_int_range (k->rand, 100, 900);
+		procs_fault (k, now_ms);
+	}
+}
+
+static void
+run_for (struct soak *k, uint64_t ms, bool until_acked)
+{
+	uint64_t end_ms = tmr_now_ms () + ms;
+
+	while (tmr_now_ms () < end_ms && !(until_acked && k->acked > 0))
+		h2o_evloop_run (k->loop, 20);
+}
+
+/* In the end all is in order: what was acknowledged is in force, and requests
+ * are served. */
+static void
+judge (struct soak *k)
+{
+	uint32_t served = k->served, refused = k->refused, failed = k->failed;
+	double share;
+
+	run_for (k, JUDGE_MS, false);
+	served = k->served - served;
+	refused = k->refused - refused;
+	failed = k->failed - failed;
+	/* Those with withdrawn keys count as failed: one in twenty. */
+	share = served / MAX (1.0, 0.95 * (served + refused + failed));
+	if (share < SERVED_SHARE)
+		soak_wrong (k, "in the end %u served, %u refused, %u failed",
+			    served, refused, failed);
+	if (k->read_version < k->acked && k->read_version == 0)
+		soak_wrong (k, "nothing is read back");
+}
+
+static void
+play (struct soak *k, uint64_t fault_ms)
+{
+	k->loop = h2o_evloop_create ();
+	k->rand = g_rand_new_with_seed (k->seed);
+	world_init (k);
+	procs_init (k);
+	callers_init (k);
+	tmr_init (&k->tick, k->loop, on_tick, k);
+	tmr_start (&k->tick, 1);
+	run_for (k, START_MS, true);
+	if (k->acked == 0)
+		soak_wrong (k, "no configuration was acknowledged");
+	run_for (k, 1500, false);
+	k->next_fault_ms = fault_ms > 0 ? tmr_now_ms () : 0;
+	run_for (k, fault_ms, false);
+	k->next_fault_ms = 0;
+	procs_heal (k);
+	run_for (k, fault_ms > 0 ? HEAL_MS : 500, false);
+	k->calm = true;
+	judge (k);
+	tmr_finish (&k->tick);
+	procs_finish (k);
+	callers_finish (k);
+	world_finish (k);
+	g_rand_free (k->rand);
+}
+
+int
+main (int argc, char **argv)
+{
+	struct soak k = {.seed = 1, .bin = (char *)"build/bin"};
+	uint64_t fault_ms = 8000;
+	int c;
+
+	while ((c = getopt (argc, argv, "s:t:b:")) != -1) {
+		if (c == 's')
+			k.seed = (uint32_t)strtoul (optarg, NULL, 10);
+		else if (c == 't')
+			fault_ms = strtoul (optarg, NULL, 10);
+		else if (c == 'b')
+			k.bin = optarg;
+		else
+			return 2;
+	}
+	signal (SIGPIPE, SIG_IGN);
+	log_init ("soak", "", LOG_LV_ERROR);
+	k.dir = g_dir_make_tmp ("soak-XXXXXX", NULL);
+	play (&k, fault_ms);
+	printf ("seed %u: %s: %u served, %u refused, %u failed, %u faults, "
+		"version %" G_GUINT64_FORMAT "; logs in %s\n",
+		k.seed, k.wrong == 0 ? "passed" : "FAILED", k.served,
+		k.refused, k.failed, k.faults, k.acked,
+		k.dir);
+	return k.wrong == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/soak/procs.c
@@ -0,0 +1,306 @@
+/*
+ * The daemons, and what is done to them and to the endpoints.
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "link.h"
+#include "soak.h"
+
+/* One disk is lost at a time; the group is whole again after this. */
+#define WIPE_PAUSE_MS 6000
+
+static char *
+seeds_json (const struct soak *k)
+{
+	return g_strdup_printf ("[\"127.0.0.11:%u\",\"127.0.0.12:%u\","
+				"\"127.0.0.13:%u\"]",
+				k->api, k->api, k->api);
+}
+
+static char *
+settings_write (struct soak *k, struct soak_proc *p, bool found)
+{
+	char *seeds = seeds_json (k), *text, *path;
+	char *common = g_strdup_printf (
+		"\"name\":\"%s\",\"domain\":\"z%d\",\"peer\":\"%s:%u\","
+		"\"cluster_key_file\":\"%s/key\",\"seeds\":%s,"
+		"\"platform\":\"127.0.0.1:%u\",\"platform_calls_per_s\":50,"
+		"\"usage_window_s\":2",
+		p->name, p->ip[strlen (p->ip) - 1] % 2, p->ip, k->peer, k->dir,
+		seeds, k->platform.port);
+
+	if (p->member)
+		text = g_strdup_printf (
+			"{%s,\"api\":\"%s:%u\",\"data_dir\":\"%s\","
+			"\"found\":%s,\"duties\":[\"usage\"],"
+			"\"usage_late_s\":4}",
+			common, p->ip, k->api, p->dir,
+			found ? "true" : "false");
+	else
+		text = g_strdup_printf ("{%s,\"listen\":\"%s:%u\","
+					"\"ready\":\"%s:%u\"}",
+					common, p->ip, k->front, p->ip,
+					k->ready);
+	path = g_strdup_printf ("%s/%s.json", k->dir, p->name);
+	g_file_set_contents (path, text, -1, NULL);
+	g_free (text);
+	g_free (common);
+	g_free (seeds);
+	return path;
+}
+
+static void
+proc_start (struct soak *k, struct soak_proc *p)
+{
+	char *path = settings_write (k, p, p->starts == 0);
+	char *program = g_strdup_printf ("%s/%s", k->bin, p->program);
+	char *log = g_strdup_printf ("%s/%s.log", k->dir, p->name);
+
+	p->starts++;
+	p->start_ms = 0;
+	p->ending = p->stopped = false;
+	p->pid = fork ();
+	if (p->pid == 0) {
+		int fd = open (log, O_WRONLY | O_CREAT | O_APPEND, 0600);
+
+		dup2 (fd, 1);
+		dup2 (fd, 2);
+		execl (program, program, "-f", path, (char *)NULL);
+		_exit (127);
+	}
+	g_free (path);
+	g_free (program);
+	g_free (log);
+}
+
+static void
+rm_files (const char *dir)
+{
+	GDir *d = g_dir_open (dir, 0, NULL);
+	const char *name;
+
+	while (d != NULL && (name = g_dir_read_name (d)) != NULL) {
+		char *path = g_build_filename (dir, name, NULL);
+
+		unlink (path);
+		g_free (path);
+	}
+	if (d != NULL)
+		g_dir_close (d);
+}
+
+static uint16_t
+free_port (void)
+{
+	struct sockaddr_in at = {.sin_family = AF_INET};
+	uint16_t port = 0;
+	int fd;
+
+	at.sin_addr.s_addr = htonl (INADDR_ANY);
+	fd = link_listen_fd (&at, 1, &port, NULL);
+	close (fd);
+	return port;
+}
+
+void
+procs_init (struct soak *k)
+{
+	char *key = g_strdup_printf ("%s/key", k->dir);
+
+	g_file_set_contents (key,
+			     "00112233445566778899aabbccddeeff"
+			     "00112233445566778899aabbccddeeff\n",
+			     -1, NULL);
+	g_free (key);
+	k->front = free_port ();
+	k->ready = free_port ();
+	k->peer = free_port ();
+	k->api = free_port ();
+	for (int i = 0; i < SOAK_MEMBERS + SOAK_RELAYS; i++) {
+		struct soak_proc *p = &k->procs[i];
+
+		p->member = i < SOAK_MEMBERS;
+		p->program = p->member ? "groupd" : "relayd";
+		g_snprintf (p->name, sizeof p->name, "%s%d",
+			    p->member ? "m" : "r", i);
+		g_snprintf (p->ip, sizeof p->ip, "127.0.0.%d",
+			    p->member ? 11 + i : 21 + i - SOAK_MEMBERS);
+		g_snprintf (p->dir, sizeof p->dir, "%s/%s", k->dir, p->name);
+		proc_start (k, p);
+	}
+}
+
+static void
+proc_kill (struct soak_proc *p, int sig)
+{
+	if (p->pid > 0)
+		kill (p->pid, sig);
+}
+
+void
+procs_tick (struct soak *k, uint64_t now_ms)
+{
+	for (int i = 0; i < SOAK_MEMBERS + SOAK_RELAYS; i++) {
+		struct soak_proc *p = &k->procs[i];
+		int status = 0;
+
+		if (p->stopped && now_ms >= p->wake_ms) {
+			proc_kill (p, SIGCONT);
+			p->stopped = false;
+		}
+		if (p->pid > 0 && waitpid (p->pid, &status, WNOHANG) == p->pid) {
+			if (!p->ending)
+				soak_wrong (k, "%s ended by itself: %d",
+					    p->name, status);
+			p->pid = 0;
+			if (p->start_ms == 0)
+				p->start_ms = now_ms;
+		}
+		if (p->pid == 0 && p->start_ms != 0 && now_ms >= p->start_ms)
+			proc_start (k, p);
+	}
+}
+
+static uint32_t
+members_well (const struct soak *k)
+{
+	uint32_t n = 0;
+
+	for (int i = 0; i < SOAK_MEMBERS; i++)
+		n += k->procs[i].pid > 0 && !k->procs[i].stopped &&
+		     !k->procs[i].ending;
+	return n;
+}
+
+static void
+proc_fault (struct soak *k, struct soak_proc *p, uint64_t now_ms)
+{
+	uint64_t for_ms = (uint64_t)g_rand_int_range (k->rand, 100, 2500);
+
+	if (p->pid <= 0 || p->ending)
+		return;
+	switch (g_rand_int_range (k->rand, 0, 4)) {
+	case 0:
+		p->stopped = true;
+		p->wake_ms = now_ms + for_ms;
+		proc_kill (p, SIGSTOP);
+		return;
+	case 1:
+		/* A disk is lost only while all others are well. */
+		if (p->member && members_well (k) == SOAK_MEMBERS &&
+		    now_ms - k->wiped_ms > WIPE_PAUSE_MS && k->acked > 0) {
+			k->wiped_ms = now_ms;
+			p->ending = true;
+			proc_kill (p, SIGKILL);
+			waitpid (p->pid, NULL, 0);
+			p->pid = 0;
+			rm_files (p->dir);
+			p->start_ms = now_ms + for_ms / 5;
+			return;
+		}
+		/* fallthrough */
+	case 2:
+		p->ending = true;
+		p->start_ms = now_ms + for_ms;
+		proc_kill (p, SIGCONT);
+		proc_kill (p, SIGKILL);
+		return;
+	default:
+		p->ending = true;
+		proc_kill (p, SIGTERM);
+		return;
+	}
+}
+
+static void
+ep_fault (struct soak *k, struct soak_ep *e, uint64_t now_ms)
+{
+	switch (g_rand_int_range (k->rand, 0, 4)) {
+	case 0:
+		if (e->up)
+			world_ep_down (e);
+		else
+			world_ep_up (e);
+		break;
+	case 1:
+		e->leaving = true;
+		e->leaving_ms = now_ms;
+		break;
+	default:
+		e->mode = (enum soak_mode)g_rand_int_range (k->rand, 0,
+							    SOAK_MODES);
+		break;
+	}
+}
+
+/* Faults come in series and overlap. */
+void
+procs_fault (struct soak *k, uint64_t now_ms)
+{
+	int what = g_rand_int_range (k->rand, 0, 10);
+
+	k->faults++;
+	if (what == 0) {
+		for (int i = 0; i < SOAK_MEMBERS; i++) {
+			struct soak_proc *p = &k->procs[i];
+
+			if (p->pid <= 0)
+				continue;
+			p->ending = true;
+			p->start_ms = now_ms + 50;
+			proc_kill (p, SIGCONT);
+			proc_kill (p, SIGKILL);
+		}
+	} else if (what == 1) {
+		world_platform (k, !k->platform_up);
+	} else if (what < 6) {
+		ep_fault (k, &k->eps[g_rand_int_range (k->rand, 0, SOAK_EPS)],
+			  now_ms);
+	} else {
+		proc_fault (k,
+			    &k->procs[g_rand_int_range (
+				    k->rand, 0, SOAK_MEMBERS + SOAK_RELAYS)],
+			    now_ms);
+	}
+}
+
+void
+procs_heal (struct soak *k)
+{
+	world_platform (k, true);
+	for (int i = 0; i < SOAK_EPS; i++) {
+		struct soak_ep *e = &k->eps[i];
+
+		if (e->leaving)
+			world_ep_down (e);
+		world_ep_up (e);
+		e->mode = SOAK_WELL;
+	}
+	for (int i = 0; i < SOAK_MEMBERS + SOAK_RELAYS; i++) {
+		k->procs[i].wake_ms = 0;
+		if (k->procs[i].start_ms != 0)
+			k->procs[i].start_ms = 1;
+	}
+}
+
+void
+procs_finish (struct soak *k)
+{
+	for (int i = 0; i < SOAK_MEMBERS + SOAK_RELAYS; i++) {
+		struct soak_proc *p = &k->procs[i];
+
+		if (p->pid <= 0)
+			continue;
+		proc_kill (p, SIGCONT);
+		proc_kill (p, SIGKILL);
+		waitpid (p->pid, NULL, 0);
+	}
+}
