Shared parts are copied from the engine that holds them

Change: a request that goes elsewhere names the holder, and the engine copies from it; the backlog under which a request is sent falls with its tier; the leader tells loads every 1 ms for each relay in place of 4.

--- a/groupd/peer.c
+++ b/groupd/peer.c
@@ -16,7 +16,7 @@
 
 /* Between two tellings of loads: at least, and for each relay. */
 #define LOADS_MIN_MS 25
-#define LOADS_RELAY_MS 4
+#define LOADS_RELAY_MS 1
 
 static const struct link_ops asker_ops;
 static const struct link_ops member_ops;
--- a/lib/dialect.h
+++ b/lib/dialect.h
@@ -57,6 +57,7 @@
  * @tier: 0 is the most urgent
  * @is_engine: whether the endpoint takes a tier
  * @last_event: where the stream goes on, or -1
+ * @copy_from: IP:port of an engine that holds parts of the prompt, or NULL
  */
 struct dia_send {
 	const char *expect;
@@ -65,6 +66,7 @@
 	uint32_t tier;
 	bool is_engine;
 	int64_t last_event;
+	const char *copy_from;
 };
 
 /**
--- a/lib/place.c
+++ b/lib/place.c
@@ -29,8 +29,16 @@
 #define SHIFT_MS 60.0
 
 /* Reading shared parts again counts so many times its own time more, since it
- * takes the engine from others, and drives other parts out of its memory. */
+ * takes the engine from others, and drives other parts out of its memory; a
+ * copy takes only memory. */
 #define AGAIN_WEIGHT 2.0
+#define COPY_WEIGHT 1.0
+
+/* Copies wait for each other on the engines' links. */
+#define COPY_MIN_MS 20.0
+
+/* Fewer tokens are read sooner than copied. */
+#define COPY_MIN_TOKENS 2048
 
 /* The other lane must be quicker by this. */
 #define CROSS_MS 400.0
@@ -102,6 +110,7 @@
 
 struct pick {
 	struct fleet_ep *ep;
+	const struct fleet_ep *copy_from;
 	double cost_ms; /* what decides */
 	double first_ms;
 	double to_read;
@@ -137,28 +146,71 @@
 	return ep->inflight + ep->others_running;
 }
 
+/* What all candidates have in common. */
+struct prompt {
+	uint32_t shared;               /* tokens of its shared parts */
+	const struct fleet_ep *holder; /* that holds the most of them */
+	uint32_t held;                 /* how much that is */
+};
+
+static void
+prompt_init (struct prompt *q, const struct fleet *f,
+	     const struct place_req *req)
+{
+	*q = (struct prompt){0};
+	for (uint32_t i = 0; i + 1 < req->part_count; i++)
+		q->shared += req->parts[i].tokens;
+	if (req->service->link_mbps <= 0 || q->shared < COPY_MIN_TOKENS)
+		return;
+	for (guint i = 0; i < f->eps->len; i++) {
+		const struct fleet_ep *ep = g_ptr_array_index (f->eps, i);
+		uint32_t held;
+
+		if (!ep->listed || ep->trust != FLEET_SOUND ||
+		    strcmp (ep->info.service, req->service->name) != 0)
+			continue;
+		held = fleet_cached (ep, req->parts, req->part_count - 1);
+		if (held > q->held) {
+			q->held = held;
+			q->holder = ep;
+		}
+	}
+}
+
+/* Time to copy @tokens from another engine. */
+static double
+copy_ms (const struct plan_service *s, double tokens)
+{
+	return COPY_MIN_MS + tokens * s->token_bytes * 8 / 1000 / s->link_mbps;
+}
+
 static void
 weigh (struct pick *p, const struct place_rules *rules,
-       const struct place_req *req, uint32_t rank)
+       const struct place_req *req, const struct prompt *q, uint32_t rank)
 {
 	const struct fleet_ep *ep = p->ep;
-	uint32_t shared = 0;
-	double held;
-
-	for (uint32_t i = 0; i + 1 < req->part_count; i++)
-		shared += req->parts[i].tokens;
-	held = rank == 0 && !is_short (req) ? HOME_SHARE * shared : 0;
-	held = MAX (held, fleet_cached (ep, req->parts, req->part_count));
+	double known = fleet_cached (ep, req->parts, req->part_count);
+	double held = known, again, copy = 0, lacks;
+
+	if (rank == 0 && !is_short (req))
+		held = MAX (held, HOME_SHARE * q->shared);
+	lacks = q->held > held ? q->held - held : 0;
+	if (lacks >= COPY_MIN_TOKENS && q->holder != ep) {
+		p->copy_from = q->holder;
+		copy = copy_ms (req->service, lacks);
+		held = q->held;
+	}
 	p->to_read = req->prompt_tokens > held ? req->prompt_tokens - held : 0;
-	p->cost_ms = backlog_ms (ep) +
+	p->cost_ms = backlog_ms (ep) + copy +
 		     p->to_read / PLACE_READ_PER_MS * MAX (ep->slow, 0.5) +
 		     BATCH_MS * running (ep);
 	if (strcmp (ep->info.domain, rules->domain) != 0)
 		p->cost_ms += FAR_MS;
 	p->first_ms = p->cost_ms;
-	if (!is_short (req) && !req->late && held < shared)
-		p->cost_ms +=
-			AGAIN_WEIGHT * (shared - held) / PLACE_READ_PER_MS;
+	again = q->shared > held ? q->shared - held : 0;
+	if (!is_short (req) && !req->late)
+		p->cost_ms += AGAIN_WEIGHT * again / PLACE_READ_PER_MS +
+			      COPY_WEIGHT * copy;
 }
 
 static gint
@@ -204,19 +256,21 @@
 }
 
 static struct place_verdict
-choose_engine (GArray *picks, const struct place_rules *rules,
-	       const struct place_req *req)
+choose_engine (const struct fleet *f, GArray *picks,
+	       const struct place_rules *rules, const struct place_req *req)
 {
 	uint32_t own = order_picks (picks, is_short (req));
 	struct pick *all = (struct pick *)picks->data, *best = &all[0];
 	struct place_verdict v = {.why = PLACE_HOME};
 	double best_ms = 0;
+	struct prompt q;
 
+	prompt_init (&q, f, req);
 	for (guint i = 0; i < picks->len; i++) {
 		enum place_why why = PLACE_HOME;
 		double ms;
 
-		weigh (&all[i], rules, req, i < own ? i : RANKS);
+		weigh (&all[i], rules, req, &q, i < own ? i : RANKS);
 		ms = all[i].cost_ms;
 		if (i > 0)
 			ms += margin_ms (req, &all[i], i, &why);
@@ -228,6 +282,7 @@
 	}
 	v.first_ms = best->first_ms;
 	v.to_read = best->to_read;
+	v.copy_from = best->copy_from;
 	v.plain_ms =
 		(best->ep->unread + best->ep->others_unread + best->to_read) /
 		PLACE_READ_PER_MS;
@@ -286,8 +341,9 @@
 		}
 	}
 	if (picks->len > 0)
-		v = req->service->is_engine ? choose_engine (picks, rules, req)
-					    : choose_plain (picks, rules, req);
+		v = req->service->is_engine
+			    ? choose_engine (f, picks, rules, req)
+			    : choose_plain (picks, rules, req);
 	g_array_free (picks, TRUE);
 	return v;
 }
--- a/lib/place.h
+++ b/lib/place.h
@@ -9,7 +9,7 @@
 #include "plan.h"
 
 /*
- * Which endpoint gets a request.  Three loads are answered:
+ * Which endpoint gets a request.  Four loads are answered:
  *
  * Prompts that share long parts, whose parts together exceed one engine's
  * memory but not the pool's.  Every relay ranks the engines for a prompt's
@@ -23,6 +23,10 @@
  * prompts; the others take the long ones.  A lane is left only where the other
  * is far quicker.
  *
+ * Copies: where another engine than the best holds the shared parts, they are
+ * copied from it, which takes less time than to read them, and none of the
+ * engine's.
+ *
  * More prompts than can be read.  What is sent to an engine is read about in
  * the order it came, so a backlog there can't be overtaken; beyond a bound the
  * request waits here, where the more urgent ones go first.
@@ -89,6 +93,7 @@
 	double first_ms; /* predicted time to the first token */
 	double to_read;  /* prompt tokens that it has to read */
 	double plain_ms; /* reading time, had the engine its usual speed */
+	const struct fleet_ep *copy_from; /* holds parts that @ep lacks */
 };
 
 /** place_lanes() - choose the lanes anew; after each change of the list */
--- a/lib/plan.h
+++ b/lib/plan.h
@@ -72,6 +72,8 @@
  * @is_engine: model engines, with the figures below
  * @slots: requests in one batch
  * @memory_tokens: what running requests and cached parts share
+ * @token_bytes: memory of one token
+ * @link_mbps: of the link over which engines copy memory to each other
  * @elastic: endpoints may be ordered, @min to @max in each domain
  * @boot_ms: from an order to service
  * @cheap_factor: price of a reclaimable endpoint against another
@@ -85,6 +87,8 @@
 	bool is_engine;
 	uint32_t slots;
 	uint64_t memory_tokens;
+	double token_bytes;
+	double link_mbps;
 	bool elastic;
 	uint32_t min, max;
 	uint32_t boot_ms;
--- a/relayd/back.c
+++ b/relayd/back.c
@@ -259,6 +259,7 @@
 		.tier = c->tier,
 		.is_engine = c->service->is_engine,
 		.last_event = c->evs.last_id,
+		.copy_from = c->copy_from[0] != '\0' ? c->copy_from : NULL,
 	};
 
 	g_string_append_printf (out, "%s HTTP/1.1\r\n%s", c->line->str,
@@ -310,6 +311,9 @@
 	c->r->stats.sends++;
 	c->sent_ms = now_ms;
 	c->to_read = v->to_read;
+	g_strlcpy (c->copy_from,
+		   v->copy_from != NULL ? v->copy_from->info.addr : "",
+		   sizeof c->copy_from);
 	c->plain_ms = v->plain_ms;
 	c->read = false;
 	c->status = 0;
@@ -326,12 +330,13 @@
 		remember (c);
 	log_event (LOG_LV_INFO, "send",
 		   "req=%s service=%s ep=%s domain=%s why=%s predicted_ms=%.0f "
-		   "to_read=%.0f inflight=%u tier=%u left_ms=%" G_GUINT64_FORMAT
+		   "to_read=%.0f copy_from=%s inflight=%u tier=%u "
+		   "left_ms=%" G_GUINT64_FORMAT
 		   " list_age_ms=%" G_GUINT64_FORMAT
 		   " version=%" G_GUINT64_FORMAT,
 		   c->req.id, c->service->name, c->ep->info.id,
 		   c->ep->info.domain, place_why_name (v->why), v->first_ms,
-		   v->to_read, c->ep->inflight, c->tier, left_ms,
+		   v->to_read, c->copy_from, c->ep->inflight, c->tier, left_ms,
 		   now_ms - c->r->list_ms, c->plan->version);
 	text = request_text (c, left_ms);
 	req.bytes = text->str;
--- a/relayd/call.c
+++ b/relayd/call.c
@@ -20,11 +20,12 @@
 #define STAY_TARGETS 4
 #define STAY_GAPS 8
 
-/* Reading that may be due at an engine when a request is sent there, as a share
- * of the request's latency objective, and for any request at most: what comes
- * after it and is more urgent has to wait for that. */
+/* Reading that may be due at an engine when a request is sent there: a share of
+ * the request's latency objective, at most so much, and less the less urgent it
+ * is, since what comes after it and is more urgent has to wait for that. */
 #define HOLD_SHARE 0.5
-#define HOLD_MAX_MS 250.0
+#define HOLD_MAX_MS 300.0
+#define HOLD_TIER 0.5
 
 /* Waiting requests that are looked at in one turn. */
 #define WAKE_MAX 200
@@ -190,7 +191,8 @@
 		.parts = c->req.parts,
 		.part_count = c->req.part_count,
 		.prompt_tokens = c->req.prompt_tokens,
-		.hold_ms = MIN (HOLD_SHARE * c->route->target_ms, HOLD_MAX_MS),
+		.hold_ms = MIN (HOLD_SHARE * c->route->target_ms,
+				HOLD_MAX_MS / (1 + HOLD_TIER * c->tier)),
 		.late = now_ms > c->arrived_ms + c->route->target_ms / 2,
 		.tried_count = c->tried_count,
 		.dice = g_rand_int (c->r->rand),
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -58,6 +58,7 @@
 	struct fleet_ep *ep; /* where it is now, or NULL */
 	struct h1cli *x;
 	uint64_t sent_ms;
+	char copy_from[FLEET_NAME_BYTES]; /* an engine's address, or "" */
 	double to_read;  /* prompt tokens that this send has to read */
 	double plain_ms; /* reading time before its first byte, as predicted */
 	bool read;       /* its first byte came */
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -98,11 +98,15 @@
 					  "X-Expect-Instance: i-1\r\n"
 					  "X-Tenant: acme\r\n"
 					  "X-Request-Priority: 2\r\n");
-	s = (struct dia_send){.expect = "i-2", .left_ms = 1, .last_event = 0};
+	s = (struct dia_send){.expect = "i-2",
+			      .left_ms = 1,
+			      .last_event = 0,
+			      .copy_from = "10.0.0.1:80"};
 	g_string_truncate (out, 0);
 	d->send (&s, out);
 	CU_ASSERT_STRING_EQUAL (out->str, "X-Deadline-Ms: 1\r\n"
 					  "X-Expect-Instance: i-2\r\n"
+					  "Kv-Fetch: 10.0.0.1:80\r\n"
 					  "Last-Event-Id: 0\r\n");
 	g_string_free (out, TRUE);
 }
