A relay weighs a sample of the engines; what all have in common is learned

Cause: on the grown sites 74 relays see the others' loads 75 ms late and all sent what had no holder to the same best engine; an engine's speed was learned by each relay apart, from one answer in twenty seconds; a third of the engines was kept for short prompts, which take a twentieth of the reading. Change: beside home and holders, three engines by lot are weighed; one speed for all is learned, and each engine's against it; the short lane is a fifth.

--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -19,6 +19,13 @@
 #define FAILING_LIMIT 0.3
 #define AVOID_MS 2000
 
+/* How fast observed reading times move what is expected: of one engine, and of
+ * all; within these bounds. */
+#define SLOW_WEIGHT 0.1
+#define SLOW_ALL_WEIGHT 0.02
+#define SLOW_MIN 0.5
+#define SLOW_MAX 8.0
+
 /* Cached parts share an engine's memory with running requests. */
 #define CACHE_SHARE 0.6
 
@@ -38,7 +45,7 @@
 void
 fleet_init (struct fleet *f, const struct fleet_ops *ops, void *ctx)
 {
-	*f = (struct fleet){.ops = ops, .ctx = ctx};
+	*f = (struct fleet){.ops = ops, .ctx = ctx, .slow = 1};
 	f->eps = g_ptr_array_new ();
 	f->out = g_ptr_array_new_with_free_func (g_free);
 }
@@ -319,6 +326,25 @@
 	}
 }
 
+double
+fleet_slow (const struct fleet *f, const struct fleet_ep *ep)
+{
+	return MAX (f->slow * ep->slow, SLOW_MIN);
+}
+
+/*
+ * One relay sees few answers of each engine, so what all have in common is
+ * learned apart from what one does.
+ */
+void
+fleet_took (struct fleet *f, struct fleet_ep *ep, double factor)
+{
+	double x = MIN (factor, SLOW_MAX);
+
+	ep->slow += SLOW_WEIGHT * (x / MAX (f->slow, SLOW_MIN) - ep->slow);
+	f->slow += SLOW_ALL_WEIGHT * (x - f->slow);
+}
+
 uint32_t
 fleet_ready (const struct fleet *f, uint64_t now_ms)
 {
--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -67,7 +67,7 @@
 	uint64_t sent_ms;        /* when this relay sent it work last */
 	uint64_t cold_from_ms;   /* when it was first known to be cold */
 	bool short_lane;         /* kept for short prompts; see place.h */
-	double slow;             /* observed time over predicted, smoothed */
+	double slow;             /* its time over the fleet's, smoothed */
 	GHashTable *parts;       /* part id to struct fleet_part */
 	GQueue part_ages;        /* of struct fleet_part, oldest first */
 	double part_tokens;
@@ -97,6 +97,7 @@
 	const struct fleet_ops *ops;
 	void *ctx;
 	GPtrArray *out; /* domains taken out, of char * */
+	double slow;    /* observed reading time over predicted, smoothed */
 };
 
 /** fleet_init() - an empty table */
@@ -169,6 +170,12 @@
 void fleet_parts (struct fleet *f, const struct load_part *parts,
 		  uint32_t count, uint64_t memory);
 
+/** fleet_slow() - reading time at @ep over the usual one */
+double fleet_slow (const struct fleet *f, const struct fleet_ep *ep);
+
+/** fleet_took() - reading took @factor times as long as predicted */
+void fleet_took (struct fleet *f, struct fleet_ep *ep, double factor);
+
 /** fleet_ready() - how many endpoints may get work */
 uint32_t fleet_ready (const struct fleet *f, uint64_t now_ms);
 
--- a/lib/place.c
+++ b/lib/place.c
@@ -46,9 +46,18 @@
 /* Prompts of more tokens take an engine several steps to read. */
 #define LONG_TOKENS 4096
 
-/* Share of a domain's engines that is the lane for short prompts: about what
- * their part of the work is with three classes of prompts. */
-#define SHORT_LANE_SHARE 0.34
+/* Share of a domain's engines that is the lane for short prompts: it holds
+ * many streams, and reading short prompts takes little of it. */
+#define SHORT_LANE_SHARE 0.2
+
+/* Engines beside a prompt's home and its holders that one relay weighs: so many
+ * at least, and more where few relays choose.  What the others send is known
+ * late, and relays that all saw the same best engine would all send there. */
+#define SAMPLE_MIN 3
+#define SAMPLE_SHARE 3
+
+/* Steps in which the chance to be weighed is counted. */
+#define LOTS 1024
 
 /* Of an endpoint's connections, what the relays together may fill. */
 #define CONNECTION_SHARE 0.85
@@ -115,6 +124,7 @@
 	double first_ms;
 	double to_read;
 	uint64_t hash;
+	uint32_t lot; /* whether this relay weighs it, see sampled() */
 };
 
 /* The part that decides where a prompt is at home: the longest run of parts
@@ -134,10 +144,10 @@
 }
 
 static double
-backlog_ms (const struct fleet_ep *ep)
+backlog_ms (const struct fleet *f, const struct fleet_ep *ep)
 {
 	return (ep->unread + ep->others_unread) / PLACE_READ_PER_MS *
-	       MAX (ep->slow, 0.5);
+	       fleet_slow (f, ep);
 }
 
 static double
@@ -148,6 +158,7 @@
 
 /* What all candidates have in common. */
 struct prompt {
+	const struct fleet *f;
 	uint32_t shared;               /* tokens of its shared parts */
 	const struct fleet_ep *holder; /* that holds the most of them */
 	uint32_t held;                 /* how much that is */
@@ -157,7 +168,7 @@
 prompt_init (struct prompt *q, const struct fleet *f,
 	     const struct place_req *req)
 {
-	*q = (struct prompt){0};
+	*q = (struct prompt){.f = f};
 	for (uint32_t i = 0; i + 1 < req->part_count; i++)
 		q->shared += req->parts[i].tokens;
 	if (req->service->link_mbps <= 0 || q->shared < COPY_MIN_TOKENS)
@@ -201,8 +212,8 @@
 		held = q->held;
 	}
 	p->to_read = req->prompt_tokens > held ? req->prompt_tokens - held : 0;
-	p->cost_ms = backlog_ms (ep) + copy +
-		     p->to_read / PLACE_READ_PER_MS * MAX (ep->slow, 0.5) +
+	p->cost_ms = backlog_ms (q->f, ep) + copy +
+		     p->to_read / PLACE_READ_PER_MS * fleet_slow (q->f, ep) +
 		     BATCH_MS * running (ep);
 	if (strcmp (ep->info.domain, rules->domain) != 0)
 		p->cost_ms += FAR_MS;
@@ -255,6 +266,19 @@
 	return own;
 }
 
+static bool
+sampled (const struct pick *p, const struct place_rules *rules, uint32_t lane,
+	 const struct prompt *q, const struct place_req *req, uint32_t rank)
+{
+	uint32_t n = MAX (SAMPLE_MIN, SAMPLE_SHARE * lane / rules->relays);
+
+	if (rank == 0 || p->lot % LOTS < (uint64_t)LOTS * n / MAX (lane, 1))
+		return true;
+	return q->shared >= COPY_MIN_TOKENS && req->part_count > 1 &&
+	       2 * fleet_cached (p->ep, req->parts, req->part_count - 1) >
+		       q->shared;
+}
+
 static struct place_verdict
 choose_engine (const struct fleet *f, GArray *picks,
 	       const struct place_rules *rules, const struct place_req *req)
@@ -270,6 +294,9 @@
 		enum place_why why = PLACE_HOME;
 		double ms;
 
+		if (!sampled (&all[i], rules, i < own ? own : picks->len - own,
+			      &q, req, i))
+			continue;
 		weigh (&all[i], rules, req, &q, i < own ? i : RANKS);
 		ms = all[i].cost_ms;
 		if (i > 0)
@@ -286,7 +313,7 @@
 	v.plain_ms =
 		(best->ep->unread + best->ep->others_unread + best->to_read) /
 		PLACE_READ_PER_MS;
-	if (backlog_ms (best->ep) > req->hold_ms)
+	if (backlog_ms (f, best->ep) > req->hold_ms)
 		v.why = PLACE_BUSY;
 	else
 		v.ep = best->ep;
@@ -303,7 +330,7 @@
 	for (guint i = 0; i < picks->len; i++) {
 		struct pick *p = &all[(i + req->dice) % picks->len];
 
-		p->cost_ms = PLAIN_MS * running (p->ep) * MAX (p->ep->slow, 1);
+		p->cost_ms = PLAIN_MS * running (p->ep);
 		if (strcmp (p->ep->info.domain, rules->domain) != 0)
 			p->cost_ms += FAR_MS;
 		if (best == NULL || p->cost_ms < best->cost_ms)
@@ -337,6 +364,7 @@
 				continue;
 			}
 			p.hash = rank_hash (home_key (req), p.ep->info.id);
+			p.lot = (uint32_t)rank_hash (req->dice, p.ep->info.id);
 			g_array_append_val (picks, p);
 		}
 	}
--- a/relayd/back.c
+++ b/relayd/back.c
@@ -25,10 +25,6 @@
 /* What a first token takes beside reading: steps and the way. */
 #define FIRST_MS 20.0
 
-/* How fast the observed time to the first token moves what is expected. */
-#define SLOW_WEIGHT 0.1
-#define SLOW_MAX 8.0
-
 static bool
 repeatable (const struct call *c)
 {
@@ -68,12 +64,10 @@
 	call_wake (c->r);
 	if (c->account[0] != '\0')
 		usage_count (c->r, c->account);
-	if (c->service->is_engine) {
-		double x =
-			MAX (took_ms - FIRST_MS, 0) / (c->plain_ms + FIRST_MS);
-
-		ep->slow += SLOW_WEIGHT * (MIN (x, SLOW_MAX) - ep->slow);
-	}
+	if (c->service->is_engine)
+		fleet_took (&c->r->fleet, ep,
+			    MAX (took_ms - FIRST_MS, 0) /
+				    (c->plain_ms + FIRST_MS));
 }
 
 static void
