--- a/lib/place.c
+++ b/lib/place.c
@@ -48,7 +48,7 @@
 
 /* Share of a domain's engines that is the lane for short prompts: it holds
  * many streams, and reading short prompts takes little of it. */
-#define SHORT_LANE_SHARE 0.2
+#define SHORT_LANE_SHARE 0.27
 
 /* Engines beside a prompt's home and its holders that one relay weighs: so many
  * at least, and more where few relays choose.  What the others send is known
