Long prompts stay out of the short lane

Cause: with the long lane busy, long prompts crossed over at 400 ms and made every stream late that ran there. Change: crossing asks 2000 ms of a long prompt, 400 ms of a short one; lane 0.25.

--- a/lib/place.c
+++ b/lib/place.c
@@ -40,15 +40,18 @@
 /* Fewer tokens are read sooner than copied. */
 #define COPY_MIN_TOKENS 2048
 
-/* The other lane must be quicker by this. */
-#define CROSS_MS 400.0
+/* The other lane must be quicker by this.  A short prompt that leaves its lane
+ * may itself be late; a long one in the short lane makes every stream late that
+ * runs there. */
+#define CROSS_SHORT_MS 400.0
+#define CROSS_LONG_MS 2000.0
 
 /* Prompts of more tokens take an engine several steps to read. */
 #define LONG_TOKENS 4096
 
 /* Share of a domain's engines that is the lane for short prompts: it holds
  * many streams, and reading short prompts takes little of it. */
-#define SHORT_LANE_SHARE 0.27
+#define SHORT_LANE_SHARE 0.25
 
 /* Engines beside a prompt's home and its holders that one relay weighs: so many
  * at least, and more where few relays choose.  What the others send is known
@@ -239,7 +242,7 @@
 {
 	if (p->ep->short_lane != is_short (req)) {
 		*why = PLACE_CROSS;
-		return CROSS_MS;
+		return is_short (req) ? CROSS_SHORT_MS : CROSS_LONG_MS;
 	}
 	*why = rank < RANKS ? PLACE_SHIFT : PLACE_SPILL;
 	if (is_short (req))
