All endpoints stand before the first request

Change: before any work was seen each domain has its most; a leader that takes over begins with what is present; lane 0.22, crossing 700 ms for long prompts.

--- a/groupd/groupd.h
+++ b/groupd/groupd.h
@@ -86,6 +86,7 @@
 struct scaler {
 	GPtrArray *subjects; /* of struct subject * */
 	struct size_need need;
+	bool started; /* @need was set since this member leads */
 	struct h1cli *call;
 	struct subject *call_subject;
 	uint64_t call_ms;
--- a/groupd/scale.c
+++ b/groupd/scale.c
@@ -215,6 +215,40 @@
 	return g->plan != NULL;
 }
 
+/* The need in the first look of a leader. */
+static void
+need_start (struct group *g, uint64_t now_ms)
+{
+	for (guint i = 0; i < g->plan->services->len; i++) {
+		const struct plan_service *s =
+			g_ptr_array_index (g->plan->services, i);
+		uint32_t present_all = 0;
+
+		if (!s->elastic)
+			continue;
+		for (guint k = 0; k < g->lister.list->len; k++)
+			present_all +=
+				strcmp (g_array_index (g->lister.list,
+						       struct fleet_info, k)
+						.service,
+					s->name) == 0;
+		size_need_start (&g->scaler.need, !loads_began (&g->loads),
+				 s->max, s->price_count, present_all, now_ms);
+	}
+	g->scaler.started = true;
+}
+
+/* Until the first request came there is nothing to follow. */
+static void
+need_follow (struct group *g, uint64_t now_ms)
+{
+	if (loads_began (&g->loads))
+		size_need_add (&g->scaler.need, loads_work (&g->loads),
+			       now_ms);
+	else
+		g->scaler.need.at_ms = now_ms;
+}
+
 void
 scale_tick (struct group *g, uint64_t now_ms)
 {
@@ -223,15 +257,20 @@
 	if (now_ms < sc->next_ms || !group_has_duty (g, "scaling"))
 		return;
 	sc->next_ms = now_ms + LOOK_MS;
-	size_need_add (&sc->need, loads_work (&g->loads), now_ms);
+	need_follow (g, now_ms);
 	if (sc->call != NULL && now_ms > sc->call_ms + ANSWER_MS) {
 		h1cli_cancel (sc->call);
 		sc->call_subject->ordered_ms = 0;
 		sc->call = NULL;
 	}
-	if (!duty_may_act (g, now_ms) || sc->call != NULL ||
-	    g->lister.list == NULL || !plan_read (g))
+	if (!duty_may_act (g, now_ms)) {
+		sc->started = false;
+		return;
+	}
+	if (sc->call != NULL || g->lister.list == NULL || !plan_read (g))
 		return;
+	if (!sc->started)
+		need_start (g, now_ms);
 	for (guint i = 0; i < g->plan->services->len; i++) {
 		const struct plan_service *s =
 			g_ptr_array_index (g->plan->services, i);
--- a/lib/loads.c
+++ b/lib/loads.c
@@ -110,6 +110,20 @@
 	*last = work_ms;
 }
 
+bool
+loads_began (const struct loads *l)
+{
+	GHashTableIter it;
+	void *value;
+
+	g_hash_table_iter_init (&it, l->works);
+	while (g_hash_table_iter_next (&it, NULL, &value)) {
+		if (*(const uint64_t *)value > 0)
+			return true;
+	}
+	return false;
+}
+
 double
 loads_work (struct loads *l)
 {
--- a/lib/loads.h
+++ b/lib/loads.h
@@ -79,6 +79,9 @@
 /** loads_parts_told() - forget them, once all were told */
 void loads_parts_told (struct loads *l);
 
+/** loads_began() - whether any reporter ever asked for reading */
+bool loads_began (const struct loads *l);
+
 /** loads_work() - take the reading time asked of engines since the last call */
 double loads_work (struct loads *l);
 
--- a/lib/place.c
+++ b/lib/place.c
@@ -44,14 +44,14 @@
  * may itself be late; a long one in the short lane makes every stream late that
  * runs there. */
 #define CROSS_SHORT_MS 400.0
-#define CROSS_LONG_MS 2000.0
+#define CROSS_LONG_MS 700.0
 
 /* Prompts of more tokens take an engine several steps to read. */
 #define LONG_TOKENS 4096
 
 /* Share of a domain's engines that is the lane for short prompts: it holds
  * many streams, and reading short prompts takes little of it. */
-#define SHORT_LANE_SHARE 0.25
+#define SHORT_LANE_SHARE 0.22
 
 /* Engines beside a prompt's home and its holders that one relay weighs: so many
  * at least, and more where few relays choose.  What the others send is known
--- a/lib/size.c
+++ b/lib/size.c
@@ -64,3 +64,11 @@
 	weight = 1 - exp (-span_ms / (rate > n->engines ? RISE_MS : FALL_MS));
 	n->engines += weight * (rate - n->engines);
 }
+
+void
+size_need_start (struct size_need *n, bool first, uint32_t max,
+		 uint32_t domains, uint32_t present, uint64_t now_ms)
+{
+	n->engines = CALM_SHARE * (first ? (double)max * domains : present);
+	n->at_ms = now_ms;
+}
--- a/lib/size.h
+++ b/lib/size.h
@@ -46,6 +46,17 @@
 /** size_domain() - decide for one domain */
 struct size_out size_domain (const struct size_in *in);
 
+/**
+ * size_need_start() - the need to begin with
+ *
+ * Before the first request nothing is held in any engine's memory, so the first
+ * seconds ask for the most reading: @max in each domain.  A member that takes
+ * over begins with what is @present.
+ */
+struct size_need;
+void size_need_start (struct size_need *n, bool first, uint32_t max,
+		      uint32_t domains, uint32_t present, uint64_t now_ms);
+
 /** struct size_need - smooths the work that is asked for */
 struct size_need {
 	double engines;
