--- a/groupd/scale.c
+++ b/groupd/scale.c
@@ -243,8 +243,7 @@
 need_follow (struct group *g, uint64_t now_ms)
 {
 	if (loads_began (&g->loads))
-		size_need_add (&g->scaler.need, loads_work (&g->loads),
-			       now_ms);
+		size_need_add (&g->scaler.need, loads_work (&g->loads), now_ms);
 	else
 		g->scaler.need.at_ms = now_ms;
 }
--- a/lib/size.c
+++ b/lib/size.c
@@ -22,6 +22,9 @@
 /* Need rises at once and falls over this time: bursts come again. */
 #define FALL_MS 15000.0
 
+/* A need that was only guessed falls sooner. */
+#define FALL_GUESSED_MS 3000.0
+
 /* The time over which a rise is averaged. */
 #define RISE_MS 1000.0
 
@@ -54,6 +57,7 @@
 size_need_add (struct size_need *n, double work_ms, uint64_t now_ms)
 {
 	double span_ms = (double)(now_ms - n->at_ms), rate, weight;
+	double fall_ms = n->guessed ? FALL_GUESSED_MS : FALL_MS;
 
 	if (n->at_ms == 0 || span_ms <= 0) {
 		n->at_ms = now_ms;
@@ -61,7 +65,9 @@
 	}
 	n->at_ms = now_ms;
 	rate = work_ms / span_ms;
-	weight = 1 - exp (-span_ms / (rate > n->engines ? RISE_MS : FALL_MS));
+	if (rate > n->engines)
+		n->guessed = false;
+	weight = 1 - exp (-span_ms / (rate > n->engines ? RISE_MS : fall_ms));
 	n->engines += weight * (rate - n->engines);
 }
 
@@ -70,5 +76,6 @@
 		 uint32_t domains, uint32_t present, uint64_t now_ms)
 {
 	n->engines = CALM_SHARE * (first ? (double)max * domains : present);
+	n->guessed = true;
 	n->at_ms = now_ms;
 }
--- a/lib/size.h
+++ b/lib/size.h
@@ -61,6 +61,7 @@
 struct size_need {
 	double engines;
 	uint64_t at_ms;
+	bool guessed; /* not yet borne out by work */
 };
 
 /**
--- a/tests/test_size.c
+++ b/tests/test_size.c
@@ -102,13 +102,37 @@
 	CU_ASSERT (n.engines < 0.5);
 }
 
+/* Before the first request all stand; if little comes, they go within seconds,
+ * and a leader that takes over keeps what is there. */
+static void
+test_start (void)
+{
+	struct size_need n;
+	struct size_in in = calm ();
+	uint64_t now_ms = 1000;
+
+	size_need_start (&n, true, 12, 3, 18, now_ms);
+	in.need = n.engines;
+	CU_ASSERT (size_domain (&in).firm + size_domain (&in).cheap == 12);
+	for (int i = 0; i < 32; i++) /* 2 engines' work for 8 s */
+		size_need_add (&n, 500, now_ms += 250);
+	in.need = n.engines;
+	CU_ASSERT (size_domain (&in).firm + size_domain (&in).cheap == 8);
+	size_need_start (&n, false, 12, 3, 30, now_ms);
+	in.need = n.engines;
+	CU_ASSERT (size_domain (&in).firm + size_domain (&in).cheap == 10);
+}
+
 int
 main (void)
 {
-	static const struct t_case cases[] = {
-		{"calm", test_calm},       {"burst", test_burst},
-		{"reclaim", test_reclaim}, {"bounds", test_bounds},
-		{"need", test_need},       {NULL, NULL}};
+	static const struct t_case cases[] = {{"calm", test_calm},
+					      {"burst", test_burst},
+					      {"reclaim", test_reclaim},
+					      {"bounds", test_bounds},
+					      {"need", test_need},
+					      {"start", test_start},
+					      {NULL, NULL}};
 
 	return t_run ("size", cases);
 }
