Firm endpoints make room, and none is bought for a guess

Cause: a domain full of firm endpoints had no place for cheap ones, which the firm ones waited for; and the guessed need bought firm ones. Change: half of them go where all places are taken; nothing dear is bought for a guess; before the first request fewer are ordered at once.

--- a/groupd/scale.c
+++ b/groupd/scale.c
@@ -167,7 +167,8 @@
 		s->lower_since_ms = now_ms;
 	if (count >= have)
 		s->lower_since_ms = 0;
-	else if (now_ms < s->lower_since_ms + LOWER_MS)
+	else if (now_ms < s->lower_since_ms + LOWER_MS &&
+		 loads_began (&g->loads))
 		return false;
 	if (now_ms < s->scarce_until_ms && count > have)
 		return false;
@@ -186,6 +187,7 @@
 		.max = s->max,
 		.cheap_factor = s->cheap_factor,
 		.need = g->scaler.need.engines,
+		.guessed = g->scaler.need.guessed,
 		.domains = MAX (s->price_count, 1),
 		.firm = present (g, firm),
 		.cheap = present (g, cheap),
--- a/lib/size.c
+++ b/lib/size.c
@@ -35,19 +35,24 @@
 		MAX (BASE_SHARE * in->max, in->need / CALM_SHARE / in->domains);
 	uint32_t total = (uint32_t)CLAMP (ceil (wanted), in->min, in->max);
 	uint32_t firm = (uint32_t)ceil (FIRM_SHARE * BASE_SHARE * in->max);
+	const uint32_t standing = MIN (MAX (firm, in->min), total);
 	double short_of = in->need / FULL_SHARE - in->cheap_all;
 	struct size_out out;
 
 	if (in->cheap_factor <= 0 || in->cheap_factor >= 1)
 		return (struct size_out){total, 0};
-	firm = MIN (MAX (firm, in->min), total);
+	firm = standing;
 	out.cheap = total - firm;
 	/* What is not there of the cheap ones, where the rest won't do. */
-	if (short_of > (double)firm * in->domains)
+	if (!in->guessed && short_of > (double)firm * in->domains)
 		firm = (uint32_t)ceil (short_of / in->domains);
 	/* Firm ones go only as cheap ones come. */
 	if (in->cheap < out.cheap)
 		firm = MAX (firm, MIN (in->firm, total - in->cheap));
+	/* Where all places are taken, some have to go before. */
+	if (firm >= in->firm && in->firm + in->cheap >= in->max &&
+	    in->cheap < out.cheap)
+		firm = MAX (standing, in->firm / 2);
 	out.firm = MIN (firm, in->max);
 	out.cheap = MIN (out.cheap, in->max - out.firm);
 	return out;
--- a/lib/size.h
+++ b/lib/size.h
@@ -21,6 +21,7 @@
  * @max: most
  * @cheap_factor: price of a cheap one against a firm one
  * @need: engines that the work of all domains keeps busy
+ * @guessed: @need is not borne out by work yet: nothing dear is bought for it
  * @domains: that have endpoints of the service, at least 1
  * @firm: present here and not leaving
  * @cheap: the same, that may be reclaimed
@@ -31,6 +32,7 @@
 	uint32_t max;
 	double cheap_factor;
 	double need;
+	bool guessed;
 	uint32_t domains;
 	uint32_t firm;
 	uint32_t cheap;
--- a/tests/test_size.c
+++ b/tests/test_size.c
@@ -102,6 +102,24 @@
 	CU_ASSERT (n.engines < 0.5);
 }
 
+/* A domain that is full of firm ones lets some go, so that cheap ones can come. */
+static void
+test_full (void)
+{
+	struct size_in in = calm ();
+	struct size_out out;
+
+	in.need = 20;
+	in.firm = 6;
+	in.cheap = 6;
+	out = size_domain (&in);
+	CU_ASSERT (out.firm == 3 && out.cheap == 9);
+	in.firm = 3;
+	in.cheap = 9;
+	out = size_domain (&in);
+	CU_ASSERT (out.firm == 2 && out.cheap == 10);
+}
+
 /* Before the first request all stand; if little comes, they go within seconds,
  * and a leader that takes over keeps what is there. */
 static void
@@ -131,7 +149,7 @@
 					      {"reclaim", test_reclaim},
 					      {"bounds", test_bounds},
 					      {"need", test_need},
-					      {"start", test_start},
+					      {"start", test_start}, {"full", test_full},
 					      {NULL, NULL}};
 
 	return t_run ("size", cases);
