--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,7 @@
 
 tests: all
 	$(MAKE) -C tests all
+	$(MAKE) -C tests/soak all
 
 setup:
 	@sh mk/setup.sh $(PACKAGES)
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -113,13 +113,15 @@
 	uint64_t fault_ms = 8000;
 	int c;
 
-	while ((c = getopt (argc, argv, "s:t:b:")) != -1) {
+	while ((c = getopt (argc, argv, "s:t:b:p")) != -1) {
 		if (c == 's')
 			k.seed = (uint32_t)strtoul (optarg, NULL, 10);
 		else if (c == 't')
 			fault_ms = strtoul (optarg, NULL, 10);
 		else if (c == 'b')
 			k.bin = optarg;
+		else if (c == 'p')
+			return printf ("%u\n", procs_free_port ()) < 0;
 		else
 			return 2;
 	}
@@ -128,7 +130,7 @@
 	k.dir = g_dir_make_tmp ("soak-XXXXXX", NULL);
 	play (&k, fault_ms);
 	printf ("seed %u: %s: %u served, %u refused, %u failed, %u faults, "
-		"version %" G_GUINT64_FORMAT "; logs in %s\n",
+		"version %" G_GUINT64_FORMAT "%s%s\n",
 		k.seed, k.wrong == 0 ? "passed" : "FAILED", k.served, k.refused,
 		k.failed, k.faults, k.acked, k.dir);
 	return k.wrong == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
--- a/tests/soak/procs.c
+++ b/tests/soak/procs.c
@@ -98,8 +98,8 @@
 		g_dir_close (d);
 }
 
-static uint16_t
-free_port (void)
+uint16_t
+procs_free_port (void)
 {
 	struct sockaddr_in at = {.sin_family = AF_INET};
 	uint16_t port = 0;
@@ -121,10 +121,10 @@
 			     "00112233445566778899aabbccddeeff\n",
 			     -1, NULL);
 	g_free (key);
-	k->front = free_port ();
-	k->ready = free_port ();
-	k->peer = free_port ();
-	k->api = free_port ();
+	k->front = procs_free_port ();
+	k->ready = procs_free_port ();
+	k->peer = procs_free_port ();
+	k->api = procs_free_port ();
 	for (int i = 0; i < SOAK_MEMBERS + SOAK_RELAYS; i++) {
 		struct soak_proc *p = &k->procs[i];
 
@@ -313,6 +313,18 @@
 	}
 }
 
+/* The logs are kept where something was wrong. */
+void
+procs_clean (struct soak *k)
+{
+	for (int i = 0; i < SOAK_MEMBERS; i++) {
+		rm_files (k->procs[i].dir);
+		rmdir (k->procs[i].dir);
+	}
+	rm_files (k->dir);
+	rmdir (k->dir);
+}
+
 void
 procs_finish (struct soak *k)
 {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -134,9 +134,11 @@
 
 /* procs.c: the daemons, and what is done to them */
 void procs_init (struct soak *k);
+uint16_t procs_free_port (void);
 void procs_tick (struct soak *k, uint64_t now_ms);
 void procs_fault (struct soak *k, uint64_t now_ms);
 void procs_heal (struct soak *k);
 void procs_finish (struct soak *k);
+void procs_clean (struct soak *k);
 
 #endif
