--- a/dhctl/check.c
+++ b/dhctl/check.c
@@ -154,6 +154,8 @@
 	g_string_append (out, "# Programs\n\n");
 	set_describe (set_entryd_rows, "entryd", out);
 	set_describe (set_controld_rows, "controld", out);
+	set_describe (set_relayd_rows, "relayd", out);
+	set_describe (set_groupd_rows, "groupd", out);
 	set_describe (set_dhctl_rows, "dhctl", out);
 	g_string_truncate (out, out->len - 1);
 	fputs (out->str, stdout);
--- a/lib/again.h
+++ b/lib/again.h
@@ -22,7 +22,8 @@
  * @begun: bytes of an answer reached the caller
  * @runs: endpoints at which it may have run
  * @attempts: at how many it may
- * @sends: times it was sent, those refused there included
+ * @sends: times an endpoint got it, those that refused it included; where no
+ *	connection was made none did
  * @left_ms: time left
  */
 struct again_facts {
--- a/relayd/back.c
+++ b/relayd/back.c
@@ -221,10 +221,12 @@
 	bool whole = answer_is_whole (c, end);
 
 	learn (c, end, h1cli_reused (x));
-	if (end == H1CLI_UNSENT)
+	if (end == H1CLI_UNSENT) {
 		c->r->stats.unsent++;
-	else if (!c->answer.not_run)
+		c->sends--; /* no endpoint saw it */
+	} else if (!c->answer.not_run) {
 		c->runs++;
+	}
 	/* A failure that another endpoint may mend goes there first. */
 	if (whole && !c->answer.not_run && c->status < 500) {
 		c->x = NULL;
--- a/tests/fuzz/fuzz_set.c
+++ b/tests/fuzz/fuzz_set.c
@@ -46,7 +46,8 @@
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t len)
 {
 	const struct set_row *const tables[] = {
-		set_entryd_rows, set_controld_rows, set_dhctl_rows};
+		set_entryd_rows, set_controld_rows, set_relayd_rows,
+		set_groupd_rows, set_dhctl_rows};
 
 	for (size_t i = 0; i < G_N_ELEMENTS (tables); i++) {
 		char *text = read_text (tables[i], (const char *)data, len);
--- a/tests/test_set.c
+++ b/tests/test_set.c
@@ -270,8 +270,12 @@
 static void
 test_defaults (void)
 {
-	static const struct set_row *const tables[] = {
-		rows, set_entryd_rows, set_controld_rows, set_dhctl_rows};
+	static const struct set_row *const tables[] = {rows,
+						       set_entryd_rows,
+						       set_controld_rows,
+						       set_relayd_rows,
+						       set_groupd_rows,
+						       set_dhctl_rows};
 
 	for (size_t i = 0; i < G_N_ELEMENTS (tables); i++) {
 		char obj[4096] = {0};
