A leader that takes over reports the newest window first

Change: gstate_due() gives the newest window that is still due and was not told; after a success the next one goes at once. After: test_gstate's new case passes; it can't be written against the code before, which kept only the newest number told.

--- a/groupd/duty.c
+++ b/groupd/duty.c
@@ -153,6 +153,13 @@
 	group_wake (g);
 }
 
+static void
+took (struct group *g)
+{
+	gstate_tell (&g->duty.told, g->duty.call_window);
+	g->duty.again_ms = 0;
+}
+
 static void
 on_head (struct h1cli *x, const struct h1_head *h, bool echoed, void *ctx)
 {
@@ -164,7 +171,7 @@
 		   "window=%" G_GUINT64_FORMAT " status=%d",
 		   g->duty.call_window, h->status);
 	if (h->status == 200)
-		g->duty.told = MAX (g->duty.told, g->duty.call_window);
+		took (g);
 }
 
 static void
@@ -230,8 +237,10 @@
 {
 	uint64_t window_ms = (uint64_t)(g->set.usage_window_s * 1000);
 	uint64_t ended = tmr_wall_ms () / window_ms - 1;
-	uint64_t late_ms = tmr_wall_ms () % window_ms;
-	uint64_t seal_ms = (uint64_t)(SEAL_PART * g->set.usage_late_s * 1000);
+	uint64_t since_ms = tmr_wall_ms () % window_ms;
+	uint64_t late_ms = (uint64_t)(g->set.usage_late_s * 1000);
+	uint64_t seal_ms = (uint64_t)(SEAL_PART * (double)late_ms);
+	const struct gstate_window *w;
 
 	if (!group_has_duty (g, "usage") || !duty_may_act (g, now_ms))
 		return;
@@ -241,7 +250,7 @@
 	}
 	if (g->state.sealed == 0 ||
 	    (g->state.sealed < ended &&
-	     (g->state.sealed + 1 < ended || late_ms >= seal_ms))) {
+	     (g->state.sealed + 1 < ended || since_ms >= seal_ms))) {
 		if (now_ms >= g->duty.again_ms) {
 			g->duty.again_ms = now_ms + AGAIN_MS / 2;
 			seal (g, g->state.sealed == 0 ? ended
@@ -251,13 +260,8 @@
 	}
 	if (g->duty.call != NULL || now_ms < g->duty.again_ms)
 		return;
-	for (guint i = 0; i < g->state.windows->len; i++) {
-		const struct gstate_window *w =
-			g_ptr_array_index (g->state.windows, i);
-
-		if (w->number > g->duty.told && w->counts.count > 0) {
-			report (g, w, now_ms);
-			return;
-		}
-	}
+	w = gstate_due (&g->state, &g->duty.told, tmr_wall_ms (), window_ms,
+			late_ms);
+	if (w != NULL)
+		report (g, w, now_ms);
 }
--- a/groupd/groupd.h
+++ b/groupd/groupd.h
@@ -66,7 +66,7 @@
 		*relays; /* "name/incarnation" to GPtrArray of struct counts */
 	struct h1cli *call;
 	uint64_t call_window;
-	uint64_t told;       /* newest window that the platform took */
+	struct gstate_told told;
 	uint64_t leading_ms; /* since when this member leads; 0: it doesn't */
 	uint64_t again_ms;   /* not before this */
 };
--- a/lib/gstate.c
+++ b/lib/gstate.c
@@ -233,6 +233,38 @@
 	return ok;
 }
 
+void
+gstate_tell (struct gstate_told *t, uint64_t number)
+{
+	t->numbers[t->next] = number;
+	t->next = (t->next + 1) % G_N_ELEMENTS (t->numbers);
+}
+
+static bool
+is_told (const struct gstate_told *t, uint64_t number)
+{
+	for (uint32_t i = 0; i < G_N_ELEMENTS (t->numbers); i++) {
+		if (t->numbers[i] == number)
+			return true;
+	}
+	return false;
+}
+
+const struct gstate_window *
+gstate_due (const struct gstate *s, const struct gstate_told *t,
+	    uint64_t wall_ms, uint64_t window_ms, uint64_t late_ms)
+{
+	for (guint i = s->windows->len; i > 0; i--) {
+		const struct gstate_window *w =
+			g_ptr_array_index (s->windows, i - 1);
+
+		if (w->counts.count > 0 && !is_told (t, w->number) &&
+		    wall_ms < (w->number + 1) * window_ms + late_ms)
+			return w;
+	}
+	return NULL;
+}
+
 void
 gstate_command (enum gstate_kind kind, const void *cmd, msgpack_sbuffer *out)
 {
--- a/lib/gstate.h
+++ b/lib/gstate.h
@@ -94,6 +94,34 @@
 bool gstate_restore (struct gstate *s, const void *data, size_t len,
 		     struct err *e);
 
+/**
+ * struct gstate_told - windows that the platform took, as this member knows
+ * @numbers: a ring, @next the place of the next one
+ */
+struct gstate_told {
+	uint64_t numbers[2 * GSTATE_WINDOWS_KEPT];
+	uint32_t next;
+};
+
+/** gstate_tell() - the platform took window @number */
+void gstate_tell (struct gstate_told *t, uint64_t number);
+
+/**
+ * gstate_due() - the window to report next
+ * @wall_ms: time of day
+ * @window_ms: length of a window
+ * @late_ms: time after a window's end at which its report is due
+ *
+ * The newest first: a member that takes over does not know what was told, and
+ * the old ones mostly were.  One that is too late is not told again.
+ *
+ * Return: NULL where there is none.
+ */
+const struct gstate_window *gstate_due (const struct gstate *s,
+					const struct gstate_told *t,
+					uint64_t wall_ms, uint64_t window_ms,
+					uint64_t late_ms);
+
 /** gstate_command() - append a command to @out */
 void gstate_command (enum gstate_kind kind, const void *cmd,
 		     msgpack_sbuffer *out);
--- a/tests/test_gstate.c
+++ b/tests/test_gstate.c
@@ -125,12 +125,37 @@
 	gstate_finish (&s);
 }
 
+/* A member that took over does not know what was told: the newest goes first,
+ * and what is too late is left. */
+static void
+test_due (void)
+{
+	struct gstate_told told = {0};
+	struct gstate s;
+
+	gstate_init (&s);
+	for (uint64_t i = 0; i < 8; i++)
+		seal (&s, 1 + i, 100 + i, 10);
+	/* Windows of 5 s, due 10 s after their end: 106 and 107 are. */
+	CU_ASSERT (
+		gstate_due (&s, &told, 5000 * 109 + 1, 5000, 10000)->number ==
+		107);
+	gstate_tell (&told, 107);
+	CU_ASSERT (
+		gstate_due (&s, &told, 5000 * 109 - 1, 5000, 10000)->number ==
+		106);
+	gstate_tell (&told, 106);
+	CU_ASSERT (gstate_due (&s, &told, 5000 * 109 + 1, 5000, 10000) == NULL);
+	gstate_finish (&s);
+}
+
 int
 main (void)
 {
 	static const struct t_case cases[] = {{"versions", test_versions},
 					      {"snapshot", test_snapshot},
 					      {"seal once", test_seal_once},
+					      {"due", test_due},
 					      {NULL, NULL}};
 
 	return t_run ("gstate", cases);
