--- a/relayd/front.c
+++ b/relayd/front.c
@@ -11,6 +11,11 @@
 #define HEADER_TIMEOUT_MS 3000
 #define IDLE_TIMEOUT_MS 15000
 
+/* A relay that starts has its configuration at once, or, where the group starts
+ * too, once that has a leader: an election timeout and two round trips. */
+#define START_MS 1000
+#define START_SPREAD_MS 500
+
 /* For an answer to be on its way before the caller gives up. */
 #define ANSWER_MARGIN_MS 20
 
@@ -118,7 +123,10 @@
 	r->stats.requests++;
 	r->dialect->request (h, &req);
 	if (r->plan == NULL) {
-		front_refuse (r, conn, req.id, 503, 500, "no configuration");
+		front_refuse (r, conn, req.id, 503,
+			      START_MS + (uint32_t)g_rand_int_range (
+						 r->rand, 0, START_SPREAD_MS),
+			      "no configuration");
 		return;
 	}
 	route = host != NULL
