Accounts' tiers are compared before routes' tiers

Cause: every account of the users' sites has a tier, so that routes' tiers never counted: engines saw one priority for all classes. Change: plan_tier(): the account's tier first, the route's among equals.

--- a/lib/plan.c
+++ b/lib/plan.c
@@ -192,6 +192,7 @@
 
 		if (!route_check (r, e))
 			return false;
+		p->tiers = MAX (p->tiers, r->tier + 1);
 		list = g_hash_table_lookup (p->hosts, r->host);
 		if (list == NULL) {
 			list = g_ptr_array_new ();
@@ -238,6 +239,13 @@
 	return g_hash_table_lookup (p->keys, key);
 }
 
+uint32_t
+plan_tier (const struct plan *p, const struct plan_route *r,
+	   const struct plan_account *a)
+{
+	return (a != NULL && a->has_tier ? a->tier * p->tiers : 0) + r->tier;
+}
+
 struct plan_service *
 plan_pick (const struct plan_route *r, uint32_t dice)
 {
--- a/lib/plan.h
+++ b/lib/plan.h
@@ -97,7 +97,8 @@
 	uint32_t price_count;
 };
 
-/** struct plan_account - a client account; @tier goes before the route's */
+/** struct plan_account - a client account; @tier is compared before the
+ * route's, see plan_tier() */
 struct plan_account {
 	char *name;
 	bool has_tier;
@@ -122,6 +123,7 @@
 	GHashTable *keys;    /* key text to struct plan_account * */
 	GHashTable *hosts;   /* host to GPtrArray of struct plan_route * */
 	bool key_shared;     /* two accounts hold one key */
+	uint32_t tiers;      /* of routes: their highest tier and one */
 	struct plan_limits limits;
 };
 
@@ -171,6 +173,15 @@
 /** plan_key() - whose key it is, or NULL */
 const struct plan_account *plan_key (const struct plan *p, const char *key);
 
+/**
+ * plan_tier() - how urgent a request is, 0 the most
+ *
+ * Accounts come first; among those of one tier, and on open routes, the route's
+ * tier decides.
+ */
+uint32_t plan_tier (const struct plan *p, const struct plan_route *r,
+		    const struct plan_account *a);
+
 /** plan_pick() - a pool's service by weight; @dice: any number */
 struct plan_service *plan_pick (const struct plan_route *r, uint32_t dice);
 
--- a/relayd/call.c
+++ b/relayd/call.c
@@ -25,7 +25,7 @@
  * is, since what comes after it and is more urgent has to wait for that. */
 #define HOLD_SHARE 0.5
 #define HOLD_MAX_MS 300.0
-#define HOLD_TIER 0.5
+#define HOLD_TIER 0.25
 
 /* Waiting requests that are looked at in one turn. */
 #define WAKE_MAX 200
@@ -192,7 +192,7 @@
 		.part_count = c->req.part_count,
 		.prompt_tokens = c->req.prompt_tokens,
 		.hold_ms = MIN (HOLD_SHARE * c->route->target_ms,
-				HOLD_MAX_MS / (1 + HOLD_TIER * c->tier)),
+				HOLD_MAX_MS / (1 + HOLD_TIER * c->route->tier)),
 		.late = now_ms > c->arrived_ms + c->route->target_ms / 2,
 		.tried_count = c->tried_count,
 		.dice = g_rand_int (c->r->rand),
--- a/relayd/front.c
+++ b/relayd/front.c
@@ -87,11 +87,9 @@
 	c->plan = plan_ref (r->plan);
 	c->route = route;
 	c->service = plan_pick (route, g_rand_int (r->rand));
-	c->tier = route->tier;
+	c->tier = plan_tier (r->plan, route, account);
 	if (account != NULL) {
 		g_strlcpy (c->account, account->name, sizeof c->account);
-		if (account->has_tier)
-			c->tier = account->tier;
 	}
 	c->line = g_string_new_len (h->method, (gssize)h->method_len);
 	c->to_head = strcmp (c->line->str, "HEAD") == 0;
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -87,12 +87,37 @@
 	plan_unref (p);
 }
 
+/* Accounts are compared first, then routes. */
+static void
+test_tiers (void)
+{
+	struct plan *p = plan_new ();
+	struct plan_service *s = plan_add_service (p, "s");
+	struct plan_route *quick = add_route (p, "h", "/q/", s, 1);
+	struct plan_route *slow = add_route (p, "h", "/s/", s, 1);
+	struct plan_account *first = plan_add_account (p, "first");
+	struct plan_account *second = plan_add_account (p, "second");
+	struct plan_account *plain = plan_add_account (p, "plain");
+
+	slow->tier = 2;
+	first->has_tier = second->has_tier = true;
+	second->tier = 1;
+	CU_ASSERT (plan_check (p, NULL));
+	CU_ASSERT (plan_tier (p, quick, first) < plan_tier (p, slow, first));
+	CU_ASSERT (plan_tier (p, slow, first) < plan_tier (p, quick, second));
+	CU_ASSERT (plan_tier (p, quick, second) < plan_tier (p, slow, second));
+	CU_ASSERT (plan_tier (p, slow, plain) == 2 &&
+		   plan_tier (p, slow, NULL) == 2);
+	plan_unref (p);
+}
+
 int
 main (void)
 {
 	static const struct t_case cases[] = {{"match", test_match},
 					      {"refused", test_refused},
 					      {"weights", test_weights},
+					      {"tiers", test_tiers},
 					      {NULL, NULL}};
 
 	return t_run ("plan", cases);
