Waiting and refusing stand apart from input and output: lib/hold

Cause: how long a request waits, in which order, and when it is refused was decided between socket calls in relayd/call.c and had no test.

--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -141,8 +141,7 @@
 /** fleet_gone() - another endpoint has its address, or it ended */
 void fleet_gone (struct fleet_ep *ep);
 
-/** fleet_outcome() - an answer of it was good, or failed; @pool: endpoints of
- * its service */
+/** fleet_outcome() - an answer of it was good, or failed */
 void fleet_outcome (struct fleet_ep *ep, bool good, uint64_t now_ms);
 
 /** fleet_cached() - tokens at the front of @parts that it was sent before */
--- /dev/null
+++ b/lib/hold.h
@@ -0,0 +1,59 @@
+#ifndef DH_HOLD_H
+#define DH_HOLD_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "place.h"
+#include "plan.h"
+
+/*
+ * How a request waits at a relay, and when it is refused.  The load it answers:
+ * more work than the endpoints can take now.  What is sent to an engine can't
+ * be overtaken there, so only little is sent ahead; the rest waits here, the
+ * most urgent first.  A request is refused once its caller would rather leave
+ * than wait on, and at once where it has no endpoint that may come free.
+ */
+
+/**
+ * struct hold_req - a request that may have to wait
+ * @arrived_ms: when it came
+ * @stay_until_ms: its caller is gone by then
+ * @tier: plan_tier()
+ */
+struct hold_req {
+	uint64_t arrived_ms;
+	uint64_t stay_until_ms;
+	uint32_t tier;
+};
+
+/**
+ * hold_init() - a request of @route that came now
+ * @wait_ms: how long its caller waits at most
+ */
+void hold_init (struct hold_req *h, const struct plan_route *route,
+		uint32_t tier, uint64_t wait_ms, uint64_t now_ms);
+
+/** hold_backlog_ms() - reading due at an engine under which a request of @route
+ * is sent there */
+double hold_backlog_ms (const struct plan_route *route);
+
+/** hold_is_late() - whether half of its latency objective has passed */
+bool hold_is_late (const struct hold_req *h, const struct plan_route *route,
+		   uint64_t now_ms);
+
+/**
+ * hold_until_ms() - how long it waits, where place_choose() gave no endpoint
+ * @why: PLACE_NONE, PLACE_FULL or PLACE_BUSY
+ * @since_ms: when it lost its last endpoint; @arrived_ms where it had none
+ *
+ * Return: the time from which it is refused.
+ */
+uint64_t hold_until_ms (const struct hold_req *h,
+			const struct plan_route *route, enum place_why why,
+			uint64_t since_ms);
+
+/** hold_order() - less than 0 where @a goes before @b */
+int hold_order (const struct hold_req *a, const struct hold_req *b);
+
+#endif
--- a/relayd/call.c
+++ b/relayd/call.c
@@ -6,27 +6,6 @@
 
 #include "relayd.h"
 
-/* With no endpoint at all, a request waits for this part of its latency
- * objective; beyond it the caller does better to come again. */
-#define WAIT_PART 8
-
-/* Where endpoints are only busy, it waits for this share of the time that its
- * caller stays. */
-#define BUSY_SHARE 0.6
-
-/* How long a caller stays for a stream without a byte: the longest of these.
- * As the users' clients do. */
-#define STAY_MIN_MS 2000
-#define STAY_TARGETS 4
-#define STAY_GAPS 8
-
-/* Reading that may be due at an engine when a request is sent there: a share of
- * the request's latency objective, at most so much, and less the less urgent it
- * is, since what comes after it and is more urgent has to wait for that. */
-#define HOLD_SHARE 0.5
-#define HOLD_MAX_MS 300.0
-#define HOLD_TIER 0.25
-
 /* Waiting requests that are looked at in one turn. */
 #define WAKE_MAX 200
 
@@ -131,17 +110,13 @@
 	front_refuse (r, caller, id, status, wait_ms, why);
 }
 
-/* The most urgent first, then the one that came first. */
 static gint
 more_urgent (gconstpointer a, gconstpointer b, gpointer data)
 {
 	const struct call *x = a, *y = b;
 
 	(void)data;
-	if (x->tier != y->tier)
-		return x->tier < y->tier ? -1 : 1;
-	return x->arrived_ms < y->arrived_ms ? -1
-					     : x->arrived_ms > y->arrived_ms;
+	return hold_order (&x->hold, &y->hold);
 }
 
 static void
@@ -166,16 +141,8 @@
 void
 call_begin (struct call *c)
 {
-	const struct plan_route *route = c->route;
-	uint64_t stay_ms = c->deadline_ms - c->arrived_ms;
-
-	if (route->kind == PLAN_STREAM)
-		stay_ms =
-			MIN (stay_ms, MAX (STAY_MIN_MS,
-					   MAX (STAY_TARGETS * route->target_ms,
-						STAY_GAPS * route->gap_ms)));
-	c->patience_ms = c->arrived_ms + stay_ms;
-	c->refuse_ms = c->arrived_ms + route->target_ms / WAIT_PART;
+	hold_init (&c->hold, c->route, c->tier, c->deadline_ms - c->arrived_ms,
+		   c->arrived_ms);
 	spend_request (c->r->spend, c->service->name, c->arrived_ms);
 	call_try (c);
 }
@@ -191,9 +158,8 @@
 		.parts = c->req.parts,
 		.part_count = c->req.part_count,
 		.prompt_tokens = c->req.prompt_tokens,
-		.hold_ms = MIN (HOLD_SHARE * c->route->target_ms,
-				HOLD_MAX_MS / (1 + HOLD_TIER * c->route->tier)),
-		.late = now_ms > c->arrived_ms + c->route->target_ms / 2,
+		.hold_ms = hold_backlog_ms (c->route),
+		.late = hold_is_late (&c->hold, c->route, now_ms),
 		.tried_count = c->tried_count,
 		.dice = g_rand_int (c->r->rand),
 	};
@@ -207,7 +173,7 @@
 void
 call_try (struct call *c)
 {
-	uint64_t now_ms = tmr_now_ms (), until_ms = c->refuse_ms;
+	uint64_t now_ms = tmr_now_ms ();
 	struct place_verdict v;
 
 	choose (c, &v, now_ms);
@@ -216,11 +182,7 @@
 		back_send (c, &v);
 		return;
 	}
-	if (v.why == PLACE_BUSY || v.why == PLACE_FULL)
-		until_ms = c->arrived_ms +
-			   (uint64_t)(BUSY_SHARE *
-				      (double)(c->patience_ms - c->arrived_ms));
-	if (now_ms < until_ms) {
+	if (now_ms < hold_until_ms (&c->hold, c->route, v.why, c->lost_ms)) {
 		wait_more (c);
 		return;
 	}
@@ -311,8 +273,7 @@
 		c->r->stats.again++;
 		if (c->tried_count < PLACE_TRIED_MAX && c->ep != NULL)
 			c->tried[c->tried_count++] = c->ep;
-		c->refuse_ms = MAX (c->refuse_ms,
-				    now_ms + c->route->target_ms / WAIT_PART);
+		c->lost_ms = now_ms;
 	}
 	c->x = NULL;
 	call_leave_ep (c);
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -16,6 +16,7 @@
 #include "h1cli.h"
 #include "h1srv.h"
 #include "hist.h"
+#include "hold.h"
 #include "link.h"
 #include "loads.h"
 #include "place.h"
@@ -48,9 +49,9 @@
 	bool to_head;
 	uint64_t arrived_ms;
 	uint64_t deadline_ms;
-	uint64_t patience_ms; /* its caller leaves without a byte by then */
-	uint64_t refuse_ms;   /* it waits for an endpoint no longer than this */
-	GList *waits;         /* its place in r->waiting, or NULL */
+	struct hold_req hold;
+	uint64_t lost_ms; /* when a send failed last; 0: none did */
+	GList *waits;     /* its place in r->waiting, or NULL */
 	/* sends */
 	struct fleet_ep *tried[PLACE_TRIED_MAX];
 	uint32_t tried_count;
