--- a/lib/hold.c
+++ b/lib/hold.c
@@ -30,8 +30,9 @@
 hold_init (struct hold_req *h, const struct plan_route *route, uint32_t tier,
 	   uint64_t wait_ms, uint64_t now_ms)
 {
-	uint64_t stay_ms = MAX (STAY_MIN_MS, MAX (STAY_TARGETS * route->target_ms,
-						  STAY_GAPS * route->gap_ms));
+	uint64_t stay_ms =
+		MAX (STAY_MIN_MS, MAX (STAY_TARGETS * route->target_ms,
+				       STAY_GAPS * route->gap_ms));
 
 	if (route->kind == PLAN_STREAM)
 		wait_ms = MIN (wait_ms, stay_ms);
--- a/tests/test_hold.c
+++ b/tests/test_hold.c
@@ -93,9 +93,9 @@
 		bool is_quick = i >= BURST;
 
 		w[i] = (struct waiter){.route = is_quick ? &quick : &slow};
-		hold_init (&w[i].hold, w[i].route, w[i].route->tier, 12000,
-			   1000 + (is_quick ? (i - BURST) * 500ULL
-					    : i * 83ULL));
+		hold_init (
+			&w[i].hold, w[i].route, w[i].route->tier, 12000,
+			1000 + (is_quick ? (i - BURST) * 500ULL : i * 83ULL));
 	}
 	for (uint64_t now_ms = 1000; now_ms < 30000; now_ms += 5) {
 		struct waiter *x = first_of (w, BURST + 20, now_ms);
@@ -106,7 +106,8 @@
 			backlog_ms += x->route == &quick ? 30 : 330;
 		}
 		for (uint32_t i = 0; i < BURST + 20; i++) {
-			if (w[i].sent_ms == 0 && w[i].hold.arrived_ms < now_ms &&
+			if (w[i].sent_ms == 0 &&
+			    w[i].hold.arrived_ms < now_ms &&
 			    now_ms >= hold_until_ms (&w[i].hold, w[i].route,
 						     PLACE_BUSY, 0))
 				w[i].refused = true;
