Deadlines and leases are read off the boot clock

Ruled out: an order in flight (the last one was answered at 2.5 s). Change: tmr_now_ms() counts suspended time; the timers' own clock does not.

--- a/lib/tmr.c
+++ b/lib/tmr.c
@@ -42,14 +42,22 @@
 	return (uint64_t)ts.tv_sec * 1000000 + (uint64_t)ts.tv_nsec / 1000;
 }
 
+/* Deadlines and leases count the time that the machine was suspended, so they
+ * are read off the boot clock; the timers' own clock stands still then. */
 uint64_t
 tmr_now_us (void)
 {
-	return clock_us (CLOCK_MONOTONIC);
+	return clock_us (CLOCK_BOOTTIME);
 }
 
 uint64_t
 tmr_now_ms (void)
+{
+	return clock_us (CLOCK_BOOTTIME) / 1000;
+}
+
+static uint64_t
+timer_ms (void)
 {
 	return clock_us (CLOCK_MONOTONIC) / 1000;
 }
@@ -156,7 +164,7 @@
 on_timerfd (h2o_socket_t *sock, const char *why)
 {
 	struct tmr_queue *q = sock->data;
-	uint64_t now_ms = tmr_now_ms ();
+	uint64_t now_ms = timer_ms ();
 	uint64_t count;
 
 	(void)why;
@@ -219,7 +227,7 @@
 		heap_remove (q, t);
 	/* Not within the turn that started it, so that a callback that starts
 	 * its timer again with 0 lets the loop go on. */
-	t->at_ms = tmr_now_ms () + MAX (delay_ms, 1);
+	t->at_ms = timer_ms () + MAX (delay_ms, 1);
 	g_ptr_array_add (q->heap, t);
 	t->place = q->heap->len;
 	heap_up (q, t);
