Orders of endpoints are steady; firm ones make room before the first request

With traffic, a need that moved a little each look was ordered four times a second. After a reclaim a new leader lowered two domains while the third had none: 83 endpoints where 110 were wanted, and 225 late answers in 2 s. Ruled out: processor time, waiting at relays.

Change: size_order_due() leaves small differences alone and lowers only after 3 s; firm ones are ordered before cheap ones; before the first request they go at once; no domain lowers while what others have does not cover the need. A group that served before (a sealed window with counts) does not begin anew after a loss of power.

--- a/groupd/groupd.h
+++ b/groupd/groupd.h
@@ -76,10 +76,8 @@
 	char service[PLAN_NAME_BYTES];
 	char domain[PLAN_NAME_BYTES];
 	bool cheap;
-	uint32_t ordered;    /* the count ordered last */
-	uint64_t ordered_ms; /* when; 0: never by this leader */
+	struct size_order order; /* the last one of this leader */
 	uint64_t scarce_until_ms;
-	uint64_t lower_since_ms; /* more are there than needed; 0: not so */
 };
 
 /** struct scaler - orders of endpoints */
--- a/groupd/scale.c
+++ b/groupd/scale.c
@@ -9,11 +9,10 @@
 /* Between two looks. */
 #define LOOK_MS 250
 
-/* Beyond an endpoint's boot, for the list to show it. */
-#define LISTED_MS 2500
-
-/* Fewer endpoints are ordered once they were too many for so long. */
-#define LOWER_MS 3000
+/* Endpoints that boot in this time stand before the first request: callers
+ * come some 10 s after the first start of the group, and its leader acts after
+ * a third of that. */
+#define FIRST_BOOT_MAX_MS 5000
 
 /* No cheap endpoints were to be had: not asked again before. */
 #define SCARCE_MS 3000
@@ -70,14 +69,15 @@
 	return n;
 }
 
+/* In all domains. */
 static uint32_t
-cheap_all (struct group *g, const struct plan_service *s)
+present_all (struct group *g, const struct plan_service *s, bool cheap)
 {
 	uint32_t n = 0;
 
 	for (uint32_t i = 0; i < s->price_count; i++)
-		n += present (
-			g, subject_get (g, s->name, s->prices[i].domain, true));
+		n += present (g, subject_get (g, s->name, s->prices[i].domain,
+					      cheap));
 	return n;
 }
 
@@ -91,11 +91,11 @@
 	(void)echoed;
 	log_event (LOG_LV_INFO, "order-answer",
 		   "service=%s domain=%s cheap=%d count=%u status=%d",
-		   s->service, s->domain, s->cheap, s->ordered, h->status);
+		   s->service, s->domain, s->cheap, s->order.count, h->status);
 	if (h->status == 409)
 		s->scarce_until_ms = tmr_now_ms () + SCARCE_MS;
 	if (h->status != 200)
-		s->ordered_ms = 0;
+		s->order.at_ms = 0;
 }
 
 static void
@@ -114,7 +114,7 @@
 
 	(void)x;
 	if (end != H1CLI_WHOLE)
-		g->scaler.call_subject->ordered_ms = 0;
+		g->scaler.call_subject->order.at_ms = 0;
 	g->scaler.call = NULL;
 }
 
@@ -141,34 +141,27 @@
 	g->dialect->order (&o, g->set.name, g->raft.term, text);
 	req.bytes = text->str;
 	req.len = text->len;
-	s->ordered = count;
-	s->ordered_ms = now_ms;
+	s->order = (struct size_order){count, now_ms, 0};
 	g->scaler.call_subject = s;
 	g->scaler.call_ms = now_ms;
 	g->scaler.call = h1cli_start (&g->cloud, &req, &order_ops, g);
 	g_string_free (text, TRUE);
 }
 
-/* Order @count where it differs from what is there or under way. */
+/* Whether requests were ever served, also before this member led. */
+static bool
+has_served (const struct group *g)
+{
+	return loads_began (&g->loads) || gstate_has_counts (&g->state);
+}
+
 static bool
 settle (struct group *g, struct subject *s, uint32_t count, uint32_t boot_ms,
-	uint64_t now_ms)
+	bool before, uint64_t now_ms)
 {
 	uint32_t have = present (g, s);
-	bool under_way = s->ordered_ms != 0 &&
-			 now_ms < s->ordered_ms + boot_ms + LISTED_MS;
 
-	if (under_way ? s->ordered == count : have == count) {
-		s->lower_since_ms = 0;
-		return false;
-	}
-	/* Fewer only after a while, since what goes takes its cache along. */
-	if (count < have && s->lower_since_ms == 0)
-		s->lower_since_ms = now_ms;
-	if (count >= have)
-		s->lower_since_ms = 0;
-	else if (now_ms < s->lower_since_ms + LOWER_MS &&
-		 loads_began (&g->loads))
+	if (!size_order_due (&s->order, have, count, boot_ms, before, now_ms))
 		return false;
 	if (now_ms < s->scarce_until_ms && count > have)
 		return false;
@@ -191,12 +184,22 @@
 		.domains = MAX (s->price_count, 1),
 		.firm = present (g, firm),
 		.cheap = present (g, cheap),
-		.cheap_all = cheap_all (g, s),
+		.cheap_all = present_all (g, s, true),
+		.before = !has_served (g) && s->boot_ms <= FIRST_BOOT_MAX_MS,
+		.scarce = now_ms < cheap->scarce_until_ms,
 	};
-	struct size_out out = size_domain (&in);
-
-	return settle (g, cheap, out.cheap, s->boot_ms, now_ms) ||
-	       settle (g, firm, out.firm, s->boot_ms, now_ms);
+	struct size_out out;
+	uint32_t room;
+
+	in.all = in.cheap_all + present_all (g, s, false);
+	out = size_domain (&in);
+	/* The platform grants no more than the firm ones leave room for, so
+	 * those are ordered first where they are to be fewer. */
+	if (settle (g, firm, out.firm, s->boot_ms, in.before, now_ms))
+		return true;
+	room = size_order_base (&firm->order, in.firm, s->boot_ms, now_ms);
+	out.cheap = MIN (out.cheap, s->max - MIN (room, s->max));
+	return settle (g, cheap, out.cheap, s->boot_ms, in.before, now_ms);
 }
 
 /* The configuration in force, read again when it changed. */
@@ -224,18 +227,17 @@
 	for (guint i = 0; i < g->plan->services->len; i++) {
 		const struct plan_service *s =
 			g_ptr_array_index (g->plan->services, i);
-		uint32_t present_all = 0;
+		uint32_t listed = 0;
 
 		if (!s->elastic)
 			continue;
 		for (guint k = 0; k < g->lister.list->len; k++)
-			present_all +=
-				strcmp (g_array_index (g->lister.list,
-						       struct fleet_info, k)
-						.service,
-					s->name) == 0;
-		size_need_start (&g->scaler.need, !loads_began (&g->loads),
-				 s->max, s->price_count, present_all, now_ms);
+			listed += strcmp (g_array_index (g->lister.list,
+							 struct fleet_info, k)
+						  .service,
+					  s->name) == 0;
+		size_need_start (&g->scaler.need, !has_served (g), s->max,
+				 s->price_count, listed, now_ms);
 	}
 	g->scaler.started = true;
 }
@@ -261,7 +263,7 @@
 	need_follow (g, now_ms);
 	if (sc->call != NULL && now_ms > sc->call_ms + ANSWER_MS) {
 		h1cli_cancel (sc->call);
-		sc->call_subject->ordered_ms = 0;
+		sc->call_subject->order.at_ms = 0;
 		sc->call = NULL;
 	}
 	if (!duty_may_act (g, now_ms)) {
--- a/lib/gstate.c
+++ b/lib/gstate.c
@@ -79,6 +79,19 @@
 	*s = (struct gstate){0};
 }
 
+bool
+gstate_has_counts (const struct gstate *s)
+{
+	for (guint i = 0; i < s->windows->len; i++) {
+		const struct gstate_window *w =
+			g_ptr_array_index (s->windows, i);
+
+		if (w->counts.count > 0)
+			return true;
+	}
+	return false;
+}
+
 bool
 gstate_is_out (const struct gstate *s, const char *domain)
 {
--- a/lib/gstate.h
+++ b/lib/gstate.h
@@ -74,6 +74,9 @@
 /** gstate_finish() - release it */
 void gstate_finish (struct gstate *s);
 
+/** gstate_has_counts() - whether a window that is kept holds requests */
+bool gstate_has_counts (const struct gstate *s);
+
 /** gstate_is_out() - whether @domain is taken out */
 bool gstate_is_out (const struct gstate *s, const char *domain);
 
--- a/lib/size.c
+++ b/lib/size.c
@@ -28,6 +28,15 @@
 /* The time over which a rise is averaged. */
 #define RISE_MS 1000.0
 
+/* Beyond an endpoint's boot, for the list to show it. */
+#define LISTED_MS 2500
+
+/* Fewer endpoints are ordered once they were too many for so long. */
+#define LOWER_MS 3000
+
+/* A need moves by about this share from one look to the next. */
+#define SLACK_SHARE 0.1
+
 struct size_out
 size_domain (const struct size_in *in)
 {
@@ -36,13 +45,23 @@
 	uint32_t total = (uint32_t)CLAMP (ceil (wanted), in->min, in->max);
 	uint32_t firm = (uint32_t)ceil (FIRM_SHARE * BASE_SHARE * in->max);
 	const uint32_t standing = MIN (MAX (firm, in->min), total);
+	uint32_t here = in->firm + in->cheap;
 	double short_of = in->need / FULL_SHARE - in->cheap_all;
 	struct size_out out;
 
+	/* What is too many here stands in for what others lack. */
+	if (here > total && in->all + total < here + total * in->domains)
+		total = MIN (here, in->max);
 	if (in->cheap_factor <= 0 || in->cheap_factor >= 1)
 		return (struct size_out){total, 0};
 	firm = standing;
 	out.cheap = total - firm;
+	/* Nothing is lost by firm ones that go before the first request. */
+	if (in->before) {
+		if (in->scarce)
+			out.cheap = MIN (in->cheap, out.cheap);
+		return (struct size_out){total - out.cheap, out.cheap};
+	}
 	/* What is not there of the cheap ones, where the rest won't do. */
 	if (!in->guessed && short_of > (double)firm * in->domains)
 		firm = (uint32_t)ceil (short_of / in->domains);
@@ -58,6 +77,32 @@
 	return out;
 }
 
+uint32_t
+size_order_base (const struct size_order *o, uint32_t have, uint32_t boot_ms,
+		 uint64_t now_ms)
+{
+	if (o->at_ms != 0 && now_ms < o->at_ms + boot_ms + LISTED_MS)
+		return o->count;
+	return have;
+}
+
+bool
+size_order_due (struct size_order *o, uint32_t have, uint32_t want,
+		uint32_t boot_ms, bool before, uint64_t now_ms)
+{
+	uint32_t base = size_order_base (o, have, boot_ms, now_ms);
+	uint32_t slack = (uint32_t)(SLACK_SHARE * base);
+
+	if (want + slack >= base)
+		o->lower_since_ms = 0;
+	else if (o->lower_since_ms == 0)
+		o->lower_since_ms = now_ms;
+	if (want > base + slack)
+		return true;
+	return o->lower_since_ms != 0 &&
+	       (before || now_ms >= o->lower_since_ms + LOWER_MS);
+}
+
 void
 size_need_add (struct size_need *n, double work_ms, uint64_t now_ms)
 {
--- a/lib/size.h
+++ b/lib/size.h
@@ -12,7 +12,8 @@
  *
  * Cheap endpoints cost a fraction, so each domain has more of them than a calm
  * day needs, and keeps few that can't be reclaimed.  As all domains have cheap
- * ones, a reclaim leaves the others'.
+ * ones, a reclaim leaves the others'; none of those goes while a domain is
+ * short of its part.
  */
 
 /**
@@ -26,6 +27,10 @@
  * @firm: present here and not leaving
  * @cheap: the same, that may be reclaimed
  * @cheap_all: cheap ones present in all domains
+ * @all: endpoints of both kinds present in all domains
+ * @before: no request has come yet, and what is ordered now boots in time for
+ *	the first
+ * @scarce: no cheap ones were to be had here just now
  */
 struct size_in {
 	uint32_t min;
@@ -37,6 +42,9 @@
 	uint32_t firm;
 	uint32_t cheap;
 	uint32_t cheap_all;
+	uint32_t all;
+	bool before;
+	bool scarce;
 };
 
 /** struct size_out - to be ordered */
@@ -48,6 +56,38 @@
 /** size_domain() - decide for one domain */
 struct size_out size_domain (const struct size_in *in);
 
+/**
+ * struct size_order - the last order for one kind in one domain
+ * @count: ordered; 0 where @at_ms is 0
+ * @at_ms: when it was sent, 0 where none is under way
+ * @lower_since_ms: since when fewer are wanted, 0 where they are not
+ */
+struct size_order {
+	uint32_t count;
+	uint64_t at_ms;
+	uint64_t lower_since_ms;
+};
+
+/**
+ * size_order_base() - how many there will be without another order
+ * @have: listed now
+ * @boot_ms: from an order until its endpoints serve
+ */
+uint32_t size_order_base (const struct size_order *o, uint32_t have,
+			  uint32_t boot_ms, uint64_t now_ms);
+
+/**
+ * size_order_due() - whether @want should be ordered now
+ * @before: as in struct size_in: nothing is lost by fewer
+ *
+ * The load it answers: a need that is measured anew four times a second and
+ * moves a little each time.  Following it would cancel what is booting and
+ * take endpoints away whose memory holds prompts.  Small differences are left
+ * alone, and fewer are ordered only once fewer were wanted for a while.
+ */
+bool size_order_due (struct size_order *o, uint32_t have, uint32_t want,
+		     uint32_t boot_ms, bool before, uint64_t now_ms);
+
 /**
  * size_need_start() - the need to begin with
  *
--- a/tests/test_size.c
+++ b/tests/test_size.c
@@ -14,7 +14,8 @@
 				.domains = 3,
 				.firm = 2,
 				.cheap = 6,
-				.cheap_all = 18};
+				.cheap_all = 18,
+				.all = 24};
 }
 
 static void
@@ -31,6 +32,7 @@
 	CU_ASSERT (out.firm == 6 && out.cheap == 6);
 	in.cheap = 4;
 	in.cheap_all = 12;
+	in.all = 30;
 	CU_ASSERT (size_domain (&in).firm == 4);
 }
 
@@ -142,14 +144,96 @@
 	CU_ASSERT (size_domain (&in).firm + size_domain (&in).cheap == 10);
 }
 
+/* Before the first request the firm ones make room at once: 30 of 60 places
+ * are theirs, and the list may show only some of them yet. */
+static void
+test_before (void)
+{
+	struct size_in in = {.min = 1,
+			     .max = 60,
+			     .cheap_factor = 0.22,
+			     .need = 54,
+			     .guessed = true,
+			     .domains = 3,
+			     .before = true};
+
+	for (in.firm = 0; in.firm <= 30; in.firm++) {
+		struct size_out out = size_domain (&in);
+
+		CU_ASSERT (out.firm == 9 && out.cheap == 51);
+	}
+	in.scarce = true;
+	CU_ASSERT (size_domain (&in).firm == 60);
+}
+
+/* A domain lost its cheap ones and gets no others: the rest keep theirs until
+ * the need of all is covered again.  80 endpoints are wanted, 41 in one domain
+ * stand in for what another lacks. */
+static void
+test_others_short (void)
+{
+	struct size_in in = {.min = 1,
+			     .max = 60,
+			     .cheap_factor = 0.22,
+			     .need = 31,
+			     .domains = 3,
+			     .firm = 9,
+			     .cheap = 42,
+			     .cheap_all = 83,
+			     .all = 110};
+
+	CU_ASSERT (size_domain (&in).firm + size_domain (&in).cheap == 51);
+	in.cheap_all += 27;
+	in.all += 27;
+	CU_ASSERT (size_domain (&in).firm + size_domain (&in).cheap == 36);
+}
+
+/* A need that moves a little with each look orders nothing while 45 boot, and
+ * a burst that ends soon cancels none of them. */
+static void
+test_order (void)
+{
+	struct size_order o = {.count = 45, .at_ms = 1000};
+	uint64_t now_ms = 1000;
+	uint32_t boot_ms = 4000;
+
+	for (uint32_t i = 0; i < 20; i++) {
+		now_ms += 250;
+		CU_ASSERT (!size_order_due (&o, 30, i % 2 ? 43 : 48, boot_ms,
+					    false, now_ms));
+	}
+	CU_ASSERT (size_order_due (&o, 30, 55, boot_ms, false, now_ms));
+	/* Fewer, at once only before the first request. */
+	o = (struct size_order){.count = 45, .at_ms = now_ms};
+	CU_ASSERT (!size_order_due (&o, 30, 36, boot_ms, false, now_ms));
+	CU_ASSERT (size_order_due (&o, 30, 36, boot_ms, true, now_ms));
+	CU_ASSERT (!size_order_due (&o, 30, 36, boot_ms, false, now_ms + 2900));
+	CU_ASSERT (size_order_due (&o, 30, 36, boot_ms, false, now_ms + 3100));
+	/* What did not come is ordered again. */
+	o = (struct size_order){.count = 45, .at_ms = 1000};
+	CU_ASSERT (size_order_base (&o, 30, boot_ms, 7000) == 45);
+	CU_ASSERT (size_order_base (&o, 30, boot_ms, 8000) == 30);
+	CU_ASSERT (size_order_due (&o, 30, 45, boot_ms, false, 8000));
+	/* The last endpoint of a small domain counts. */
+	o = (struct size_order){0};
+	CU_ASSERT (size_order_due (&o, 4, 5, boot_ms, false, 8000));
+}
+
 int
 main (void)
 {
 	static const struct t_case cases[] = {
-		{"calm", test_calm},       {"burst", test_burst},
-		{"reclaim", test_reclaim}, {"bounds", test_bounds},
-		{"need", test_need},       {"start", test_start},
-		{"full", test_full},       {NULL, NULL}};
+		{"calm", test_calm},
+		{"burst", test_burst},
+		{"reclaim", test_reclaim},
+		{"bounds", test_bounds},
+		{"need", test_need},
+		{"start", test_start},
+		{"full", test_full},
+		{"before", test_before},
+		{"order", test_order},
+		{"others-short", test_others_short},
+		{NULL, NULL}};
 
 	return t_run ("size", cases);
 }
