--- a/lib/place.c
+++ b/lib/place.c
@@ -288,6 +288,7 @@
 {
 	uint32_t own = order_picks (picks, is_short (req));
 	struct pick *all = (struct pick *)picks->data, *best = &all[0];
+	struct pick *open = NULL; /* the best that has less to read */
 	struct place_verdict v = {.why = PLACE_HOME};
 	double best_ms = 0;
 	struct prompt q;
@@ -302,6 +303,9 @@
 			continue;
 		weigh (&all[i], rules, req, &q, i < own ? i : RANKS);
 		ms = all[i].cost_ms;
+		if (backlog_ms (f, all[i].ep) <= req->hold_ms &&
+		    (open == NULL || ms < open->cost_ms))
+			open = &all[i];
 		if (i > 0)
 			ms += margin_ms (req, &all[i], i, &why);
 		if (i > 0 && ms >= best_ms)
@@ -310,6 +314,13 @@
 		best_ms = ms;
 		v.why = why;
 	}
+	/* A short prompt takes little of an engine of the other lane, and its
+	 * caller waits for little time. */
+	if (is_short (req) && open != NULL &&
+	    backlog_ms (f, best->ep) > req->hold_ms) {
+		best = open;
+		v.why = open->ep->short_lane ? PLACE_SPILL : PLACE_CROSS;
+	}
 	v.first_ms = best->first_ms;
 	v.to_read = best->to_read;
 	v.copy_from = best->copy_from;
--- a/lib/place.h
+++ b/lib/place.h
@@ -21,7 +21,7 @@
  * in pieces between the tokens of what it runs, so each long prompt slows every
  * stream there.  In each failure domain some engines are a lane for short
  * prompts; the others take the long ones.  A lane is left only where the other
- * is far quicker.
+ * is far quicker, or for a short prompt that would have to wait in its own.
  *
  * Copies: where another engine than the best holds the shared parts, they are
  * copied from it, which takes less time than to read them, and none of the
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -262,6 +262,33 @@
 	world_finish (&w);
 }
 
+/* A burst of short prompts, twice what their lane reads, while the other lane
+ * has room: none of them waits for its own lane. */
+static void
+test_short_burst (void)
+{
+	struct world w;
+	uint64_t now_ms = 1000;
+
+	world_init (&w, 7, true);
+	for (int i = 0; i < 600; i++) {
+		if (i % 10 == 0)
+			prompt (&w, now_ms,
+				1 + (uint64_t)g_rand_int_range (w.rand, 0, 196),
+				13300, 3720, 200);
+		for (int k = 0; k < 2; k++)
+			prompt (&w, now_ms,
+				1000 + (uint64_t)g_rand_int_range (w.rand, 0,
+								   160),
+				350, 1110, 150);
+		pass_time (&w);
+		now_ms += STEP_MS;
+	}
+	CU_ASSERT (w.held_back * 100 < w.short_sent);
+	CU_ASSERT (w.short_slow * 100 < w.short_sent);
+	world_finish (&w);
+}
+
 /* A domain's engines come back cold: however many relays ask, none gets more
  * in any second than it bears. */
 static void
@@ -361,6 +388,7 @@
 		{"shared parts", test_shared_parts},
 		{"lanes", test_lanes},
 		{"burst", test_burst},
+		{"short burst", test_short_burst},
 		{"cold", test_cold},
 		{"choices", test_choices},
 		{NULL, NULL}};
