Need counts from a request's arrival; firm endpoints go where there is room

Firm ones were bought in a domain full of cheap ones, by taking two cheap ones away, and again while the cheap ones that were granted booted (27 s, 31 s).

Change: reading is counted once when the request comes, and anew for each repeat; what boots counts as coming unless the list shows a reclaim since; the domains share a shortage by the room that each has. test_size has the case.

--- a/groupd/scale.c
+++ b/groupd/scale.c
@@ -69,15 +69,25 @@
 	return n;
 }
 
+/* Those that are there, or that the platform granted and that boot. */
+static uint32_t
+expected (const struct group *g, const struct subject *s, uint32_t boot_ms,
+	  uint64_t now_ms)
+{
+	return size_order_base (&s->order, present (g, s), boot_ms, now_ms);
+}
+
 /* In all domains. */
 static uint32_t
-present_all (struct group *g, const struct plan_service *s, bool cheap)
+expected_all (struct group *g, const struct plan_service *s, bool cheap,
+	      uint64_t now_ms)
 {
 	uint32_t n = 0;
 
 	for (uint32_t i = 0; i < s->price_count; i++)
-		n += present (g, subject_get (g, s->name, s->prices[i].domain,
-					      cheap));
+		n += expected (
+			g, subject_get (g, s->name, s->prices[i].domain, cheap),
+			s->boot_ms, now_ms);
 	return n;
 }
 
@@ -141,7 +151,7 @@
 	g->dialect->order (&o, g->set.name, g->raft.term, text);
 	req.bytes = text->str;
 	req.len = text->len;
-	s->order = (struct size_order){count, now_ms, 0};
+	s->order = (struct size_order){count, have, now_ms, 0};
 	g->scaler.call_subject = s;
 	g->scaler.call_ms = now_ms;
 	g->scaler.call = h1cli_start (&g->cloud, &req, &order_ops, g);
@@ -184,20 +194,20 @@
 		.domains = MAX (s->price_count, 1),
 		.firm = present (g, firm),
 		.cheap = present (g, cheap),
-		.cheap_all = present_all (g, s, true),
+		.cheap_all = expected_all (g, s, true, now_ms),
 		.before = !has_served (g) && s->boot_ms <= FIRST_BOOT_MAX_MS,
 		.scarce = now_ms < cheap->scarce_until_ms,
 	};
 	struct size_out out;
 	uint32_t room;
 
-	in.all = in.cheap_all + present_all (g, s, false);
+	in.all = in.cheap_all + expected_all (g, s, false, now_ms);
 	out = size_domain (&in);
 	/* The platform grants no more than the firm ones leave room for, so
 	 * those are ordered first where they are to be fewer. */
 	if (settle (g, firm, out.firm, s->boot_ms, in.before, now_ms))
 		return true;
-	room = size_order_base (&firm->order, in.firm, s->boot_ms, now_ms);
+	room = expected (g, firm, s->boot_ms, now_ms);
 	out.cheap = MIN (out.cheap, s->max - MIN (room, s->max));
 	return settle (g, cheap, out.cheap, s->boot_ms, in.before, now_ms);
 }
--- a/lib/size.c
+++ b/lib/size.c
@@ -47,6 +47,8 @@
 	const uint32_t standing = MIN (MAX (firm, in->min), total);
 	uint32_t here = in->firm + in->cheap;
 	double short_of = in->need / FULL_SHARE - in->cheap_all;
+	uint32_t here_room = in->max - MIN (in->cheap, in->max);
+	double room = (double)in->max * in->domains - in->cheap_all;
 	struct size_out out;
 
 	/* What is too many here stands in for what others lack. */
@@ -62,9 +64,12 @@
 			out.cheap = MIN (in->cheap, out.cheap);
 		return (struct size_out){total - out.cheap, out.cheap};
 	}
-	/* What is not there of the cheap ones, where the rest won't do. */
-	if (!in->guessed && short_of > (double)firm * in->domains)
-		firm = (uint32_t)ceil (short_of / in->domains);
+	/* What is not there of the cheap ones, where the rest won't do; each
+	 * domain by the room that it has. */
+	if (!in->guessed && short_of > (double)firm * in->domains && room > 0)
+		firm = MAX (firm,
+			    MIN ((uint32_t)ceil (short_of * here_room / room),
+				 here_room));
 	/* Firm ones go only as cheap ones come. */
 	if (in->cheap < out.cheap)
 		firm = MAX (firm, MIN (in->firm, total - in->cheap));
@@ -81,6 +86,9 @@
 size_order_base (const struct size_order *o, uint32_t have, uint32_t boot_ms,
 		 uint64_t now_ms)
 {
+	/* Some that it counted on are gone: a reclaim, or a crash. */
+	if (have < MIN (o->had, o->count))
+		return have;
 	if (o->at_ms != 0 && now_ms < o->at_ms + boot_ms + LISTED_MS)
 		return o->count;
 	return have;
--- a/lib/size.h
+++ b/lib/size.h
@@ -26,8 +26,8 @@
  * @domains: that have endpoints of the service, at least 1
  * @firm: present here and not leaving
  * @cheap: the same, that may be reclaimed
- * @cheap_all: cheap ones present in all domains
- * @all: endpoints of both kinds present in all domains
+ * @cheap_all: cheap ones in all domains, with those that boot
+ * @all: endpoints of both kinds, the same
  * @before: no request has come yet, and what is ordered now boots in time for
  *	the first
  * @scarce: no cheap ones were to be had here just now
@@ -59,11 +59,13 @@
 /**
  * struct size_order - the last order for one kind in one domain
  * @count: ordered; 0 where @at_ms is 0
+ * @had: listed when it was sent
  * @at_ms: when it was sent, 0 where none is under way
  * @lower_since_ms: since when fewer are wanted, 0 where they are not
  */
 struct size_order {
 	uint32_t count;
+	uint32_t had;
 	uint64_t at_ms;
 	uint64_t lower_since_ms;
 };
--- a/relayd/back.c
+++ b/relayd/back.c
@@ -320,8 +320,6 @@
 	c->ep->sent_ms = now_ms;
 	c->ep->inflight++;
 	c->ep->unread += c->to_read;
-	if (c->service->is_engine)
-		c->r->work_ms += c->to_read / PLACE_READ_PER_MS;
 	if (c->service->is_engine)
 		remember (c);
 	log_event (LOG_LV_INFO, "send",
--- a/relayd/call.c
+++ b/relayd/call.c
@@ -169,6 +169,19 @@
 	*v = place_choose (&c->r->fleet, &rules, &req, now_ms);
 }
 
+/* The reading that a request asks for counts from when it came, not from when
+ * it was sent: endpoints are ordered by it, the more so while requests wait. */
+static void
+count_work (struct call *c, const struct place_verdict *v)
+{
+	if (!c->service->is_engine || c->counted ||
+	    (v->ep == NULL && v->why != PLACE_BUSY))
+		return;
+	c->counted = true;
+	c->r->work_ms += v->to_read / PLACE_READ_PER_MS;
+	c->r->load_changed = true;
+}
+
 /* Send the request, or let it wait, or refuse it. */
 void
 call_try (struct call *c)
@@ -177,6 +190,7 @@
 	struct place_verdict v;
 
 	choose (c, &v, now_ms);
+	count_work (c, &v);
 	if (v.ep != NULL) {
 		wait_no_more (c);
 		back_send (c, &v);
@@ -271,6 +285,7 @@
 		   f.begun, f.runs, f.sends, f.left_ms);
 	if (v == AGAIN_SEND || v == AGAIN_FREE) {
 		c->r->stats.again++;
+		c->counted = false;
 		if (c->tried_count < PLACE_TRIED_MAX && c->ep != NULL)
 			c->tried[c->tried_count++] = c->ep;
 		c->lost_ms = now_ms;
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -60,6 +60,7 @@
 	struct h1cli *x;
 	uint64_t sent_ms;
 	char copy_from[FLEET_NAME_BYTES]; /* an engine's address, or "" */
+	bool counted;                     /* its reading is in r->work_ms */
 	double to_read;  /* prompt tokens that this send has to read */
 	double plain_ms; /* reading time before its first byte, as predicted */
 	bool read;       /* its first byte came */
--- a/tests/test_size.c
+++ b/tests/test_size.c
@@ -61,6 +61,16 @@
 	CU_ASSERT (size_domain (&in).firm == 6);
 	in.need = 100;
 	CU_ASSERT (size_domain (&in).firm == 12);
+	/* One domain kept its cheap ones and has little room: the others buy
+	 * what is short, and its cheap ones stay. */
+	in.need = 10.5;
+	in.cheap_all = 10;
+	in.firm = 2;
+	in.all = 16;
+	CU_ASSERT (size_domain (&in).firm == 6);
+	in.cheap = 10;
+	CU_ASSERT (size_domain (&in).firm == 2 &&
+		   size_domain (&in).cheap == 10);
 }
 
 static void
@@ -214,6 +224,12 @@
 	CU_ASSERT (size_order_base (&o, 30, boot_ms, 7000) == 45);
 	CU_ASSERT (size_order_base (&o, 30, boot_ms, 8000) == 30);
 	CU_ASSERT (size_order_due (&o, 30, 45, boot_ms, false, 8000));
+	/* What boots counts, but not beside what was reclaimed meanwhile. */
+	o = (struct size_order){.count = 10, .had = 8, .at_ms = 1000};
+	CU_ASSERT (size_order_base (&o, 8, boot_ms, 2000) == 10);
+	CU_ASSERT (size_order_base (&o, 0, boot_ms, 2000) == 0);
+	o = (struct size_order){.count = 5, .had = 8, .at_ms = 1000};
+	CU_ASSERT (size_order_base (&o, 6, boot_ms, 2000) == 5);
 	/* The last endpoint of a small domain counts. */
 	o = (struct size_order){0};
 	CU_ASSERT (size_order_due (&o, 4, 5, boot_ms, false, 8000));
