Requests that come before the configuration wait for it

Ruled out: a shorter election timeout (the lease of the leader before has to pass).

Change: a relay in its first 2.5 s keeps a request that comes before the configuration or the list (hold_early_until_ms(): at most 0.6 of the caller's time and of 2 s), and takes it as of its arrival.

--- a/lib/hold.c
+++ b/lib/hold.c
@@ -64,6 +64,14 @@
 	return MAX (since_ms, h->arrived_ms) + route->target_ms / NONE_PART;
 }
 
+uint64_t
+hold_early_until_ms (uint64_t wait_ms, uint64_t now_ms, uint64_t known_ms)
+{
+	wait_ms = wait_ms > 0 ? MIN (wait_ms, STAY_MIN_MS) : STAY_MIN_MS;
+	return MIN (now_ms + (uint64_t)(BUSY_SHARE * (double)wait_ms),
+		    known_ms);
+}
+
 int
 hold_order (const struct hold_req *a, const struct hold_req *b)
 {
--- a/lib/hold.h
+++ b/lib/hold.h
@@ -53,6 +53,19 @@
 			const struct plan_route *route, enum place_why why,
 			uint64_t since_ms);
 
+/**
+ * hold_early_until_ms() - how long a request waits at a relay that has no
+ * configuration or no list of endpoints yet
+ * @wait_ms: how long its caller waits, 0 where not stated
+ * @known_ms: by when the relay knows both, if any member can be reached
+ *
+ * The load it answers: all instances start at once, and callers come before the
+ * group has a leader.  Told to come back, they would come after the first
+ * latency objective, and those with little time would not come again.
+ */
+uint64_t hold_early_until_ms (uint64_t wait_ms, uint64_t now_ms,
+			      uint64_t known_ms);
+
 /** hold_order() - less than 0 where @a goes before @b */
 int hold_order (const struct hold_req *a, const struct hold_req *b);
 
--- a/relayd/main.c
+++ b/relayd/main.c
@@ -109,6 +109,7 @@
 	call_tick (r, now_ms);
 	member_tick (r, now_ms);
 	upstream_tick (r, now_ms);
+	front_tick (r, now_ms);
 	usage_tick (r, now_ms);
 	if (r->leaving)
 		leave_tick (r, now_ms);
@@ -165,9 +166,7 @@
 {
 	tmr_finish (&r->tick);
 	tmr_finish (&r->wake);
-	h1srv_finish (&r->front);
-	h1srv_finish (&r->ready);
-	h1srv_finish (&r->metrics);
+	front_finish (r);
 	member_finish (r);
 	upstream_finish (r);
 	usage_finish (r);
--- a/relayd/member.c
+++ b/relayd/member.c
@@ -16,10 +16,6 @@
 /* What was asked for and did not come is asked for again, elsewhere. */
 #define ASK_AGAIN_MS 300
 
-/* A member that hears no leader is believed only after this time without one
- * that does, so that a relay that starts does not begin with what is old. */
-#define STALE_WAIT_MS 2500
-
 /* The others' loads are no longer believed after so long; prompts are read in
  * less. */
 #define OTHERS_OLD_MS 2000
@@ -81,7 +77,7 @@
 static bool
 believed (struct relay *r, const struct member *m, uint64_t now_ms)
 {
-	if (m->fresh || now_ms - r->started_ms > STALE_WAIT_MS)
+	if (m->fresh || now_ms - r->started_ms > MEMBER_STALE_WAIT_MS)
 		return true;
 	return false;
 }
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -134,8 +134,10 @@
 	uint64_t list_stamp;
 	GPtrArray *members; /* of struct member * */
 	GPtrArray *calls;   /* of struct call * */
-	GQueue waiting;     /* of struct call *, the most urgent first */
-	uint32_t relays;    /* that share the endpoints */
+	GPtrArray *early;   /* of struct early *, see front.c */
+	uint64_t early_bytes;
+	GQueue waiting;  /* of struct call *, the most urgent first */
+	uint32_t relays; /* that share the endpoints */
 	uint64_t started_ms;
 	uint64_t asked_ms;
 	double work_ms;     /* reading time asked of engines since the start */
@@ -166,6 +168,8 @@
 
 /* front.c: requests as they come in */
 bool front_init (struct relay *r, struct err *e);
+void front_finish (struct relay *r);
+void front_tick (struct relay *r, uint64_t now_ms);
 void front_refuse (struct relay *r, struct h1srv_conn *c, const char *id,
 		   int status, uint32_t after_ms, const char *why);
 
@@ -191,6 +195,9 @@
 void upstream_tick (struct relay *r, uint64_t now_ms);
 
 /* member.c: the group */
+/* A member that hears no leader is believed only after this time without one
+ * that does, so that a relay that starts does not begin with what is old. */
+#define MEMBER_STALE_WAIT_MS 2500
 void member_init (struct relay *r);
 void member_finish (struct relay *r);
 void member_tick (struct relay *r, uint64_t now_ms);
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -15,6 +15,7 @@
 #define START_MS 15000 /* for the first configuration to be acknowledged */
 #define HEAL_MS 12000  /* for all to be in order again after the last fault */
 #define JUDGE_MS 3000
+#define RESTART_MS 4000   /* a leader is elected in half of it */
 #define SERVED_SHARE 0.95 /* of the requests in the end */
 
 void
@@ -78,8 +79,22 @@
 		soak_wrong (k, "nothing is read back");
 }
 
+/* All processes are killed at once and start again: callers that come before
+ * the group has a leader are served by it, not told to come back. */
 static void
-play (struct soak *k, uint64_t fault_ms)
+play_restart (struct soak *k)
+{
+	uint32_t served = k->served, refused = k->refused;
+
+	procs_kill_all (k, tmr_now_ms ());
+	run_for (k, RESTART_MS, false);
+	if (k->served - served < 10 || k->refused > refused)
+		soak_wrong (k, "after a restart %u served, %u refused",
+			    k->served - served, k->refused - refused);
+}
+
+static void
+play (struct soak *k, uint64_t fault_ms, bool restart)
 {
 	k->loop = h2o_evloop_create ();
 	k->rand = g_rand_new_with_seed (k->seed);
@@ -92,6 +107,8 @@
 	if (k->acked == 0)
 		soak_wrong (k, "no configuration was acknowledged");
 	run_for (k, 1500, false);
+	if (restart)
+		play_restart (k);
 	k->next_fault_ms = fault_ms > 0 ? tmr_now_ms () : 0;
 	run_for (k, fault_ms, false);
 	k->next_fault_ms = 0;
@@ -111,15 +128,18 @@
 {
 	struct soak k = {.seed = 1, .bin = (char *)"build/bin"};
 	uint64_t fault_ms = 8000;
+	bool restart = false;
 	int c;
 
-	while ((c = getopt (argc, argv, "s:t:b:p")) != -1) {
+	while ((c = getopt (argc, argv, "s:t:b:pr")) != -1) {
 		if (c == 's')
 			k.seed = (uint32_t)strtoul (optarg, NULL, 10);
 		else if (c == 't')
 			fault_ms = strtoul (optarg, NULL, 10);
 		else if (c == 'b')
 			k.bin = optarg;
+		else if (c == 'r')
+			restart = true;
 		else if (c == 'p')
 			return printf ("%u\n", procs_free_port ()) < 0;
 		else
@@ -128,7 +148,7 @@
 	signal (SIGPIPE, SIG_IGN);
 	log_init ("soak", "", LOG_LV_ERROR);
 	k.dir = g_dir_make_tmp ("soak-XXXXXX", NULL);
-	play (&k, fault_ms);
+	play (&k, fault_ms, restart);
 	printf ("seed %u: %s: %u served, %u refused, %u failed, %u faults, "
 		"version %" G_GUINT64_FORMAT "%s%s\n",
 		k.seed, k.wrong == 0 ? "passed" : "FAILED", k.served, k.refused,
--- a/tests/soak/procs.c
+++ b/tests/soak/procs.c
@@ -261,6 +261,27 @@
 	}
 }
 
+static void
+kill_first (struct soak *k, int count, uint64_t now_ms)
+{
+	for (int i = 0; i < count; i++) {
+		struct soak_proc *p = &k->procs[i];
+
+		if (p->pid <= 0)
+			continue;
+		p->ending = true;
+		p->start_ms = now_ms + 50;
+		proc_kill (p, SIGCONT);
+		proc_kill (p, SIGKILL);
+	}
+}
+
+void
+procs_kill_all (struct soak *k, uint64_t now_ms)
+{
+	kill_first (k, SOAK_MEMBERS + SOAK_RELAYS, now_ms);
+}
+
 /* Faults come in series and overlap. */
 void
 procs_fault (struct soak *k, uint64_t now_ms)
@@ -269,16 +290,7 @@
 
 	k->faults++;
 	if (what == 0) {
-		for (int i = 0; i < SOAK_MEMBERS; i++) {
-			struct soak_proc *p = &k->procs[i];
-
-			if (p->pid <= 0)
-				continue;
-			p->ending = true;
-			p->start_ms = now_ms + 50;
-			proc_kill (p, SIGCONT);
-			proc_kill (p, SIGKILL);
-		}
+		kill_first (k, SOAK_MEMBERS, now_ms);
 	} else if (what == 1) {
 		world_platform (k, !k->platform_up);
 	} else if (what < 6) {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -137,6 +137,7 @@
 uint16_t procs_free_port (void);
 void procs_tick (struct soak *k, uint64_t now_ms);
 void procs_fault (struct soak *k, uint64_t now_ms);
+void procs_kill_all (struct soak *k, uint64_t now_ms);
 void procs_heal (struct soak *k);
 void procs_finish (struct soak *k);
 void procs_clean (struct soak *k);
--- a/tests/test_hold.c
+++ b/tests/test_hold.c
@@ -127,12 +127,26 @@
 	CU_ASSERT (refused > 0 && sent > 20);
 }
 
+/* All instances start at once at 1000; the group has a leader at 1700. */
+static void
+test_early (void)
+{
+	/* A caller with time waits until then, one without some of its time. */
+	CU_ASSERT (hold_early_until_ms (12000, 1000, 3600) > 1700);
+	CU_ASSERT (hold_early_until_ms (0, 1000, 3600) > 1700);
+	CU_ASSERT (hold_early_until_ms (1500, 1000, 3600) == 1900);
+	CU_ASSERT (hold_early_until_ms (100, 1000, 3600) == 1060);
+	/* Long after the start no configuration is coming soon. */
+	CU_ASSERT (hold_early_until_ms (12000, 9000, 3600) <= 9000);
+}
+
 int
 main (void)
 {
 	static const struct t_case cases[] = {{"stay", test_stay},
 					      {"until", test_until},
 					      {"burst", test_burst},
+					      {"early", test_early},
 					      {NULL, NULL}};
 
 	return t_run ("hold", cases);
