Sizing counts what was ordered; no orders for a guess; the start is always ordered

At the start a domain whose list showed 9 of 30 firm ones got no order for them, so 30 of 51 cheap ones were granted. A leader that took over ordered 16 more in one domain for a need that it had guessed from the list. Ruled out: the need that counts from arrival.

Change: struct size_in has @here, by the last orders; a guess raises nothing but before the first request; before it, each kind is ordered once whatever the list shows. test_size has the three cases.

--- a/groupd/scale.c
+++ b/groupd/scale.c
@@ -194,6 +194,8 @@
 		.domains = MAX (s->price_count, 1),
 		.firm = present (g, firm),
 		.cheap = present (g, cheap),
+		.here = expected (g, firm, s->boot_ms, now_ms) +
+			expected (g, cheap, s->boot_ms, now_ms),
 		.cheap_all = expected_all (g, s, true, now_ms),
 		.before = !has_served (g) && s->boot_ms <= FIRST_BOOT_MAX_MS,
 		.scarce = now_ms < cheap->scarce_until_ms,
--- a/lib/size.c
+++ b/lib/size.c
@@ -40,20 +40,24 @@
 struct size_out
 size_domain (const struct size_in *in)
 {
-	double wanted =
-		MAX (BASE_SHARE * in->max, in->need / CALM_SHARE / in->domains);
-	uint32_t total = (uint32_t)CLAMP (ceil (wanted), in->min, in->max);
+	double base = BASE_SHARE * in->max;
+	double wanted = MAX (base, in->need / CALM_SHARE / in->domains);
+	uint32_t total;
 	uint32_t firm = (uint32_t)ceil (FIRM_SHARE * BASE_SHARE * in->max);
-	const uint32_t standing = MIN (MAX (firm, in->min), total);
-	uint32_t here = in->firm + in->cheap;
+	uint32_t standing;
 	double short_of = in->need / FULL_SHARE - in->cheap_all;
 	uint32_t here_room = in->max - MIN (in->cheap, in->max);
 	double room = (double)in->max * in->domains - in->cheap_all;
 	struct size_out out;
 
+	if (in->guessed && !in->before)
+		wanted = MIN (wanted, MAX (base, in->here));
+	total = (uint32_t)CLAMP (ceil (wanted), in->min, in->max);
+	standing = MIN (MAX (firm, in->min), total);
 	/* What is too many here stands in for what others lack. */
-	if (here > total && in->all + total < here + total * in->domains)
-		total = MIN (here, in->max);
+	if (in->here > total &&
+	    in->all + total < in->here + total * in->domains)
+		total = MIN (in->here, in->max);
 	if (in->cheap_factor <= 0 || in->cheap_factor >= 1)
 		return (struct size_out){total, 0};
 	firm = standing;
@@ -101,6 +105,10 @@
 	uint32_t base = size_order_base (o, have, boot_ms, now_ms);
 	uint32_t slack = (uint32_t)(SLACK_SHARE * base);
 
+	/* What the list shows of a start need not be all. */
+	if (before && o->at_ms == 0)
+		return true;
+
 	if (want + slack >= base)
 		o->lower_since_ms = 0;
 	else if (o->lower_since_ms == 0)
--- a/lib/size.h
+++ b/lib/size.h
@@ -26,8 +26,9 @@
  * @domains: that have endpoints of the service, at least 1
  * @firm: present here and not leaving
  * @cheap: the same, that may be reclaimed
- * @cheap_all: cheap ones in all domains, with those that boot
- * @all: endpoints of both kinds, the same
+ * @here: both kinds here by the last orders, so with those that boot
+ * @all: the same in all domains
+ * @cheap_all: the cheap ones of them
  * @before: no request has come yet, and what is ordered now boots in time for
  *	the first
  * @scarce: no cheap ones were to be had here just now
@@ -41,8 +42,9 @@
 	uint32_t domains;
 	uint32_t firm;
 	uint32_t cheap;
-	uint32_t cheap_all;
+	uint32_t here;
 	uint32_t all;
+	uint32_t cheap_all;
 	bool before;
 	bool scarce;
 };
--- a/tests/test_size.c
+++ b/tests/test_size.c
@@ -14,8 +14,9 @@
 				.domains = 3,
 				.firm = 2,
 				.cheap = 6,
-				.cheap_all = 18,
-				.all = 24};
+				.here = 8,
+				.all = 24,
+				.cheap_all = 18};
 }
 
 static void
@@ -189,13 +190,41 @@
 			     .domains = 3,
 			     .firm = 9,
 			     .cheap = 42,
-			     .cheap_all = 83,
-			     .all = 110};
+			     .here = 51,
+			     .all = 110,
+			     .cheap_all = 83};
 
 	CU_ASSERT (size_domain (&in).firm + size_domain (&in).cheap == 51);
 	in.cheap_all += 27;
 	in.all += 27;
 	CU_ASSERT (size_domain (&in).firm + size_domain (&in).cheap == 36);
+	/* Once fewer are ordered, the list shows all of them for a while. */
+	in.here = 36;
+	in.all = 108;
+	in.cheap_all = 81;
+	CU_ASSERT (size_domain (&in).firm + size_domain (&in).cheap == 36);
+}
+
+/* A leader that takes over guesses the need by what is listed; nothing is
+ * ordered for a guess. */
+static void
+test_take_over (void)
+{
+	struct size_in in = {.min = 1,
+			     .max = 60,
+			     .cheap_factor = 0.22,
+			     .need = 46.8,
+			     .guessed = true,
+			     .domains = 3,
+			     .firm = 9,
+			     .cheap = 27,
+			     .here = 36,
+			     .all = 156,
+			     .cheap_all = 105};
+
+	CU_ASSERT (size_domain (&in).cheap == 27);
+	in.guessed = false;
+	CU_ASSERT (size_domain (&in).cheap == 43);
 }
 
 /* A need that moves a little with each look orders nothing while 45 boot, and
@@ -230,6 +259,11 @@
 	CU_ASSERT (size_order_base (&o, 0, boot_ms, 2000) == 0);
 	o = (struct size_order){.count = 5, .had = 8, .at_ms = 1000};
 	CU_ASSERT (size_order_base (&o, 6, boot_ms, 2000) == 5);
+	/* A list that shows 9 of 30 at the start does not stand for an order.
+	 */
+	o = (struct size_order){0};
+	CU_ASSERT (size_order_due (&o, 9, 9, boot_ms, true, 8000));
+	CU_ASSERT (!size_order_due (&o, 9, 9, boot_ms, false, 8000));
 	/* The last endpoint of a small domain counts. */
 	o = (struct size_order){0};
 	CU_ASSERT (size_order_due (&o, 4, 5, boot_ms, false, 8000));
@@ -247,6 +281,7 @@
 		{"start", test_start},
 		{"full", test_full},
 		{"before", test_before},
+		{"take over", test_take_over},
 		{"order", test_order},
 		{"others-short", test_others_short},
 		{NULL, NULL}};
