A domain whose endpoints fall silent together is doubted as a whole

Ruled out: the list (own reading fails in the cut), relays that start there (they have no configuration that they may believe, and say so).

Change: three endpoints of a domain that stop answering within 2 s, with nothing heard from the domain since, have the others doubted; two of these are asked at once, and the first answer clears all that were doubted for their domain. test_fleet: a cut, three crashes with others heard, three without.

--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -56,7 +56,10 @@
 	bool leaving; /* once so, it stays so until another start */
 	uint64_t cold_until_ms;
 	enum fleet_trust trust;
-	uint64_t ask_at_ms; /* when a doubted one is asked next */
+	uint64_t doubted_ms; /* since when it is doubted */
+	uint64_t heard_ms;   /* when bytes of it came last */
+	bool behind_cut;     /* doubted for its domain, see fleet_doubt() */
+	uint64_t ask_at_ms;  /* when a doubted one is asked next */
 	uint32_t ask_pause_ms;
 	uint64_t wrong_until_ms; /* avoided for failed answers */
 	double failing;          /* share of failed answers, smoothed */
@@ -132,11 +135,23 @@
 /** fleet_cold() - it says that it stays cold for @cold_ms */
 void fleet_cold (struct fleet_ep *ep, uint32_t cold_ms, uint64_t now_ms);
 
-/** fleet_doubt() - it did not answer */
-void fleet_doubt (struct fleet_ep *ep, uint64_t now_ms);
+/**
+ * fleet_doubt() - it did not answer
+ *
+ * The load it answers: the link to a failure domain is cut, and each of its
+ * endpoints would be found out by a request that waits for a connection.  Where
+ * several of a domain stopped answering and none was heard since, the others
+ * are doubted with them; a few are asked at once, and the first answer from
+ * the domain clears those that were doubted for it.
+ */
+void fleet_doubt (struct fleet *f, struct fleet_ep *ep, uint64_t now_ms);
 
 /** fleet_asked() - a question to a doubted one was answered, or not */
-void fleet_asked (struct fleet_ep *ep, bool well, uint64_t now_ms);
+void fleet_asked (struct fleet *f, struct fleet_ep *ep, bool well,
+		  uint64_t now_ms);
+
+/** fleet_heard() - bytes of an answer came from it */
+void fleet_heard (struct fleet_ep *ep, uint64_t now_ms);
 
 /** fleet_gone() - another endpoint has its address, or it ended */
 void fleet_gone (struct fleet_ep *ep);
--- a/relayd/back.c
+++ b/relayd/back.c
@@ -78,6 +78,7 @@
 
 	(void)x;
 	c->r->dialect->answer (h, &c->answer);
+	fleet_heard (c->ep, now_ms);
 	if (c->answer.cold_ms > 0)
 		fleet_cold (c->ep, c->answer.cold_ms, now_ms);
 	c->status = h->status;
@@ -141,6 +142,7 @@
 			c->status = 0;
 		return;
 	}
+	fleet_heard (c->ep, tmr_now_ms ());
 	first_byte (c);
 	g_string_truncate (c->buffer, 0);
 	if (!evs_feed (&c->evs, data, len, c->buffer))
@@ -204,7 +206,7 @@
 		log_event (LOG_LV_INFO, "endpoint",
 			   "ep=%s addr=%s doubted=1 end=%d", ep->info.id,
 			   ep->info.addr, end);
-		fleet_doubt (ep, now_ms);
+		fleet_doubt (&c->r->fleet, ep, now_ms);
 		return;
 	}
 	if (!c->answer.not_run)
--- a/relayd/upstream.c
+++ b/relayd/upstream.c
@@ -93,7 +93,7 @@
 		fleet_gone (u->ep);
 	if (well && u->answer.cold_ms > 0)
 		fleet_cold (u->ep, u->answer.cold_ms, now_ms);
-	fleet_asked (u->ep, well, now_ms);
+	fleet_asked (&u->r->fleet, u->ep, well, now_ms);
 }
 
 static const struct h1cli_ops probe_ops = {
@@ -129,7 +129,7 @@
 	if (u->probe != NULL && now_ms - u->probe_ms > PROBE_MS) {
 		h1cli_cancel (u->probe);
 		u->probe = NULL;
-		fleet_asked (u->ep, false, now_ms);
+		fleet_asked (&u->r->fleet, u->ep, false, now_ms);
 	}
 	if (u->probe != NULL || u->ep->trust == FLEET_SOUND || !u->ep->listed ||
 	    u->ep->leaving || now_ms < u->ep->ask_at_ms || r->plan == NULL)
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -101,16 +101,16 @@
 	fleet_init (&f, NULL, NULL);
 	fleet_update (&f, &i, 1, 1000, 0);
 	ep = fleet_find (&f, "a");
-	fleet_doubt (ep, 1000);
+	fleet_doubt (&f, ep, 1000);
 	CU_ASSERT (!fleet_usable (&f, ep, 1000));
 	first_ms = ep->ask_at_ms;
 	CU_ASSERT (first_ms > 1000 && first_ms < 1500);
-	fleet_asked (ep, false, first_ms);
+	fleet_asked (&f, ep, false, first_ms);
 	CU_ASSERT (ep->ask_at_ms - first_ms > first_ms - 1000);
 	for (int k = 0; k < 20; k++)
-		fleet_asked (ep, false, 5000);
+		fleet_asked (&f, ep, false, 5000);
 	CU_ASSERT (ep->ask_at_ms <= 7000);
-	fleet_asked (ep, true, 7000);
+	fleet_asked (&f, ep, true, 7000);
 	CU_ASSERT (fleet_usable (&f, ep, 7000));
 	fleet_finish (&f);
 }
@@ -170,6 +170,86 @@
 	fleet_finish (&f);
 }
 
+/* Twelve endpoints in two domains. */
+static void
+two_domains (struct fleet *f)
+{
+	struct fleet_info list[12];
+
+	for (int i = 0; i < 12; i++) {
+		char id[8];
+
+		g_snprintf (id, sizeof id, "%c%d", i < 6 ? 'n' : 's', i % 6);
+		list[i] = info (id, i < 6 ? "n" : "s");
+	}
+	fleet_init (f, NULL, NULL);
+	fleet_update (f, list, 12, 1000, 0);
+}
+
+static uint32_t
+asked_by (const struct fleet *f, uint64_t now_ms)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < f->eps->len; i++) {
+		const struct fleet_ep *e = g_ptr_array_index (f->eps, i);
+
+		n += e->trust == FLEET_DOUBTED && e->ask_at_ms <= now_ms;
+	}
+	return n;
+}
+
+/* The link to a domain is cut: after three of its six endpoints the others are
+ * not tried, and the first answer brings them back. */
+static void
+test_cut (void)
+{
+	struct fleet f;
+
+	two_domains (&f);
+	for (guint i = 0; i < f.eps->len; i++)
+		fleet_heard (f.eps->pdata[i], 1900);
+	fleet_heard (fleet_find (&f, "s0"), 2100);
+	fleet_doubt (&f, fleet_find (&f, "n0"), 2400);
+	fleet_doubt (&f, fleet_find (&f, "n1"), 2410);
+	CU_ASSERT (fleet_ready (&f, 2410) == 10);
+	fleet_doubt (&f, fleet_find (&f, "n2"), 2450);
+	CU_ASSERT (fleet_ready (&f, 2450) == 6);
+	CU_ASSERT (asked_by (&f, 2450) == 2);
+	/* One that is asked and mute stays doubted. */
+	fleet_asked (&f, fleet_find (&f, "n3"), false, 2750);
+	CU_ASSERT (fleet_ready (&f, 2750) == 6);
+	fleet_asked (&f, fleet_find (&f, "n0"), true, 5000);
+	CU_ASSERT (fleet_ready (&f, 5000) == 10);
+	fleet_finish (&f);
+}
+
+/* Three crash at once, the others of their domain go on: only those are
+ * doubted.  Where that can't be told yet, one answer clears it. */
+static void
+test_crash (void)
+{
+	struct fleet f;
+
+	two_domains (&f);
+	fleet_doubt (&f, fleet_find (&f, "n0"), 2000);
+	fleet_doubt (&f, fleet_find (&f, "n1"), 2000);
+	fleet_heard (fleet_find (&f, "n5"), 2040);
+	fleet_doubt (&f, fleet_find (&f, "n2"), 2300);
+	CU_ASSERT (fleet_ready (&f, 2300) == 9);
+	fleet_doubt (&f, fleet_find (&f, "s0"), 3000);
+	fleet_doubt (&f, fleet_find (&f, "s1"), 3000);
+	fleet_doubt (&f, fleet_find (&f, "s2"), 3000);
+	CU_ASSERT (fleet_ready (&f, 3000) == 3);
+	fleet_asked (&f, fleet_find (&f, "s3"), true, 3003);
+	CU_ASSERT (fleet_ready (&f, 3003) == 6);
+	/* Losses far apart are not a cut. */
+	fleet_doubt (&f, fleet_find (&f, "s3"), 9000);
+	fleet_doubt (&f, fleet_find (&f, "s4"), 12000);
+	CU_ASSERT (fleet_ready (&f, 12000) == 4);
+	fleet_finish (&f);
+}
+
 int
 main (void)
 {
@@ -177,6 +257,8 @@
 					      {"other start", test_other_start},
 					      {"out", test_out},
 					      {"doubt", test_doubt},
+					      {"cut", test_cut},
+					      {"crash", test_crash},
 					      {"failing", test_failing},
 					      {"memory", test_memory},
 					      {NULL, NULL}};
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -375,7 +375,7 @@
 	req.tried_count = 1;
 	CU_ASSERT (place_choose (&w.fleets[0], &rules, &req, 1000).ep != v.ep);
 	for (guint i = 0; i < w.fleets[0].eps->len; i++)
-		fleet_doubt (w.fleets[0].eps->pdata[i], 1000);
+		fleet_doubt (&w.fleets[0], w.fleets[0].eps->pdata[i], 1000);
 	v = place_choose (&w.fleets[0], &rules, &req, 1000);
 	CU_ASSERT (v.ep == NULL && v.why == PLACE_NONE);
 	world_finish (&w);
