Soak: links to members are cut, delayed, silenced and reset; logs say what they left out

The log counted the lines that it dropped, but no line said so, and no test flooded it.

Change: a member may listen elsewhere than at the address it tells (peer_listen); the soak stands a proxy there and cuts pairs, one way or both, or a member from all, delays, mutes for good, resets. A disk is lost only while no cut is on.

--- a/groupd/main.c
+++ b/groupd/main.c
@@ -133,7 +133,9 @@
 	if (!set_load (file, set_groupd_rows, &g->set, NULL, e) ||
 	    !set_secret_load (g->set.cluster_key_file, g->self.cluster_key,
 			      sizeof g->self.cluster_key, e) ||
-	    !link_addr_parse (g->set.peer, &g->peer_addr, e) ||
+	    !link_addr_parse (g->set.peer_listen[0] != '\0' ? g->set.peer_listen
+							    : g->set.peer,
+			      &g->peer_addr, e) ||
 	    !link_addr_parse (g->set.api, &g->api_addr, e))
 		return false;
 	g_strlcpy (g->self.name, g->set.name, sizeof g->self.name);
--- a/lib/log.c
+++ b/lib/log.c
@@ -27,6 +27,7 @@
 static uint64_t lines_second;
 static uint32_t lines_written;
 static uint64_t lines_dropped;
+static uint64_t drops_told; /* of them, those that a line has told */
 
 /* Whether one more line fits within this second's bound. */
 static bool
@@ -77,23 +78,15 @@
 	return LOG_LV_DEBUG;
 }
 
-static GLogWriterOutput
-writer (GLogLevelFlags flags, const GLogField *fields, gsize n, gpointer data)
+/* One write a line, so that lines of several processes stay whole. */
+static bool
+write_line (enum log_level level, const char *msg)
 {
-	enum log_level level = level_from_glib (flags);
 	struct timespec ts;
 	struct tm tm;
 	char line[LINE_BYTES], when[32];
-	const char *msg = "";
 	int len;
 
-	(void)data;
-	if (level > log_max || !may_write (level))
-		return G_LOG_WRITER_HANDLED;
-	for (gsize i = 0; i < n; i++) {
-		if (strcmp (fields[i].key, "MESSAGE") == 0)
-			msg = fields[i].value;
-	}
 	clock_gettime (CLOCK_REALTIME, &ts);
 	gmtime_r (&ts.tv_sec, &tm);
 	strftime (when, sizeof when, "%Y-%m-%dT%H:%M:%S", &tm);
@@ -104,8 +97,38 @@
 		len = sizeof line - 1;
 		line[len - 1] = '\n';
 	}
-	/* One write a line, so that lines of several processes stay whole. */
-	if (write (log_fd, line, (size_t)len) < 0) {
+	return write (log_fd, line, (size_t)len) >= 0;
+}
+
+/* The first line of a second says how many were not written before. */
+static void
+tell_drops (void)
+{
+	char msg[64];
+
+	if (lines_dropped == drops_told || lines_written > 1)
+		return;
+	snprintf (msg, sizeof msg, "log-dropped lines=%" G_GUINT64_FORMAT,
+		  lines_dropped - drops_told);
+	if (write_line (LOG_LV_WARN, msg))
+		drops_told = lines_dropped;
+}
+
+static GLogWriterOutput
+writer (GLogLevelFlags flags, const GLogField *fields, gsize n, gpointer data)
+{
+	enum log_level level = level_from_glib (flags);
+	const char *msg = "";
+
+	(void)data;
+	if (level > log_max || !may_write (level))
+		return G_LOG_WRITER_HANDLED;
+	for (gsize i = 0; i < n; i++) {
+		if (strcmp (fields[i].key, "MESSAGE") == 0)
+			msg = fields[i].value;
+	}
+	tell_drops ();
+	if (!write_line (level, msg)) {
 		lines_dropped++;
 		return G_LOG_WRITER_UNHANDLED;
 	}
--- a/lib/log.h
+++ b/lib/log.h
@@ -32,7 +32,8 @@
 /**
  * log_to_stdout() - write to standard output, and never wait for its reader
  * @max_per_s: lines a second; what is beyond is dropped and counted.  Warnings
- *	and errors may use twice as many.
+ *	and errors may use twice as many.  The first line of a second is
+ *	preceded by "log-dropped lines=N" where some were.
  */
 void log_to_stdout (uint32_t max_per_s);
 
--- a/lib/set_daemons.c
+++ b/lib/set_daemons.c
@@ -80,6 +80,9 @@
 	ROW (peer, SET_ADDR, .required = true,
 	     .doc = "Where relays and other members connect; members use the "
 		    "same port everywhere."),
+	ROW (peer_listen, SET_ADDR,
+	     .doc = "Where it listens for them, and dials from, if not at "
+		    "peer: for networks that translate addresses."),
 	ROW (api, SET_ADDR, .required = true,
 	     .doc = "Where operators connect, by HTTP; the same port "
 		    "everywhere."),
--- a/lib/set_daemons.h
+++ b/lib/set_daemons.h
@@ -64,6 +64,7 @@
 	char name[SET_NAME_BYTES];
 	char domain[SET_NAME_BYTES];
 	char peer[SET_ADDR_BYTES];
+	char peer_listen[SET_ADDR_BYTES];
 	char api[SET_ADDR_BYTES];
 	char metrics[SET_ADDR_BYTES];
 	char data_dir[SET_FILE_BYTES];
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -11,7 +11,6 @@
 #include "log.h"
 #include "soak.h"
 
-#define TICK_MS 5
 #define START_MS 15000 /* for the first configuration to be acknowledged */
 #define HEAL_MS 12000  /* for all to be in order again after the last fault */
 #define JUDGE_MS 3000
@@ -39,8 +38,9 @@
 	struct soak *k = ctx;
 	uint64_t now_ms = tmr_now_ms ();
 
-	tmr_start (&k->tick, TICK_MS);
+	tmr_start (&k->tick, SOAK_TICK_MS);
 	procs_tick (k, now_ms);
+	cut_tick (k, now_ms);
 	callers_tick (k, now_ms);
 	if (k->next_fault_ms != 0 && now_ms >= k->next_fault_ms) {
 		k->next_fault_ms =
@@ -118,6 +118,7 @@
 	judge (k);
 	tmr_finish (&k->tick);
 	procs_finish (k);
+	cut_finish (k);
 	callers_finish (k);
 	world_finish (k);
 	g_rand_free (k->rand);
--- a/tests/soak/procs.c
+++ b/tests/soak/procs.c
@@ -21,9 +21,9 @@
 static char *
 seeds_json (const struct soak *k)
 {
-	return g_strdup_printf ("[\"127.0.0.11:%u\",\"127.0.0.12:%u\","
-				"\"127.0.0.13:%u\"]",
-				k->api, k->api, k->api);
+	return g_strdup_printf ("[\"%s:%u\",\"%s:%u\",\"%s:%u\"]",
+				k->doors[0].ip, k->api, k->doors[1].ip, k->api,
+				k->doors[2].ip, k->api);
 }
 
 static char *
@@ -35,15 +35,17 @@
 		"\"cluster_key_file\":\"%s/key\",\"seeds\":%s,"
 		"\"platform\":\"127.0.0.1:%u\",\"platform_calls_per_s\":50,"
 		"\"usage_window_s\":2",
-		p->name, p->ip[strlen (p->ip) - 1] % 2, p->ip, k->peer, k->dir,
+		p->name, p->ip[strlen (p->ip) - 1] % 2,
+		p->member ? k->doors[p - k->procs].ip : p->ip, k->peer, k->dir,
 		seeds, k->platform.port);
 
 	if (p->member)
 		text = g_strdup_printf (
-			"{%s,\"api\":\"%s:%u\",\"data_dir\":\"%s\","
-			"\"found\":%s,\"duties\":[\"usage\"],"
+			"{%s,\"peer_listen\":\"%s:%u\",\"api\":\"%s:%u\","
+			"\"data_dir\":\"%s\",\"found\":%s,\"duties\":["
+			"\"usage\"],"
 			"\"usage_late_s\":4}",
-			common, p->ip, k->api, p->dir,
+			common, p->ip, k->peer, p->ip, k->api, p->dir,
 			found ? "true" : "false");
 	else
 		text = g_strdup_printf ("{%s,\"listen\":\"%s:%u\","
@@ -125,6 +127,7 @@
 	k->ready = procs_free_port ();
 	k->peer = procs_free_port ();
 	k->api = procs_free_port ();
+	cut_init (k);
 	for (int i = 0; i < SOAK_MEMBERS + SOAK_RELAYS; i++) {
 		struct soak_proc *p = &k->procs[i];
 
@@ -216,6 +219,7 @@
 	case 1:
 		/* A disk is lost only while all others are well. */
 		if (p->member && members_well (k) == SOAK_MEMBERS &&
+		    !cut_is_any (k, now_ms) &&
 		    now_ms - k->wiped_ms > WIPE_PAUSE_MS && k->acked > 0) {
 			k->wiped_ms = now_ms;
 			p->ending = true;
@@ -286,14 +290,16 @@
 void
 procs_fault (struct soak *k, uint64_t now_ms)
 {
-	int what = g_rand_int_range (k->rand, 0, 10);
+	int what = g_rand_int_range (k->rand, 0, 12);
 
 	k->faults++;
 	if (what == 0) {
 		kill_first (k, SOAK_MEMBERS, now_ms);
 	} else if (what == 1) {
 		world_platform (k, !k->platform_up);
-	} else if (what < 6) {
+	} else if (what < 4) {
+		cut_fault (k, now_ms);
+	} else if (what < 7) {
 		ep_fault (k, &k->eps[g_rand_int_range (k->rand, 0, SOAK_EPS)],
 			  now_ms);
 	} else {
@@ -308,6 +314,7 @@
 procs_heal (struct soak *k)
 {
 	world_platform (k, true);
+	cut_heal (k);
 	for (int i = 0; i < SOAK_EPS; i++) {
 		struct soak_ep *e = &k->eps[i];
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -22,6 +22,8 @@
 #define SOAK_EPS 8
 #define SOAK_ID_BYTES 32
 
+#define SOAK_TICK_MS 5
+
 /** enum soak_kind - kinds of request; each has a route */
 enum soak_kind {
 	SOAK_REPEATABLE,
@@ -85,6 +87,20 @@
 	uint32_t starts;
 };
 
+/** struct soak_path - one direction between two daemons */
+struct soak_path {
+	uint64_t cut_until_ms;
+	uint64_t slow_until_ms;
+};
+
+/** struct soak_door - where a member's links are proxied */
+struct soak_door {
+	struct soak *k;
+	int member;
+	char ip[16];
+	h2o_socket_t *listener;
+};
+
 /** struct soak - all of it */
 struct soak {
 	h2o_loop_t *loop;
@@ -93,6 +109,10 @@
 	char *dir, *bin;
 	uint16_t front, ready, peer, api;
 	struct soak_proc procs[SOAK_MEMBERS + SOAK_RELAYS];
+	struct soak_path paths[SOAK_MEMBERS + SOAK_RELAYS]
+			      [SOAK_MEMBERS + SOAK_RELAYS];
+	struct soak_door doors[SOAK_MEMBERS];
+	GPtrArray *pipes; /* of struct pipe *, see cut.c */
 	struct soak_ep eps[SOAK_EPS];
 	struct h1srv platform;
 	bool platform_up;
@@ -132,6 +152,14 @@
 char *soak_answer (const char *id);
 uint32_t soak_events (const char *id);
 
+/* cut.c: the links to members */
+void cut_init (struct soak *k);
+void cut_tick (struct soak *k, uint64_t now_ms);
+void cut_fault (struct soak *k, uint64_t now_ms);
+bool cut_is_any (const struct soak *k, uint64_t now_ms);
+void cut_heal (struct soak *k);
+void cut_finish (struct soak *k);
+
 /* procs.c: the daemons, and what is done to them */
 void procs_init (struct soak *k);
 uint16_t procs_free_port (void);
