Links to seeds are no longer dropped by a clock that was read twice in a turn

Ruled out: which machine leads, firm endpoints (a trial), lists that flap (no endpoint was removed).

Change: such times are compared by adding; a member that is forgotten closes its link with a line.

--- a/groupd/peer.c
+++ b/groupd/peer.c
@@ -426,11 +426,12 @@
 	for (guint i = g->members->len; i > 0; i--) {
 		struct member *m = g_ptr_array_index (g->members, i - 1);
 
-		if (now_ms - m->wanted_ms > UNWANTED_MS) {
+		if (now_ms > m->wanted_ms + UNWANTED_MS) {
+			link_close (m->out, "no longer named");
 			g_ptr_array_remove_index_fast (g->members, i - 1);
 			member_free (m);
 		} else if (link_is_up (m->out) &&
-			   now_ms - m->heard_ms > SILENT_MS) {
+			   now_ms > m->heard_ms + SILENT_MS) {
 			m->heard_ms = now_ms;
 			link_close (m->out, "silent");
 		}
--- a/relayd/member.c
+++ b/relayd/member.c
@@ -354,16 +354,17 @@
 		struct member *m = g_ptr_array_index (r->members, i - 1);
 
 		relays = MAX (relays, m->relays);
-		if (now_ms - m->wanted_ms > UNWANTED_MS) {
+		if (now_ms > m->wanted_ms + UNWANTED_MS) {
+			link_close (m->link, "no longer named");
 			g_ptr_array_remove_index_fast (r->members, i - 1);
 			member_free (m);
 		} else if (link_is_up (m->link) &&
-			   now_ms - m->heard_ms > SILENT_MS) {
+			   now_ms > m->heard_ms + SILENT_MS) {
 			m->heard_ms = now_ms;
 			link_close (m->link, "silent");
 		}
 	}
-	if (now_ms - r->others_ms > OTHERS_OLD_MS)
+	if (now_ms > r->others_ms + OTHERS_OLD_MS)
 		fleet_others (&r->fleet, NULL, 0);
 	/* Those that are cut off from here still share the endpoints. */
 	r->relays = MAX (relays, r->relays);
--- a/tests/soak/explain.c
+++ b/tests/soak/explain.c
@@ -59,9 +59,33 @@
 	return ids;
 }
 
+/* Each link that comes up again went down before, and the log says why. */
+static void
+check_links (struct soak *k, const struct soak_proc *p)
+{
+	char *path = g_strdup_printf ("%s/%s.log", k->dir, p->name);
+	FILE *f = fopen (path, "r");
+	uint32_t up = 0, down = 0, starts = 0;
+	char line[2048];
+
+	while (f != NULL && fgets (line, sizeof line, f) != NULL) {
+		up += strstr (line, " member-up ") != NULL;
+		down += strstr (line, " member-down ") != NULL;
+		starts += strstr (line, "] start ") != NULL;
+	}
+	if (f != NULL)
+		fclose (f);
+	g_free (path);
+	if (up > down + SOAK_MEMBERS * starts)
+		soak_wrong (k, "%s: %u links came up, %u went down, %u starts",
+			    p->name, up, down, starts);
+}
+
 void
 explain_check (struct soak *k)
 {
+	for (int i = 0; i < SOAK_MEMBERS + SOAK_RELAYS; i++)
+		check_links (k, &k->procs[i]);
 	for (int r = SOAK_MEMBERS; r < SOAK_MEMBERS + SOAK_RELAYS; r++) {
 		bool all;
 		GHashTable *ids = explained (k, r, &all);
