A refused order waits a second, and nothing is ordered of a kind that there is not

Ruled out: the scarcity pause, which is for higher counts only.

Change: size_order_due() orders none of none; a kind that was refused waits for 1 s.

--- a/groupd/groupd.h
+++ b/groupd/groupd.h
@@ -76,8 +76,9 @@
 	char service[PLAN_NAME_BYTES];
 	char domain[PLAN_NAME_BYTES];
 	bool cheap;
-	struct size_order order; /* the last one of this leader */
-	uint64_t scarce_until_ms;
+	struct size_order order;  /* the last one of this leader */
+	uint64_t scarce_until_ms; /* no cheap ones were to be had */
+	uint64_t again_ms;        /* an order was refused: none before */
 };
 
 /** struct scaler - orders of endpoints */
--- a/groupd/scale.c
+++ b/groupd/scale.c
@@ -17,6 +17,10 @@
 /* No cheap endpoints were to be had: not asked again before. */
 #define SCARCE_MS 3000
 
+/* An order was refused: the same kind is not ordered again before; a look or
+ * two for each of the other kinds and domains. */
+#define REFUSED_MS 1000
+
 #define CONNECT_MS 500
 #define ANSWER_MS 3000
 
@@ -104,8 +108,10 @@
 		   s->service, s->domain, s->cheap, s->order.count, h->status);
 	if (h->status == 409)
 		s->scarce_until_ms = tmr_now_ms () + SCARCE_MS;
-	if (h->status != 200)
+	if (h->status != 200) {
 		s->order.at_ms = 0;
+		s->again_ms = tmr_now_ms () + REFUSED_MS;
+	}
 }
 
 static void
@@ -175,6 +181,9 @@
 		return false;
 	if (now_ms < s->scarce_until_ms && count > have)
 		return false;
+	/* One that is refused over and over does not keep others waiting. */
+	if (now_ms < s->again_ms)
+		return false;
 	order (g, s, count, have, now_ms);
 	return true;
 }
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -241,7 +241,7 @@
 		if (!same_domain (e, ep))
 			continue;
 		heard_ms = MAX (heard_ms, e->heard_ms);
-		if (e->trust == FLEET_SOUND || now_ms - e->doubted_ms > CUT_MS)
+		if (e->trust == FLEET_SOUND || now_ms > e->doubted_ms + CUT_MS)
 			continue;
 		silent++;
 		first_ms = MIN (first_ms, e->doubted_ms);
--- a/lib/size.c
+++ b/lib/size.c
@@ -107,8 +107,7 @@
 
 	/* What the list shows of a start need not be all. */
 	if (before && o->at_ms == 0)
-		return true;
-
+		return want > 0 || have > 0;
 	if (want + slack >= base)
 		o->lower_since_ms = 0;
 	else if (o->lower_since_ms == 0)
--- a/tests/test_size.c
+++ b/tests/test_size.c
@@ -264,6 +264,8 @@
 	o = (struct size_order){0};
 	CU_ASSERT (size_order_due (&o, 9, 9, boot_ms, true, 8000));
 	CU_ASSERT (!size_order_due (&o, 9, 9, boot_ms, false, 8000));
+	/* Nothing is ordered of a kind that there is not. */
+	CU_ASSERT (!size_order_due (&o, 0, 0, boot_ms, true, 8000));
 	/* The last endpoint of a small domain counts. */
 	o = (struct size_order){0};
 	CU_ASSERT (size_order_due (&o, 4, 5, boot_ms, false, 8000));
