Read as a newcomer: one reader of the platform's list, early requests in a file, sizing in parts

Cause: groupd/cloud.c and relayd/upstream.c held the same reader of the list twice, with two connect times; front.c had grown a second subject (requests before the configuration); size_domain() was 55 lines of four rules.

Change: lib/epl reads the list, page by page, for both; what the two do with it stays with them. A page that is too large fails as such instead of being cut and then not understood. relayd/early.c; wanted_total() and firm_bought(). One more span is compared by adding (a relay's own reading of the list).

Conclusion: no change of behaviour meant but for the too large page.

--- a/groupd/cloud.c
+++ b/groupd/cloud.c
@@ -12,32 +12,6 @@
  * few seconds, and each call is paid for. */
 #define PAUSE_MS 700
 
-#define CONNECT_MS 500
-#define ANSWER_MS 3000
-#define BODY_MAX_BYTES (8U << 20)
-
-static void fetch (struct group *g, const char *token);
-
-static void
-on_head (struct h1cli *x, const struct h1_head *h, bool echoed, void *ctx)
-{
-	struct group *g = ctx;
-
-	(void)x;
-	(void)echoed;
-	g->lister.status = h->status;
-}
-
-static void
-on_data (struct h1cli *x, const char *data, size_t len, void *ctx)
-{
-	struct group *g = ctx;
-
-	(void)x;
-	if (g->lister.body->len + len <= BODY_MAX_BYTES)
-		g_string_append_len (g->lister.body, data, (gssize)len);
-}
-
 /* Names the contents, whatever order they come in and how cold they are. */
 static uint64_t
 stamp_of (const GArray *list)
@@ -55,82 +29,40 @@
 }
 
 static void
-list_done (struct group *g)
+on_read (GArray *list, uint32_t skipped, void *ctx)
 {
+	struct group *g = ctx;
 	struct lister *l = &g->lister;
-	uint64_t stamp = stamp_of (l->pages);
+	uint64_t stamp = stamp_of (list);
 
+	if (skipped > 0)
+		log_event (LOG_LV_WARN, "list-entries", "skipped=%u", skipped);
 	if (l->list != NULL)
 		g_array_free (l->list, TRUE);
-	l->list = l->pages;
-	l->pages = NULL;
-	l->list_ms = l->begun_ms;
+	l->list = list;
+	l->list_ms = l->reader.begun_ms;
 	g->lists++;
 	if (stamp == l->stamp)
 		return;
 	log_event (LOG_LV_INFO, "list",
 		   "endpoints=%u stamp=%016" G_GINT64_MODIFIER
 		   "x age_ms=%" G_GUINT64_FORMAT,
-		   l->list->len, stamp, tmr_now_ms () - l->list_ms);
+		   list->len, stamp, tmr_now_ms () - l->list_ms);
 	l->stamp = stamp;
 	peer_tell_list (g);
 }
 
 static void
-on_done (struct h1cli *x, enum h1cli_end end, void *ctx)
+on_failed (const char *why, void *ctx)
 {
 	struct group *g = ctx;
-	struct lister *l = &g->lister;
-	struct err e = {0};
-	char *next = NULL;
-	uint32_t skipped = 0;
-
-	(void)x;
-	l->call = NULL;
-	if (end != H1CLI_WHOLE || l->status != 200)
-		err_set (&e, ERR_IO, "status %d, end %d", l->status, end);
-	else
-		g->dialect->list (l->body->str, l->body->len, l->pages, &next,
-				  &skipped, &e);
-	if (skipped > 0)
-		log_event (LOG_LV_WARN, "list-entries", "skipped=%u", skipped);
-	if (e.kind != ERR_NONE) {
-		g->list_errors++;
-		log_event (LOG_LV_WARN, "list", "why=\"%s\"", e.msg);
-	} else if (next != NULL) {
-		fetch (g, next);
-	} else {
-		list_done (g);
-	}
-	g_free (next);
-}
-
-static const struct h1cli_ops list_ops = {
-	.head = on_head,
-	.data = on_data,
-	.done = on_done,
-};
 
-static void
-fetch (struct group *g, const char *token)
-{
-	char *path = g->dialect->list_path (token);
-	char *text = g_strdup_printf ("GET %s HTTP/1.1\r\nHost: platform\r\n"
-				      "\r\n",
-				      path);
-	struct h1cli_req req = {.bytes = text,
-				.len = strlen (text),
-				.idle_max_ms = ANSWER_MS,
-				.connect_ms = CONNECT_MS,
-				.limits = {.user_timeout_ms = ANSWER_MS}};
-
-	g->lister.status = 0;
-	g_string_truncate (g->lister.body, 0);
-	g->lister.call = h1cli_start (&g->cloud, &req, &list_ops, g);
-	g_free (text);
-	g_free (path);
+	g->list_errors++;
+	log_event (LOG_LV_WARN, "list", "why=\"%s\"", why);
 }
 
+static const struct epl_ops list_ops = {on_read, on_failed};
+
 void
 cloud_init (struct group *g)
 {
@@ -138,16 +70,14 @@
 
 	link_addr_parse (g->set.platform, &addr, NULL);
 	h1cli_host_init (&g->cloud, g->d.loop, &addr, g->peer_addr.sin_addr);
-	g->lister.body = g_string_new (NULL);
+	epl_init (&g->lister.reader, &g->cloud, g->dialect, &list_ops, g);
 }
 
 void
 cloud_finish (struct group *g)
 {
+	epl_finish (&g->lister.reader);
 	h1cli_host_finish (&g->cloud);
-	g_string_free (g->lister.body, TRUE);
-	if (g->lister.pages != NULL)
-		g_array_free (g->lister.pages, TRUE);
 	if (g->lister.list != NULL)
 		g_array_free (g->lister.list, TRUE);
 }
@@ -157,19 +87,10 @@
 {
 	struct lister *l = &g->lister;
 
-	if (l->call != NULL && now_ms - l->begun_ms > ANSWER_MS) {
-		h1cli_cancel (l->call);
-		l->call = NULL;
-		g->list_errors++;
-		log_event (LOG_LV_WARN, "list", "why=\"no answer\"");
-	}
-	if (l->call != NULL || now_ms < l->next_ms ||
+	epl_tick (&l->reader, now_ms);
+	if (epl_runs (&l->reader) || now_ms < l->next_ms ||
 	    (!group_leads (g) && group_is_fresh (g)))
 		return;
-	l->begun_ms = now_ms;
 	l->next_ms = now_ms + PAUSE_MS;
-	if (l->pages != NULL)
-		g_array_free (l->pages, TRUE);
-	l->pages = g_array_new (FALSE, TRUE, sizeof (struct fleet_info));
-	fetch (g, NULL);
+	epl_start (&l->reader, now_ms);
 }
--- a/groupd/groupd.h
+++ b/groupd/groupd.h
@@ -9,6 +9,7 @@
 
 #include "daemon.h"
 #include "dialect.h"
+#include "epl.h"
 #include "fleet.h"
 #include "gmsg.h"
 #include "gstate.h"
@@ -94,15 +95,11 @@
 
 /** struct lister - the reading of the platform's list */
 struct lister {
-	struct h1cli *call;
-	GString *body;
-	int status;
-	GArray *pages; /* of struct fleet_info, while pages come */
-	GArray *list;  /* the whole list read last */
-	uint64_t stamp;
-	uint64_t list_ms; /* when its first page was asked for */
-	uint64_t begun_ms;
-	uint64_t next_ms;
+	struct epl reader;
+	uint64_t next_ms; /* of the next reading */
+	GArray *list;     /* of struct fleet_info, NULL before the first */
+	uint64_t list_ms; /* when its reading began */
+	uint64_t stamp;   /* names its contents, 0 before the first */
 };
 
 /** struct group - this member */
--- /dev/null
+++ b/lib/epl.c
@@ -0,0 +1,148 @@
+/*
+ * Reading the platform's list of endpoints.
+ */
+#include <string.h>
+
+#include "epl.h"
+
+/* A few round trips within one region. */
+#define CONNECT_MS 500
+
+/* All pages together; the platform may be slow, and a list that old says
+ * nothing of now. */
+#define ANSWER_MS 3000
+
+/* A page of 8,192 entries of 1 kB. */
+#define BODY_MAX_BYTES (8U << 20)
+
+static void fetch (struct epl *l, const char *token);
+
+static void
+on_head (struct h1cli *x, const struct h1_head *h, bool echoed, void *ctx)
+{
+	struct epl *l = ctx;
+
+	(void)x;
+	(void)echoed;
+	l->status = h->status;
+}
+
+static void
+on_data (struct h1cli *x, const char *data, size_t len, void *ctx)
+{
+	struct epl *l = ctx;
+
+	(void)x;
+	if (l->body->len + len <= BODY_MAX_BYTES)
+		g_string_append_len (l->body, data, (gssize)len);
+	else
+		l->status = 0;
+}
+
+static void
+pages_drop (struct epl *l)
+{
+	if (l->pages != NULL)
+		g_array_free (l->pages, TRUE);
+	l->pages = NULL;
+}
+
+static void
+on_done (struct h1cli *x, enum h1cli_end end, void *ctx)
+{
+	struct epl *l = ctx;
+	struct err e = {0};
+	char *next = NULL;
+	GArray *list;
+
+	(void)x;
+	l->call = NULL;
+	if (end != H1CLI_WHOLE || l->status != 200)
+		err_set (&e, ERR_IO, "status %d, end %d", l->status, end);
+	else
+		l->dialect->list (l->body->str, l->body->len, l->pages, &next,
+				  &l->skipped, &e);
+	if (e.kind != ERR_NONE) {
+		pages_drop (l);
+		l->ops->failed (e.msg, l->ctx);
+	} else if (next != NULL) {
+		fetch (l, next);
+	} else {
+		list = l->pages;
+		l->pages = NULL;
+		l->ops->read (list, l->skipped, l->ctx);
+	}
+	g_free (next);
+}
+
+static const struct h1cli_ops call_ops = {
+	.head = on_head,
+	.data = on_data,
+	.done = on_done,
+};
+
+static void
+fetch (struct epl *l, const char *token)
+{
+	char *path = l->dialect->list_path (token);
+	char *text = g_strdup_printf ("GET %s HTTP/1.1\r\nHost: platform\r\n"
+				      "\r\n",
+				      path);
+	struct h1cli_req req = {.bytes = text,
+				.len = strlen (text),
+				.idle_max_ms = ANSWER_MS,
+				.connect_ms = CONNECT_MS,
+				.limits = {.user_timeout_ms = ANSWER_MS}};
+
+	l->status = 0;
+	g_string_truncate (l->body, 0);
+	l->call = h1cli_start (l->host, &req, &call_ops, l);
+	g_free (text);
+	g_free (path);
+}
+
+void
+epl_init (struct epl *l, struct h1cli_host *host, const struct dialect *dialect,
+	  const struct epl_ops *ops, void *ctx)
+{
+	*l = (struct epl){
+		.host = host, .dialect = dialect, .ops = ops, .ctx = ctx};
+	l->body = g_string_new (NULL);
+}
+
+void
+epl_finish (struct epl *l)
+{
+	if (l->call != NULL)
+		h1cli_cancel (l->call);
+	l->call = NULL;
+	pages_drop (l);
+	g_string_free (l->body, TRUE);
+}
+
+void
+epl_start (struct epl *l, uint64_t now_ms)
+{
+	l->begun_ms = now_ms;
+	l->skipped = 0;
+	pages_drop (l);
+	l->pages = g_array_new (FALSE, TRUE, sizeof (struct fleet_info));
+	fetch (l, NULL);
+}
+
+bool
+epl_runs (const struct epl *l)
+{
+	return l->call != NULL;
+}
+
+void
+epl_tick (struct epl *l, uint64_t now_ms)
+{
+	if (l->call == NULL || now_ms <= l->begun_ms + ANSWER_MS)
+		return;
+	h1cli_cancel (l->call);
+	l->call = NULL;
+	pages_drop (l);
+	l->ops->failed ("no answer", l->ctx);
+}
--- a/lib/size.c
+++ b/lib/size.c
@@ -37,43 +37,57 @@
 /* A need moves by about this share from one look to the next. */
 #define SLACK_SHARE 0.1
 
-struct size_out
-size_domain (const struct size_in *in)
+/* Endpoints of both kinds that this domain should have. */
+static uint32_t
+wanted_total (const struct size_in *in)
 {
 	double base = BASE_SHARE * in->max;
 	double wanted = MAX (base, in->need / CALM_SHARE / in->domains);
 	uint32_t total;
-	uint32_t firm = (uint32_t)ceil (FIRM_SHARE * BASE_SHARE * in->max);
-	uint32_t standing;
-	double short_of = in->need / FULL_SHARE - in->cheap_all;
-	uint32_t here_room = in->max - MIN (in->cheap, in->max);
-	double room = (double)in->max * in->domains - in->cheap_all;
-	struct size_out out;
 
 	if (in->guessed && !in->before)
 		wanted = MIN (wanted, MAX (base, in->here));
 	total = (uint32_t)CLAMP (ceil (wanted), in->min, in->max);
-	standing = MIN (MAX (firm, in->min), total);
 	/* What is too many here stands in for what others lack. */
 	if (in->here > total &&
 	    in->all + total < in->here + total * in->domains)
 		total = MIN (in->here, in->max);
+	return total;
+}
+
+/* What is not there of the cheap ones, where the rest won't do; each domain by
+ * the room that it has. */
+static uint32_t
+firm_bought (const struct size_in *in, uint32_t standing)
+{
+	double short_of = in->need / FULL_SHARE - in->cheap_all;
+	uint32_t here = in->max - MIN (in->cheap, in->max);
+	double room = (double)in->max * in->domains - in->cheap_all;
+
+	if (in->guessed || short_of <= (double)standing * in->domains ||
+	    room <= 0)
+		return standing;
+	return MAX (standing,
+		    MIN ((uint32_t)ceil (short_of * here / room), here));
+}
+
+struct size_out
+size_domain (const struct size_in *in)
+{
+	uint32_t total = wanted_total (in);
+	uint32_t few = (uint32_t)ceil (FIRM_SHARE * BASE_SHARE * in->max);
+	uint32_t standing = MIN (MAX (few, in->min), total), firm;
+	struct size_out out = {.cheap = total - standing};
+
 	if (in->cheap_factor <= 0 || in->cheap_factor >= 1)
 		return (struct size_out){total, 0};
-	firm = standing;
-	out.cheap = total - firm;
 	/* Nothing is lost by firm ones that go before the first request. */
 	if (in->before) {
 		if (in->scarce)
 			out.cheap = MIN (in->cheap, out.cheap);
 		return (struct size_out){total - out.cheap, out.cheap};
 	}
-	/* What is not there of the cheap ones, where the rest won't do; each
-	 * domain by the room that it has. */
-	if (!in->guessed && short_of > (double)firm * in->domains && room > 0)
-		firm = MAX (firm,
-			    MIN ((uint32_t)ceil (short_of * here_room / room),
-				 here_room));
+	firm = firm_bought (in, standing);
 	/* Firm ones go only as cheap ones come. */
 	if (in->cheap < out.cheap)
 		firm = MAX (firm, MIN (in->firm, total - in->cheap));
--- a/relayd/front.c
+++ b/relayd/front.c
@@ -16,10 +16,6 @@
 #define START_MS 1000
 #define START_SPREAD_MS 500
 
-/* Of requests that came before the configuration; more are refused. */
-#define EARLY_MAX 512
-#define EARLY_MAX_BYTES (16U << 20)
-
 /* For an answer to be on its way before the caller gives up. */
 #define ANSWER_MARGIN_MS 20
 
@@ -114,9 +110,9 @@
 }
 
 /* By route and key: admitted or refused. */
-static void
-take (struct relay *r, struct h1srv_conn *conn, const struct h1_head *h,
-      const GByteArray *body, uint64_t arrived_ms)
+void
+front_take (struct relay *r, struct h1srv_conn *conn, const struct h1_head *h,
+	    const GByteArray *body, uint64_t arrived_ms)
 {
 	const struct h1_header *host = h1_find (h, "host");
 	const struct plan_account *account = NULL;
@@ -149,116 +145,6 @@
 	admit (r, conn, h, body, &req, route, account, arrived_ms);
 }
 
-static bool
-knows_enough (const struct relay *r)
-{
-	return r->plan != NULL && r->list_ms != 0;
-}
-
-/* A request that came before the configuration or the list of endpoints. */
-struct early {
-	struct h1srv_conn *conn;
-	GString *head;
-	GByteArray *body;
-	uint64_t arrived_ms;
-	uint64_t until_ms;
-};
-
-static void
-early_free (void *data)
-{
-	struct early *w = data;
-
-	g_string_free (w->head, TRUE);
-	g_byte_array_unref (w->body);
-	g_free (w);
-}
-
-static void
-early_drop (void *data, void *unused)
-{
-	(void)unused;
-	early_free (data);
-}
-
-/* Its head is kept as text and parsed again later. */
-static GString *
-head_text (const struct h1_head *h)
-{
-	GString *out = g_string_new_len (h->method, (gssize)h->method_len);
-
-	g_string_append_c (out, ' ');
-	g_string_append_len (out, h->path, (gssize)h->path_len);
-	g_string_append (out, " HTTP/1.1\r\n");
-	for (size_t i = 0; i < h->count; i++) {
-		const struct h1_header *x = &h->headers[i];
-
-		g_string_append_len (out, x->name, (gssize)x->name_len);
-		g_string_append (out, ": ");
-		g_string_append_len (out, x->value, (gssize)x->value_len);
-		g_string_append (out, "\r\n");
-	}
-	return g_string_append (out, "\r\n");
-}
-
-static bool
-early_add (struct relay *r, struct h1srv_conn *conn, const struct h1_head *h,
-	   const GByteArray *body)
-{
-	uint64_t now_ms = tmr_now_ms (), until_ms;
-	struct dia_request req;
-	struct early *w;
-
-	r->dialect->request (h, &req);
-	until_ms = hold_early_until_ms (req.wait_ms, now_ms,
-					r->started_ms + MEMBER_STALE_WAIT_MS);
-	if (until_ms <= now_ms || r->early->len >= EARLY_MAX ||
-	    r->early_bytes + body->len > EARLY_MAX_BYTES)
-		return false;
-	w = g_new0 (struct early, 1);
-	w->conn = conn;
-	w->head = head_text (h);
-	w->body = g_byte_array_new ();
-	g_byte_array_append (w->body, body->data, body->len);
-	w->arrived_ms = now_ms;
-	w->until_ms = until_ms;
-	r->early_bytes += body->len;
-	g_ptr_array_add (r->early, w);
-	log_event (LOG_LV_INFO, "early",
-		   "req=%s wait_ms=%" G_GUINT64_FORMAT " waiting=%u", req.id,
-		   until_ms - now_ms, r->early->len);
-	return true;
-}
-
-static void
-early_take (struct relay *r, struct early *w)
-{
-	struct h1_head h;
-	size_t used;
-
-	r->early_bytes -= w->body->len;
-	if (h1_request (w->head->str, w->head->len, &h, &used) == H1_OK) {
-		take (r, w->conn, &h, w->body, w->arrived_ms);
-	} else {
-		log_event (LOG_LV_ERROR, "early", "why=\"head not kept\"");
-		front_refuse (r, w->conn, "", 503, START_MS, "not run");
-	}
-	early_free (w);
-}
-
-void
-front_tick (struct relay *r, uint64_t now_ms)
-{
-	for (guint i = r->early->len; i > 0; i--) {
-		struct early *w = g_ptr_array_index (r->early, i - 1);
-
-		if (!knows_enough (r) && now_ms < w->until_ms)
-			continue;
-		g_ptr_array_remove_index_fast (r->early, i - 1);
-		early_take (r, w);
-	}
-}
-
 static void
 on_request (struct h1srv_conn *conn, const struct h1_head *h,
 	    const GByteArray *body, void *ctx)
@@ -266,29 +152,19 @@
 	struct relay *r = ctx;
 
 	r->stats.requests++;
-	if (knows_enough (r) || !early_add (r, conn, h, body))
-		take (r, conn, h, body, tmr_now_ms ());
+	if (relay_knows (r) || !early_add (r, conn, h, body))
+		front_take (r, conn, h, body, tmr_now_ms ());
 }
 
 static void
 on_gone (struct h1srv_conn *conn, void *ctx)
 {
-	struct relay *r = ctx;
 	struct call *c = h1srv_data (conn);
 
-	if (c != NULL) {
+	if (c != NULL)
 		call_gone (c);
-		return;
-	}
-	for (guint i = r->early->len; i > 0; i--) {
-		struct early *w = g_ptr_array_index (r->early, i - 1);
-
-		if (w->conn != conn)
-			continue;
-		g_ptr_array_remove_index_fast (r->early, i - 1);
-		r->early_bytes -= w->body->len;
-		early_free (w);
-	}
+	else
+		early_gone (ctx, conn);
 }
 
 static const struct h1srv_ops front_ops = {
@@ -344,7 +220,7 @@
 		IDLE_TIMEOUT_MS};
 	struct sockaddr_in at;
 
-	r->early = g_ptr_array_new ();
+	early_init (r);
 	if (!link_addr_parse (r->set.listen, &at, e) ||
 	    !h1srv_init (&r->front, r->d.loop, &at, &limits, &front_ops, r, e))
 		return false;
@@ -363,6 +239,5 @@
 	h1srv_finish (&r->front);
 	h1srv_finish (&r->ready);
 	h1srv_finish (&r->metrics);
-	g_ptr_array_foreach (r->early, early_drop, NULL);
-	g_ptr_array_free (r->early, TRUE);
+	early_finish (r);
 }
--- a/relayd/main.c
+++ b/relayd/main.c
@@ -28,10 +28,17 @@
 bool
 relay_is_ready (const struct relay *r)
 {
-	return r->plan != NULL && r->list_ms != 0 && !r->leaving &&
+	return relay_knows (r) && !r->leaving &&
 	       fleet_ready (&r->fleet, tmr_now_ms ()) > 0;
 }
 
+/* Enough to take requests. */
+bool
+relay_knows (const struct relay *r)
+{
+	return r->plan != NULL && r->list_ms != 0;
+}
+
 static gint
 by_number (gconstpointer a, gconstpointer b)
 {
@@ -109,7 +116,7 @@
 	call_tick (r, now_ms);
 	member_tick (r, now_ms);
 	upstream_tick (r, now_ms);
-	front_tick (r, now_ms);
+	early_tick (r, now_ms);
 	usage_tick (r, now_ms);
 	if (r->leaving)
 		leave_tick (r, now_ms);
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -10,6 +10,7 @@
 #include "again.h"
 #include "daemon.h"
 #include "dialect.h"
+#include "epl.h"
 #include "evs.h"
 #include "fleet.h"
 #include "gmsg.h"
@@ -134,7 +135,7 @@
 	uint64_t list_stamp;
 	GPtrArray *members; /* of struct member * */
 	GPtrArray *calls;   /* of struct call * */
-	GPtrArray *early;   /* of struct early *, see front.c */
+	GPtrArray *early;   /* of struct early *, see early.c */
 	uint64_t early_bytes;
 	GQueue waiting;  /* of struct call *, the most urgent first */
 	uint32_t relays; /* that share the endpoints */
@@ -147,11 +148,8 @@
 	uint64_t others_ms; /* when the others' loads came last */
 	/* own reading of the platform's list */
 	struct h1cli_host cloud;
-	struct h1cli *list_call;
-	GString *list_body;
-	GArray *list_pages;
-	int list_status;
-	uint64_t list_begun_ms, list_next_ms;
+	struct epl lister;
+	uint64_t list_next_ms;
 	/* usage */
 	GPtrArray *windows; /* of struct window * */
 	uint64_t reported_ms;
@@ -163,16 +161,27 @@
 };
 
 /* main.c */
+bool relay_knows (const struct relay *r);
 bool relay_is_ready (const struct relay *r);
 uint64_t relay_wall_ms (const struct relay *r);
 
 /* front.c: requests as they come in */
 bool front_init (struct relay *r, struct err *e);
 void front_finish (struct relay *r);
-void front_tick (struct relay *r, uint64_t now_ms);
+void front_take (struct relay *r, struct h1srv_conn *conn,
+		 const struct h1_head *h, const GByteArray *body,
+		 uint64_t arrived_ms);
 void front_refuse (struct relay *r, struct h1srv_conn *c, const char *id,
 		   int status, uint32_t after_ms, const char *why);
 
+/* early.c: requests before the configuration */
+void early_init (struct relay *r);
+void early_finish (struct relay *r);
+bool early_add (struct relay *r, struct h1srv_conn *conn,
+		const struct h1_head *h, const GByteArray *body);
+void early_gone (struct relay *r, const struct h1srv_conn *conn);
+void early_tick (struct relay *r, uint64_t now_ms);
+
 /* call.c: the life of a request */
 void call_begin (struct call *c);
 void call_try (struct call *c);
--- a/relayd/upstream.c
+++ b/relayd/upstream.c
@@ -12,8 +12,6 @@
 /* Without word from a member for so long, the list is read here. */
 #define LIST_SILENT_MS 1500
 #define LIST_PAUSE_MS 1000
-#define LIST_ANSWER_MS 3000
-#define LIST_MAX_BYTES (8U << 20)
 
 static void
 ep_added (struct fleet_ep *ep, void *ctx)
@@ -139,87 +137,31 @@
 		probe (u, s->health_path, now_ms);
 }
 
-static void list_fetch (struct relay *r, const char *token);
-
 static void
-list_head (struct h1cli *x, const struct h1_head *h, bool echoed, void *ctx)
+list_read (GArray *list, uint32_t skipped, void *ctx)
 {
 	struct relay *r = ctx;
-
-	(void)x;
-	(void)echoed;
-	r->list_status = h->status;
-}
-
-static void
-list_data (struct h1cli *x, const char *data, size_t len, void *ctx)
-{
-	struct relay *r = ctx;
-
-	(void)x;
-	if (r->list_body->len + len <= LIST_MAX_BYTES)
-		g_string_append_len (r->list_body, data, (gssize)len);
-}
-
-static void
-list_done (struct h1cli *x, enum h1cli_end end, void *ctx)
-{
-	struct relay *r = ctx;
-	struct err e = {0};
-	char *next = NULL;
-	uint32_t skipped = 0;
 	uint64_t now_ms = tmr_now_ms ();
 
-	(void)x;
-	r->list_call = NULL;
-	if (end != H1CLI_WHOLE || r->list_status != 200)
-		err_set (&e, ERR_IO, "status %d, end %d", r->list_status, end);
-	else
-		r->dialect->list (r->list_body->str, r->list_body->len,
-				  r->list_pages, &next, &skipped, &e);
-	if (e.kind != ERR_NONE) {
-		log_event (LOG_LV_WARN, "own-list", "why=\"%s\"", e.msg);
-	} else if (next != NULL) {
-		list_fetch (r, next);
-	} else {
-		log_event (LOG_LV_INFO, "own-list", "endpoints=%u skipped=%u",
-			   r->list_pages->len, skipped);
-		fleet_update (
-			&r->fleet, (struct fleet_info *)r->list_pages->data,
-			r->list_pages->len, now_ms, now_ms - r->list_begun_ms);
-		place_lanes (&r->fleet);
-		r->list_ms = r->list_begun_ms;
-		r->list_stamp = 0;
-	}
-	g_free (next);
+	log_event (LOG_LV_INFO, "own-list", "endpoints=%u skipped=%u",
+		   list->len, skipped);
+	fleet_update (&r->fleet, (struct fleet_info *)list->data, list->len,
+		      now_ms, now_ms - r->lister.begun_ms);
+	place_lanes (&r->fleet);
+	r->list_ms = r->lister.begun_ms;
+	r->list_stamp = 0;
+	g_array_free (list, TRUE);
 }
 
-static const struct h1cli_ops list_ops = {
-	.head = list_head,
-	.data = list_data,
-	.done = list_done,
-};
-
 static void
-list_fetch (struct relay *r, const char *token)
+list_failed (const char *why, void *ctx)
 {
-	char *path = r->dialect->list_path (token);
-	char *text = g_strdup_printf ("GET %s HTTP/1.1\r\nHost: platform\r\n"
-				      "\r\n",
-				      path);
-	struct h1cli_req req = {.bytes = text,
-				.len = strlen (text),
-				.idle_max_ms = LIST_ANSWER_MS,
-				.connect_ms = PROBE_CONNECT_MS,
-				.limits = {.user_timeout_ms = LIST_ANSWER_MS}};
-
-	r->list_status = 0;
-	g_string_truncate (r->list_body, 0);
-	r->list_call = h1cli_start (&r->cloud, &req, &list_ops, r);
-	g_free (text);
-	g_free (path);
+	(void)ctx;
+	log_event (LOG_LV_WARN, "own-list", "why=\"%s\"", why);
 }
 
+static const struct epl_ops list_ops = {list_read, list_failed};
+
 /* The relays share the platform's rate; each uses an even part of half. */
 static uint64_t
 list_pause_ms (struct relay *r)
@@ -236,18 +178,12 @@
 {
 	uint64_t since_ms = MAX (r->list_ms, r->started_ms);
 
-	if (r->list_call != NULL &&
-	    now_ms - r->list_begun_ms > LIST_ANSWER_MS) {
-		h1cli_cancel (r->list_call);
-		r->list_call = NULL;
-	}
-	if (r->list_call != NULL || now_ms < r->list_next_ms ||
-	    now_ms - since_ms < LIST_SILENT_MS)
+	epl_tick (&r->lister, now_ms);
+	if (epl_runs (&r->lister) || now_ms < r->list_next_ms ||
+	    now_ms < since_ms + LIST_SILENT_MS)
 		return;
-	r->list_begun_ms = now_ms;
 	r->list_next_ms = now_ms + list_pause_ms (r);
-	g_array_set_size (r->list_pages, 0);
-	list_fetch (r, NULL);
+	epl_start (&r->lister, now_ms);
 }
 
 void
@@ -257,8 +193,7 @@
 
 	link_addr_parse (r->set.platform, &addr, NULL);
 	h1cli_host_init (&r->cloud, r->d.loop, &addr, r->from);
-	r->list_body = g_string_new (NULL);
-	r->list_pages = g_array_new (FALSE, TRUE, sizeof (struct fleet_info));
+	epl_init (&r->lister, &r->cloud, r->dialect, &list_ops, r);
 	fleet_init (&r->fleet, &upstream_fleet_ops, r);
 }
 
@@ -266,9 +201,8 @@
 upstream_finish (struct relay *r)
 {
 	fleet_finish (&r->fleet);
+	epl_finish (&r->lister);
 	h1cli_host_finish (&r->cloud);
-	g_string_free (r->list_body, TRUE);
-	g_array_free (r->list_pages, TRUE);
 }
 
 void
--- /dev/null
+++ b/tests/test_epl.c
@@ -0,0 +1,161 @@
+/*
+ * The reader of the platform's list against a server that has pages, fails,
+ * is mute, or sends too much.
+ */
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "epl.h"
+#include "h1srv.h"
+#include "t_run.h"
+
+/* Longer than a reading may take. */
+#define WAIT_MS 6000
+
+static h2o_loop_t *loop;
+
+/* A page is "N" or "N NEXT": N entries, and the next page's token. */
+static char *
+stub_path (const char *token)
+{
+	return g_strdup_printf ("/%s", token != NULL ? token : "first");
+}
+
+static bool
+stub_list (const char *text, size_t len, GArray *out, char **next,
+	   uint32_t *skipped, struct err *e)
+{
+	char *page = g_strndup (text, len), *space = strchr (page, ' ');
+	struct fleet_info info = {.slots = 1};
+
+	*next = space != NULL ? g_strdup (space + 1) : NULL;
+	for (long n = strtol (page, NULL, 10); n > 0; n--)
+		g_array_append_val (out, info);
+	*skipped += 1;
+	if (page[0] == '?')
+		err_set (e, ERR_PROTOCOL, "can't be read");
+	g_free (page);
+	return e->kind == ERR_NONE;
+}
+
+static const struct dialect stub = {.list_path = stub_path, .list = stub_list};
+
+/* What the server answers to the first page; NULL: nothing. */
+static const char *first_page;
+
+static void
+on_request (struct h1srv_conn *c, const struct h1_head *h,
+	    const GByteArray *body, void *ctx)
+{
+	static char large[9U << 20];
+
+	(void)body;
+	(void)ctx;
+	if (h->path_len == 7 && memcmp (h->path, "/second", 7) == 0)
+		h1srv_answer (c, 200, NULL, "3", 1);
+	else if (first_page == NULL)
+		return;
+	else if (strcmp (first_page, "fail") == 0)
+		h1srv_answer (c, 500, NULL, "2", 1);
+	else if (strcmp (first_page, "large") == 0)
+		h1srv_answer (c, 200, NULL, memset (large, '1', sizeof large),
+			      sizeof large);
+	else
+		h1srv_answer (c, 200, NULL, first_page, strlen (first_page));
+}
+
+static void
+on_gone (struct h1srv_conn *c, void *ctx)
+{
+	(void)c;
+	(void)ctx;
+}
+
+struct outcome {
+	bool done;
+	bool failed;
+	uint32_t entries, skipped;
+};
+
+static void
+on_read (GArray *list, uint32_t skipped, void *ctx)
+{
+	struct outcome *o = ctx;
+
+	*o = (struct outcome){true, false, list->len, skipped};
+	g_array_free (list, TRUE);
+}
+
+static void
+on_failed (const char *why, void *ctx)
+{
+	(void)why;
+	*(struct outcome *)ctx = (struct outcome){.done = true, .failed = true};
+}
+
+/* One reading of a list that begins with @page. */
+static struct outcome
+play (const char *page)
+{
+	static const struct h1srv_ops srv_ops = {on_request, on_gone};
+	static const struct h1srv_limits limits = {1U << 14, 1U << 14, 9000,
+						   9000};
+	static const struct epl_ops ops = {on_read, on_failed};
+	struct sockaddr_in at = {.sin_family = AF_INET};
+	struct in_addr any = {0};
+	struct outcome o = {0};
+	struct h1cli_host host;
+	struct h1srv srv;
+	struct epl l;
+	uint64_t end_ms = tmr_now_ms () + WAIT_MS;
+
+	at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+	first_page = page;
+	CU_ASSERT_FATAL (
+		h1srv_init (&srv, loop, &at, &limits, &srv_ops, NULL, NULL));
+	at.sin_port = htons (srv.port);
+	h1cli_host_init (&host, loop, &at, any);
+	epl_init (&l, &host, &stub, &ops, &o);
+	epl_start (&l, tmr_now_ms ());
+	while (!o.done && tmr_now_ms () < end_ms) {
+		h2o_evloop_run (loop, 5);
+		epl_tick (&l, tmr_now_ms ());
+	}
+	CU_ASSERT (o.done && !epl_runs (&l));
+	epl_finish (&l);
+	h1cli_host_finish (&host);
+	h1srv_finish (&srv);
+	return o;
+}
+
+static void
+test_pages (void)
+{
+	struct outcome o = play ("2 second");
+
+	CU_ASSERT (!o.failed && o.entries == 5 && o.skipped == 2);
+	o = play ("4");
+	CU_ASSERT (!o.failed && o.entries == 4 && o.skipped == 1);
+}
+
+/* No part of a list is taken for the whole. */
+static void
+test_failures (void)
+{
+	CU_ASSERT (play ("fail").failed);
+	CU_ASSERT (play ("?").failed);
+	CU_ASSERT (play ("large").failed);
+	CU_ASSERT (play (NULL).failed);
+}
+
+int
+main (void)
+{
+	static const struct t_case cases[] = {{"pages", test_pages},
+					      {"failures", test_failures},
+					      {NULL, NULL}};
+
+	loop = h2o_evloop_create ();
+	return t_run ("epl", cases);
+}
