--- a/lib/eplist.c
+++ b/lib/eplist.c
@@ -59,11 +59,29 @@
 	l->entries = NULL;
 }
 
+/* The platform states the rest of a cold start as of its answer, and the age of
+ * the list counts from the start of the read.  Adds the time between to the
+ * entries from @first on, so that none is taken for warm too early. */
+static void
+extend_cold (struct eplist *l, guint first)
+{
+	uint32_t elapsed_ms = (uint32_t)(tmr_now_ms () - l->started_ms);
+
+	for (guint i = first; i < l->entries->len; i++) {
+		struct fleet_info *info =
+			&g_array_index (l->entries, struct fleet_info, i);
+
+		if (info->cold_remaining_ms > 0)
+			info->cold_remaining_ms += elapsed_ms;
+	}
+}
+
 static void
 on_done (struct h1cli *x, enum h1cli_end end, void *ctx)
 {
 	struct eplist *l = ctx;
 	struct err e = {0};
+	guint first = l->entries->len;
 	char *next = NULL;
 	GArray *list;
 
@@ -80,6 +98,8 @@
 	else
 		l->dialect->parse_list (l->body->str, l->body->len, l->entries,
 					&next, &l->skipped, &e);
+	if (e.kind == ERR_NONE)
+		extend_cold (l, first);
 	if (e.kind != ERR_NONE) {
 		drop_entries (l);
 		l->ops->failed (e.msg, l->ctx);
--- a/lib/eplist.h
+++ b/lib/eplist.h
@@ -16,8 +16,9 @@
 
 /**
  * struct eplist_ops - called when a read ends
- * @done: the read succeeded.  @list is an array of struct fleet_info, which
- *	the callee frees; @skipped is the number of invalid entries.
+ * @done: the read succeeded.  @list is an array of struct fleet_info, whose
+ *	cold_remaining_ms count from the start of the read; the callee frees it;
+ *	@skipped is the number of invalid entries.
  * @failed: the read failed; @why is the reason, for log lines
  */
 struct eplist_ops {
--- a/lib/place.c
+++ b/lib/place.c
@@ -6,6 +6,7 @@
 
 #include <xxhash.h>
 
+#include "coldstart.h"
 #include "place.h"
 
 /* Points of a prefix on the consistent hashing ring of engines.  With these the
@@ -77,15 +78,6 @@
 /* Share of an endpoint's connections that all relays together use. */
 #define CONNECTION_SHARE 0.85
 
-/* Length of a relay's send slot at a cold endpoint.  A slot that is not used
- * expires, so that unused slots don't accumulate to a burst. */
-#define COLD_SLOT_MS 300.0
-
-/* Share of a cold endpoint's rate that the relays use.  Their slots come at
- * random times, so the number of requests in a second varies around its mean;
- * this share keeps it below the limit with any number of relays. */
-#define COLD_SHARE 0.4
-
 static bool
 was_tried (const struct place_req *req, const struct fleet_ep *ep)
 {
@@ -105,35 +97,6 @@
 	return n < 2 ? 2 : (uint32_t)n;
 }
 
-static uint64_t
-rank_hash (uint64_t key, const struct fleet_ep *ep)
-{
-	return XXH64 (&ep->rank_hash, sizeof ep->rank_hash, key);
-}
-
-/*
- * Whether a cold endpoint may get a request from this relay now.  It can take a
- * few requests a second from all relays, so each relay has one send slot in an
- * interval, at an offset that the hash of its name spreads.
- */
-static bool
-cold_allows (const struct plan_service *s, const struct place_relay *relay,
-	     const struct fleet_ep *ep, uint64_t now_ms)
-{
-	double interval_ms, at_ms;
-
-	if (!fleet_is_cold (ep, now_ms) || s->cold_requests_per_s <= 0)
-		return true;
-	interval_ms = 1000.0 * relay->relay_count /
-		      (COLD_SHARE * s->cold_requests_per_s);
-	at_ms = (double)(now_ms - ep->cold_since_ms) +
-		interval_ms * (double)(rank_hash (relay->hash, ep) % 1024) /
-			1024.0;
-	if (fmod (at_ms, interval_ms) > COLD_SLOT_MS)
-		return false;
-	return (double)(now_ms - ep->last_sent_ms) > COLD_SLOT_MS;
-}
-
 /* Why an engine is a candidate. */
 enum origin { FROM_RING, FROM_CACHE, FROM_SAMPLE };
 
@@ -178,7 +141,8 @@
 		return false;
 	}
 	if (ep->inflight < max_inflight (s, c->relay) &&
-	    cold_allows (s, c->relay, ep, c->now_ms))
+	    coldstart_allows (ep, s->cold_requests_per_s, c->relay->hash,
+			      c->relay->relay_count, c->now_ms))
 		return true;
 	c->full = true;
 	return false;
--- a/tests/test_eplist.c
+++ b/tests/test_eplist.c
@@ -13,6 +13,9 @@
 /* Longer than a read may take. */
 #define WAIT_MS 6000
 
+/* Rest of the cold start that each page states for its entries. */
+#define COLD_MS 1000
+
 static h2o_loop_t *loop;
 
 /* A page is "N" or "N NEXT": the number of entries, and the next page's
@@ -28,7 +31,7 @@
 	   uint32_t *skipped, struct err *e)
 {
 	char *page = g_strndup (text, len), *space = strchr (page, ' ');
-	struct fleet_info info = {.slots = 1};
+	struct fleet_info info = {.slots = 1, .cold_remaining_ms = COLD_MS};
 
 	*next = space != NULL ? g_strdup (space + 1) : NULL;
 	for (long n = strtol (page, NULL, 10); n > 0; n--)
@@ -88,6 +91,7 @@
 	bool done;
 	bool failed;
 	uint32_t entries, skipped;
+	uint32_t cold_first_ms, cold_last_ms; /* of the first and last entry */
 };
 
 static void
@@ -95,7 +99,14 @@
 {
 	struct outcome *o = ctx;
 
-	*o = (struct outcome){true, false, list->len, skipped};
+	*o = (struct outcome){
+		true,
+		false,
+		list->len,
+		skipped,
+		g_array_index (list, struct fleet_info, 0).cold_remaining_ms,
+		g_array_index (list, struct fleet_info, list->len - 1)
+			.cold_remaining_ms};
 	g_array_free (list, TRUE);
 }
 
@@ -165,6 +176,10 @@
 	rate_limited_calls = 3;
 	o = read_list ("2 second");
 	CU_ASSERT (!o.failed && o.entries == 5 && rate_limited_calls == 0);
+	/* The age of the list counts from the start of the read, and the second
+	 * page came at least three delays of a rate limited page later. */
+	CU_ASSERT (o.cold_first_ms >= COLD_MS &&
+		   o.cold_last_ms >= COLD_MS + 3 * 60);
 	fail_rate_limited = true;
 	rate_limited_calls = 1;
 	CU_ASSERT (read_list ("2 second").failed && rate_limited_calls == 0);
--- a/tests/test_place_many.c
+++ b/tests/test_place_many.c
@@ -245,6 +245,153 @@
 	CU_ASSERT (unreported >= 4 * reported);
 }
 
+enum { COLD_ENGINES = 30, COLD_STEP_MS = 2, COLD_END_MS = 6000 };
+
+/* The cold endpoints are idle and the others busy, so every relay prefers the
+ * cold ones once it takes them for warm. */
+static void
+cold_report_load (struct fleet *f, uint32_t cold_count)
+{
+	struct load loads[COLD_ENGINES];
+	uint32_t n = 0;
+
+	for (guint i = 0; i < f->eps->len; i++) {
+		struct fleet_ep *ep = f->eps->pdata[i];
+
+		if (ep->cold_until_ms == 0)
+			loads[n++] =
+				(struct load){ep->ep_hash, 20000, 40, false};
+	}
+	CU_ASSERT (n == COLD_ENGINES - cold_count);
+	fleet_set_peer_loads (f, loads, n, false);
+}
+
+/* The list arrives that says until when the first domain's endpoints are cold;
+ * its age covers the whole time that reading it took. */
+static void
+cold_list (struct fleet *f, uint32_t cold_count, uint64_t now_ms,
+	   uint32_t read_ms)
+{
+	for (uint32_t i = 0; i < cold_count; i++) {
+		struct fleet_info info;
+		char id[FLEET_NAME_BYTES];
+
+		g_snprintf (id, sizeof id, "e-%u", 5 * i);
+		info = fleet_find (f, id)->info;
+		info.cold_remaining_ms = (uint32_t)(COLD_END_MS - now_ms);
+		fleet_apply_delta (f, &info, 1, NULL, 0, now_ms, read_ms);
+	}
+	place_assign_lanes (f);
+	cold_report_load (f, cold_count);
+}
+
+/* A request of relay @r; returns the endpoint that it is sent to. */
+static struct fleet_ep *
+cold_send (struct fleet *f, const struct place_relay *relay, uint64_t now_ms,
+	   GRand *rand)
+{
+	struct dia_segment parts[2] = {{g_rand_int (rand), 500},
+				       {1ULL << 40, 300}};
+	struct place_req req = {.service = &service,
+				.segments = parts,
+				.segment_count = 2,
+				.prompt_tokens = 800,
+				.max_backlog_ms = 1000,
+				.random = g_rand_int (rand)};
+	struct place_result v = place_choose (f, relay, &req, now_ms);
+
+	CU_ASSERT (v.ep != NULL);
+	if (v.ep != NULL)
+		v.ep->last_sent_ms = now_ms;
+	return v.ep;
+}
+
+/* The most requests that an endpoint gets in a second that ends while it is
+ * cold. */
+static uint32_t
+cold_peak (const GArray *times_ms)
+{
+	uint32_t most = 0;
+	guint from = 0;
+
+	for (guint i = 0; i < times_ms->len; i++) {
+		uint64_t at_ms = g_array_index (times_ms, uint64_t, i);
+
+		while (g_array_index (times_ms, uint64_t, from) + 1000 <= at_ms)
+			from++;
+		if (at_ms < COLD_END_MS)
+			most = MAX (most, i + 1 - from);
+	}
+	return most;
+}
+
+/* Endpoints of one domain are cold until COLD_END_MS, and @relays relays with
+ * lists of different age send 1,000 requests a second.  Returns cold_peak() of
+ * the endpoint that got most. */
+static uint32_t
+simulate_cold (uint32_t relays, uint32_t cold_count, uint32_t read_ms)
+{
+	struct fleet *fleets = g_new0 (struct fleet, relays);
+	GRand *rand = g_rand_new_with_seed (relays + cold_count);
+	GArray *times_ms[COLD_ENGINES];
+	uint32_t most = 0;
+
+	for (uint32_t i = 0; i < COLD_ENGINES; i++)
+		times_ms[i] = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+	for (uint32_t r = 0; r < relays; r++) {
+		t_fleet_init (&fleets[r], COLD_ENGINES, 0, r * 2654435761U);
+		cold_list (&fleets[r], cold_count, 1000 + 800 * r / relays,
+			   read_ms);
+	}
+	for (uint64_t now_ms = 2000; now_ms < COLD_END_MS + 1000;
+	     now_ms += COLD_STEP_MS) {
+		for (uint32_t k = 0; k < COLD_STEP_MS; k++) {
+			uint32_t r = (uint32_t)g_rand_int_range (
+				rand, 0, (gint32)relays);
+			struct place_relay relay = {"d1", r * 2654435761U,
+						    relays};
+			struct fleet_ep *ep =
+				cold_send (&fleets[r], &relay, now_ms, rand);
+
+			if (ep != NULL && ep->cold_until_ms != 0)
+				g_array_append_val (
+					times_ms[atoi (ep->info.id + 2)],
+					now_ms);
+		}
+	}
+	for (uint32_t i = 0; i < COLD_ENGINES; i++) {
+		most = MAX (most, cold_peak (times_ms[i]));
+		g_array_free (times_ms[i], TRUE);
+	}
+	for (uint32_t r = 0; r < relays; r++)
+		fleet_finish (&fleets[r]);
+	g_rand_free (rand);
+	g_free (fleets);
+	return most;
+}
+
+/* All relays know the moment at which endpoints are warm.  However many they
+ * are, and although the age of the list makes that moment seem too early, the
+ * endpoints get no more than they bear before it. */
+static void
+test_many_cold (void)
+{
+	static const uint32_t relays[] = {86, 300};
+	/* The bound that deployments state: half more than the rate, and 5. */
+	double bound = 1.5 * service.cold_requests_per_s + 5;
+
+	for (uint32_t i = 0; i < G_N_ELEMENTS (relays); i++) {
+		for (uint32_t cold = 1; cold <= 6; cold += 5) {
+			service.is_engine = false;
+			CU_ASSERT (simulate_cold (relays[i], cold, 60) <=
+				   bound);
+			service.is_engine = true;
+			CU_ASSERT (simulate_cold (relays[i], cold, 60) <=
+				   bound);
+		}
+	}
+}
+
 /* Only one engine of thousands is available: it is found. */
 static void
 test_many_last (void)
@@ -275,6 +422,7 @@
 		{"advertised", test_many_advertised},
 		{"down", test_many_down},
 		{"crash", test_many_crash},
+		{"cold", test_many_cold},
 		{"last one", test_many_last},
 		{NULL, NULL}};
 
