raft: a leader a few round trips after a restart of all members

Cause: 0.8 s after all processes were back no relay had a configuration yet. Weighed: relays that take the newest of a majority of members without a leader (what is not known to be committed could be overwritten, and a relay never goes back); a shorter election timeout (less room for stalls, at all times). Change: members that have heard no leader since their start tell each other so; when all have, learners included, or another identity asks to join from the address of the one that is missing, the one that holds most stands. A vote names the voter's incarnation, so an answer given before a restart or before a leader was heard is worth nothing. New identities ask to join each 100 ms.

--- a/groupd/join.c
+++ b/groupd/join.c
@@ -8,7 +8,7 @@
 
 /* Interval between two requests to join; a membership change takes a few round
  * trips and disk syncs. */
-#define JOIN_INTERVAL_MS 250
+#define JOIN_INTERVAL_MS 100
 
 /* A voter that was silent for so long is removed where that makes the quorum
  * smaller and all others answer.  It asks to join once it is back. */
@@ -27,6 +27,20 @@
 		   what, m->id, m->addr, ok, ok ? "" : e->msg);
 }
 
+/* An address belongs to one identity, so an old member at the address of
+ * another one that asks to join does not run any more. */
+static void
+note_replaced (struct group *g, const struct gmsg_join *j)
+{
+	const struct raft_config *c = &g->raft.config;
+
+	for (uint32_t i = 0; i < c->count; i++) {
+		if (strcmp (c->members[i].addr, j->addr) == 0 &&
+		    c->members[i].id != j->id)
+			raft_note_replaced (&g->raft, c->members[i].id);
+	}
+}
+
 void
 join_handle_request (struct group *g, const struct gmsg_join *j,
 		     uint64_t now_ms)
@@ -35,6 +49,7 @@
 	struct err e = {0};
 
 	(void)now_ms;
+	note_replaced (g, j);
 	if (!group_is_leader (g) || raft_config_find (&g->raft.config, j->id))
 		return;
 	g_strlcpy (m.name, j->name, sizeof m.name);
--- a/lib/raft.c
+++ b/lib/raft.c
@@ -32,6 +32,7 @@
 	MSG_FIELD_BYTES (13, struct raft_msg, chunk, RAFT_CHUNK_BYTES),
 	MSG_FIELD (14, MSG_U64, struct raft_msg, offset),
 	MSG_FIELD (15, MSG_BOOL, struct raft_msg, last),
+	MSG_FIELD (16, MSG_U64, struct raft_msg, incarnation),
 	MSG_FIELD_END,
 };
 
@@ -104,6 +105,7 @@
 	r->contact_ms = now_ms;
 	raft_config_refresh (r);
 	raft_reset_election (r);
+	raft_restart_begin (r);
 	/* Alone, there is no other's lease to wait for. */
 	if (raft_is_voter (r, r->id) && raft_config_voters (&r->config) == 1)
 		r->election_at_ms = now_ms;
@@ -223,8 +225,9 @@
 		}
 		return;
 	}
+	raft_restart_tick (r);
 	if (now_ms >= r->election_at_ms && raft_is_voter (r, r->id))
-		raft_campaign (r, true, false);
+		raft_campaign (r, RAFT_CAMPAIGN_PRE);
 }
 
 /* Whether a message's term counts: pre-votes ask for a term not begun, and a
@@ -235,6 +238,8 @@
 	switch ((enum raft_msg_kind)m->kind) {
 	case RAFT_MSG_PRE_VOTE:
 	case RAFT_MSG_VOTE:
+	case RAFT_MSG_RESTART:
+	case RAFT_MSG_RESTART_REPLY:
 		return false;
 	case RAFT_MSG_PRE_VOTE_REPLY:
 		return !m->ok;
@@ -284,6 +289,12 @@
 	case RAFT_MSG_TIMEOUT_NOW:
 		raft_on_timeout_now (r, m);
 		return;
+	case RAFT_MSG_RESTART:
+		raft_on_restart (r, m);
+		return;
+	case RAFT_MSG_RESTART_REPLY:
+		raft_on_restart_reply (r, m);
+		return;
 	}
 }
 
--- a/lib/raft.h
+++ b/lib/raft.h
@@ -114,6 +114,8 @@
 	RAFT_MSG_SNAPSHOT = 7,
 	RAFT_MSG_SNAPSHOT_REPLY = 8,
 	RAFT_MSG_TIMEOUT_NOW = 9,
+	RAFT_MSG_RESTART = 10,
+	RAFT_MSG_RESTART_REPLY = 11,
 };
 
 /**
@@ -133,6 +135,9 @@
  * @chunk: bytes of a snapshot
  * @offset: where @chunk starts, or in a reply the bytes held
  * @last: @chunk is the last one
+ * @incarnation: in a reply to RAFT_MSG_RESTART, the start of the sender in
+ *	which it has heard no leader yet, otherwise 0; in a vote asked for after
+ *	a restart of all members, what the receiver replied
  */
 struct raft_msg {
 	uint8_t kind;
@@ -150,6 +155,7 @@
 	struct msg_bytes chunk;
 	uint64_t offset;
 	bool last;
+	uint64_t incarnation;
 };
 
 /** raft_msg_fields - the wire table of struct raft_msg */
@@ -219,6 +225,10 @@
 	uint64_t snap_offset;
 	uint64_t snap_sent_ms; /* when its last chunk was sent */
 	bool granted;          /* in the running election */
+	bool replaced;         /* see raft_note_replaced() */
+	bool ahead;            /* its log holds more, says its last reply to
+				  RAFT_MSG_RESTART */
+	uint64_t incarnation;  /* of that reply */
 };
 
 /** struct raft_log - entries after a base, in memory */
@@ -256,6 +266,8 @@
 	uint64_t contact_ms; /* when a leader was last heard */
 	uint64_t election_at_ms;
 	uint64_t heartbeat_at_ms;
+	uint64_t incarnation; /* of this start; 0 once a leader was heard */
+	uint64_t restart_ask_at_ms;
 	uint64_t leader_since_ms;
 	uint64_t term_start; /* a leader's first entry of its term */
 	uint64_t transfer_to;
@@ -320,6 +332,14 @@
  */
 void raft_start (struct raft *r, uint64_t now_ms);
 
+/**
+ * raft_note_replaced() - the process of member @id is gone for good
+ *
+ * To be called when another identity uses its address.  Such a member holds no
+ * lease, so an election after a restart of all does not wait for its word.
+ */
+void raft_note_replaced (struct raft *r, uint64_t id);
+
 /** raft_tick() - let time pass; call at least every heartbeat_ms */
 void raft_tick (struct raft *r, uint64_t now_ms);
 
--- a/lib/raft_elect.c
+++ b/lib/raft_elect.c
@@ -27,6 +27,15 @@
 	return m->log_term > term || (m->log_term == term && m->index >= last);
 }
 
+bool
+raft_holds_as_much (const struct raft *r, uint64_t log_term, uint64_t index)
+{
+	uint64_t last = raft_log_last (&r->log);
+	uint64_t term = raft_log_term (&r->log, last);
+
+	return term > log_term || (term == log_term && last >= index);
+}
+
 static uint32_t
 granted (const struct raft *r)
 {
@@ -43,6 +52,7 @@
 	struct raft_entry noop = {.kind = RAFT_ENTRY_NOOP};
 	uint64_t last = raft_log_last (&r->log);
 
+	raft_restart_end (r);
 	r->role = RAFT_LEADER;
 	r->leader = r->id;
 	r->leader_since_ms = r->now_ms;
@@ -67,18 +77,19 @@
 	if (granted (r) <= raft_config_voters (&r->config) / 2)
 		return;
 	if (r->role == RAFT_PRE_CANDIDATE)
-		raft_campaign (r, false, false);
+		raft_campaign (r, RAFT_CAMPAIGN_VOTE);
 	else if (r->role == RAFT_CANDIDATE)
 		become_leader (r);
 }
 
 void
-raft_campaign (struct raft *r, bool pre, bool transfer)
+raft_campaign (struct raft *r, enum raft_campaign how)
 {
+	bool pre = how == RAFT_CAMPAIGN_PRE;
 	uint64_t last = raft_log_last (&r->log);
 	struct raft_msg m = {.index = last,
 			     .log_term = raft_log_term (&r->log, last),
-			     .transfer = transfer};
+			     .transfer = how == RAFT_CAMPAIGN_TRANSFER};
 
 	r->role = pre ? RAFT_PRE_CANDIDATE : RAFT_CANDIDATE;
 	r->leader = 0;
@@ -97,9 +108,12 @@
 	r->ops->role (r->ctx);
 	m.term = pre ? r->term + 1 : r->term;
 	for (uint32_t i = 0; i < r->peer_count; i++) {
-		if (raft_is_voter (r, r->peers[i].id))
-			raft_send (r, &m, r->peers[i].id,
-				   pre ? RAFT_MSG_PRE_VOTE : RAFT_MSG_VOTE);
+		if (!raft_is_voter (r, r->peers[i].id))
+			continue;
+		if (how == RAFT_CAMPAIGN_RESTART)
+			m.incarnation = r->peers[i].incarnation;
+		raft_send (r, &m, r->peers[i].id,
+			   pre ? RAFT_MSG_PRE_VOTE : RAFT_MSG_VOTE);
 	}
 	check_won (r);
 }
@@ -137,7 +151,8 @@
 
 	if (r->config.count == 0)
 		return;
-	if (leader_heard (r) && !(m->transfer && !pre)) {
+	if (leader_heard (r) && !(m->transfer && !pre) &&
+	    !raft_restart_vote (r, m)) {
 		/* A leader out of touch learns of a later term here. */
 		reply.ok = false;
 	} else if (pre) {
@@ -231,7 +246,7 @@
 raft_on_timeout_now (struct raft *r, const struct raft_msg *m)
 {
 	if (m->term == r->term && r->role == RAFT_FOLLOWER)
-		raft_campaign (r, false, true);
+		raft_campaign (r, RAFT_CAMPAIGN_TRANSFER);
 }
 
 /* From the moment the successor is told to stand, this member may hold no
--- a/lib/raft_priv.h
+++ b/lib/raft_priv.h
@@ -29,7 +29,17 @@
 void raft_send (struct raft *r, struct raft_msg *m, uint64_t to, uint8_t kind);
 
 /* raft_elect.c */
-void raft_campaign (struct raft *r, bool pre, bool transfer);
+/* How a campaign begins. */
+enum raft_campaign {
+	RAFT_CAMPAIGN_PRE,      /* with a pre-vote */
+	RAFT_CAMPAIGN_VOTE,     /* a pre-vote was won */
+	RAFT_CAMPAIGN_TRANSFER, /* the leader asked for it */
+	RAFT_CAMPAIGN_RESTART,  /* all members have just started */
+};
+void raft_campaign (struct raft *r, enum raft_campaign how);
+/* Whether the log of @r holds no less than one that ends at @index. */
+bool raft_holds_as_much (const struct raft *r, uint64_t log_term,
+			 uint64_t index);
 void raft_on_vote (struct raft *r, const struct raft_msg *m);
 void raft_on_vote_reply (struct raft *r, const struct raft_msg *m);
 void raft_on_timeout_now (struct raft *r, const struct raft_msg *m);
@@ -38,6 +48,15 @@
 /* Own clock at which a quorum, oneself included, was last in touch. */
 uint64_t raft_quorum_acked (const struct raft *r, uint64_t least);
 
+/* raft_restart.c */
+void raft_restart_begin (struct raft *r);
+void raft_restart_end (struct raft *r);
+void raft_restart_tick (struct raft *r);
+void raft_on_restart (struct raft *r, const struct raft_msg *m);
+void raft_on_restart_reply (struct raft *r, const struct raft_msg *m);
+/* Whether a vote may be granted although this member just started. */
+bool raft_restart_vote (const struct raft *r, const struct raft_msg *m);
+
 /* raft_repl.c */
 void raft_broadcast (struct raft *r, bool heartbeat);
 void raft_on_append (struct raft *r, const struct raft_msg *m);
--- a/lib/raft_repl.c
+++ b/lib/raft_repl.c
@@ -139,6 +139,7 @@
 		return;
 	raft_become_follower (r, m->term, m->from);
 	r->contact_ms = r->now_ms;
+	raft_restart_end (r);
 	raft_reset_election (r);
 	if (m->index >= r->log.base &&
 	    (m->index > raft_log_last (&r->log) ||
--- a/lib/raft_snap.c
+++ b/lib/raft_snap.c
@@ -99,6 +99,7 @@
 		return;
 	raft_become_follower (r, m->term, m->from);
 	r->contact_ms = r->now_ms;
+	raft_restart_end (r);
 	raft_reset_election (r);
 	if (already_held (r, m)) {
 		ack_snapshot (r, m);
