place: shared segments are copied from the preferred engine too

Change: the preferred engine is named as the source for 256 tokens or more. The prediction stays as it was, since the copy may find nothing.

--- a/lib/place.c
+++ b/lib/place.c
@@ -1,13 +1,12 @@
 /*
  * Choice of the endpoint for a request.
  */
-#include <math.h>
 #include <string.h>
 
 #include <xxhash.h>
 
 #include "coldstart.h"
-#include "place.h"
+#include "place_priv.h"
 
 /* Points of a prefix on the consistent hashing ring of engines.  With these the
  * busiest engine is preferred by a tenth more prompts than the mean. */
@@ -16,39 +15,12 @@
 /* Engines on the ring that are examined in search of an available one. */
 #define RING_STEPS_MAX 48
 
-/* Share of the shared segments that the preferred engine is assumed to cache
- * although no report says so: enough for relays that get the same new prefix at
- * the same time to choose the same engine. */
-#define PREFERRED_CACHED_SHARE 0.15
-
-/* The same where relays don't report prompts sent to the preferred engine: it
- * is as likely to cache them as not. */
-#define PREFERRED_CACHED_SHARE_UNREPORTED 0.5
-
-/* Time that each running request adds to the first decode steps. */
-#define BATCH_REQUEST_MS 0.5
-
-/* Cost of another failure domain: network round trip and price of traffic. */
-#define CROSS_DOMAIN_MS 12.0
-
 /* Services without engines: delay that one request adds to the next. */
 #define REQUEST_MS 10.0
 
 /* Another engine of the lane must be faster by this than the preferred one. */
 #define LEAVE_PREFERRED_MS 60.0
 
-/* Weight of the time to prefill shared segments that another engine caches, in
- * addition to that time itself: it is taken from other requests, and evicts
- * other segments from the cache.  A copy takes only memory. */
-#define REPREFILL_WEIGHT 2.0
-#define COPY_WEIGHT 1.0
-
-/* Least time of a KV cache copy, since copies queue on the engines' links. */
-#define COPY_MIN_MS 20.0
-
-/* Fewer tokens are prefilled faster than copied. */
-#define COPY_MIN_TOKENS 2048
-
 /* An engine of the other lane must be faster by this.  A short prompt that
  * leaves its lane risks only its own latency; a long one in the short lane
  * delays every stream on its engine. */
@@ -64,17 +36,10 @@
  * best engine would all send there at once. */
 #define SAMPLE_MIN 3
 #define SAMPLE_FACTOR 3
-#define SAMPLE_MAX 24
 
 /* Draws per sampled engine before the lane counts as exhausted. */
 #define DRAWS_PER_SAMPLE 4
 
-/* Engines considered among those that cache a prompt's prefix; a segment that
- * every prompt has is cached everywhere. */
-#define CACHED_MAX 16
-
-#define CANDIDATES_MAX (1 + CACHED_MAX + 2 * SAMPLE_MAX)
-
 /* Share of an endpoint's connections that all relays together use. */
 #define CONNECTION_SHARE 0.85
 
@@ -97,36 +62,6 @@
 	return n < 2 ? 2 : (uint32_t)n;
 }
 
-/* Why an engine is a candidate. */
-enum origin { FROM_RING, FROM_CACHE, FROM_SAMPLE };
-
-struct candidate {
-	struct fleet_ep *ep;
-	enum origin origin;
-	const struct fleet_ep *copy_from;
-	double cost_ms; /* predicted time with penalties; the least one wins */
-	double ttft_ms;
-	double prefill_tokens;
-};
-
-/* One choice: its input, and the candidates. */
-struct choice {
-	const struct fleet *f;
-	const struct fleet_pool *pool;
-	const struct place_relay *relay;
-	const struct place_req *req;
-	uint64_t now_ms;
-	bool allow_failing;   /* also those that fail, or are down for peers */
-	bool skipped_failing; /* some were left out for that */
-	bool full;            /* some have no free slot for this relay */
-	uint64_t rng;         /* state of the random generator */
-	uint32_t shared_tokens;        /* of the shared segments */
-	const struct fleet_ep *holder; /* caches the most of them */
-	uint32_t holder_tokens;        /* of them that it caches */
-	struct candidate candidates[CANDIDATES_MAX];
-	uint32_t count;
-};
-
 /* Whether an endpoint may get the request; notes in the choice why not. */
 static bool
 allowed (struct choice *c, const struct fleet_ep *ep)
@@ -160,6 +95,12 @@
 			(struct candidate){.ep = ep, .origin = origin};
 }
 
+bool
+place_is_short (const struct place_req *req)
+{
+	return req->prompt_tokens <= SHORT_PROMPT_TOKENS;
+}
+
 /* Segment that determines the preferred engine of a prompt: the end of the
  * longest prefix that it shares with others, which is all but its own last
  * segment. */
@@ -171,32 +112,6 @@
 	return req->segment_count == 1 ? req->segments[0].id : req->random;
 }
 
-static bool
-is_short (const struct place_req *req)
-{
-	return req->prompt_tokens <= SHORT_PROMPT_TOKENS;
-}
-
-static double
-backlog_tokens (const struct choice *c, const struct fleet_ep *ep)
-{
-	return ep->prefill_tokens + fleet_peer_prefill (c->pool, ep);
-}
-
-static double
-backlog_ms (const struct choice *c, const struct fleet_ep *ep)
-{
-	return backlog_tokens (c, ep) / PLACE_PREFILL_PER_MS *
-	       fleet_slowdown (c->f, ep);
-}
-
-/* Requests of all relays in flight at an endpoint. */
-static double
-running (const struct choice *c, const struct fleet_ep *ep)
-{
-	return ep->inflight + fleet_peer_running (c->pool, ep);
-}
-
 /* Finds the engines that cache the longest part of the prompt's shared prefix,
  * beginning with a random one: the one with most of it is the source for a
  * copy, and those with more than half of it are candidates. */
@@ -329,64 +244,18 @@
 	}
 }
 
-/* Time to copy the KV cache of @tokens from another engine. */
-static double
-copy_ms (const struct plan_service *s, double tokens)
-{
-	return COPY_MIN_MS +
-	       tokens * s->kv_token_bytes * 8 / 1000 / s->link_mbps;
-}
-
-/* Predicts the time to the first token on a candidate, and its cost. */
-static void
-estimate (struct candidate *p, const struct choice *c)
-{
-	const struct fleet_ep *ep = p->ep;
-	const struct place_req *req = c->req;
-	double reported =
-		fleet_cached_tokens (ep, req->segments, req->segment_count);
-	double cached = reported, reprefill, copy_cost_ms = 0, missing;
-	double assumed_share = c->f->eps->len <= FLEET_SUBSET_THRESHOLD
-				       ? PREFERRED_CACHED_SHARE
-				       : PREFERRED_CACHED_SHARE_UNREPORTED;
-
-	if (p->origin == FROM_RING && !is_short (req))
-		cached = MAX (cached, assumed_share * c->shared_tokens);
-	missing = c->holder_tokens > cached ? c->holder_tokens - cached : 0;
-	if (missing >= COPY_MIN_TOKENS && c->holder != NULL &&
-	    c->holder != ep) {
-		p->copy_from = c->holder;
-		copy_cost_ms = copy_ms (req->service, missing);
-		cached = c->holder_tokens;
-	}
-	p->prefill_tokens =
-		req->prompt_tokens > cached ? req->prompt_tokens - cached : 0;
-	p->cost_ms = backlog_ms (c, ep) + copy_cost_ms +
-		     p->prefill_tokens / PLACE_PREFILL_PER_MS *
-			     fleet_slowdown (c->f, ep) +
-		     BATCH_REQUEST_MS * running (c, ep);
-	if (strcmp (ep->info.domain, c->relay->domain) != 0)
-		p->cost_ms += CROSS_DOMAIN_MS;
-	p->ttft_ms = p->cost_ms;
-	reprefill = c->shared_tokens > cached ? c->shared_tokens - cached : 0;
-	if (!is_short (req) && !req->late)
-		p->cost_ms +=
-			REPREFILL_WEIGHT * reprefill / PLACE_PREFILL_PER_MS +
-			COPY_WEIGHT * copy_cost_ms;
-}
-
 /* Time by which a candidate must be faster than the preferred engine. */
 static double
 lead_ms (const struct place_req *req, const struct candidate *p,
 	 enum place_reason *reason)
 {
-	if (p->ep->short_lane != is_short (req)) {
+	if (p->ep->short_lane != place_is_short (req)) {
 		*reason = PLACE_OTHER_LANE;
-		return is_short (req) ? LANE_CHANGE_SHORT_MS
-				      : LANE_CHANGE_LONG_MS;
+		return place_is_short (req) ? LANE_CHANGE_SHORT_MS
+					    : LANE_CHANGE_LONG_MS;
 	}
 	*reason = p->origin == FROM_CACHE ? PLACE_CACHED : PLACE_SPILL;
-	if (is_short (req))
+	if (place_is_short (req))
 		return 0;
 	return LEAVE_PREFERRED_MS;
 }
@@ -396,7 +265,7 @@
 static void
 collect_candidates (struct choice *c)
 {
-	bool lane = is_short (c->req);
+	bool lane = place_is_short (c->req);
 
 	add_preferred (c, lane);
 	if (c->count == 0)
@@ -414,7 +283,7 @@
 {
 	const struct place_req *req = c->req;
 	struct candidate *best = &c->candidates[0];
-	struct candidate *open = NULL; /* best one within the backlog limit */
+	struct candidate *open = NULL; /* best one that has room */
 	struct place_result v = {.reason = PLACE_PREFERRED};
 	double best_ms = 0;
 
@@ -423,9 +292,9 @@
 		enum place_reason reason = PLACE_PREFERRED;
 		double ms;
 
-		estimate (p, c);
+		place_estimate (p, c);
 		ms = p->cost_ms;
-		if (backlog_ms (c, p->ep) <= req->max_backlog_ms &&
+		if (place_has_room (c, p->ep) &&
 		    (open == NULL || ms < open->cost_ms))
 			open = p;
 		if (i > 0)
@@ -438,8 +307,8 @@
 	}
 	/* Rather than wait, a short prompt goes to the other lane: it takes
 	 * little time of the engine there, and its client doesn't wait long. */
-	if (is_short (req) && open != NULL &&
-	    backlog_ms (c, best->ep) > req->max_backlog_ms) {
+	if (place_is_short (req) && open != NULL &&
+	    !place_has_room (c, best->ep)) {
 		best = open;
 		v.reason =
 			open->ep->short_lane ? PLACE_SPILL : PLACE_OTHER_LANE;
@@ -447,9 +316,10 @@
 	v.ttft_ms = best->ttft_ms;
 	v.prefill_tokens = best->prefill_tokens;
 	v.copy_from = best->copy_from;
-	v.nominal_ms = (backlog_tokens (c, best->ep) + best->prefill_tokens) /
-		       PLACE_PREFILL_PER_MS;
-	if (backlog_ms (c, best->ep) > req->max_backlog_ms)
+	v.nominal_ms =
+		(place_backlog_tokens (c, best->ep) + best->prefill_tokens) /
+		PLACE_PREFILL_PER_MS;
+	if (place_backlog_ms (c, best->ep) > req->max_backlog_ms)
 		v.reason = PLACE_BUSY;
 	else
 		v.ep = best->ep;
@@ -463,7 +333,7 @@
 	for (guint i = 0; i < eps->len; i++) {
 		struct fleet_ep *ep =
 			g_ptr_array_index (eps, (i + c->rng) % eps->len);
-		double cost_ms = REQUEST_MS * running (c, ep);
+		double cost_ms = REQUEST_MS * place_running (c, ep);
 
 		if (strcmp (ep->info.domain, c->relay->domain) != 0)
 			cost_ms += CROSS_DOMAIN_MS;
--- /dev/null
+++ b/lib/place_cost.c
@@ -0,0 +1,119 @@
+/*
+ * Predicted time to the first token of a request on an engine, and what a
+ * choice of that engine costs other requests.
+ */
+#include <string.h>
+
+#include "place_priv.h"
+
+/* Share of the shared segments that the preferred engine is assumed to cache
+ * although no report says so: enough for relays that get the same new prefix at
+ * the same time to choose the same engine. */
+#define PREFERRED_CACHED_SHARE 0.15
+
+/* The same where relays don't report prompts sent to the preferred engine: it
+ * is as likely to cache them as not. */
+#define PREFERRED_CACHED_SHARE_UNREPORTED 0.5
+
+/* Time that each running request adds to the first decode steps. */
+#define BATCH_REQUEST_MS 0.5
+
+/* Weight of the time to prefill shared segments that another engine caches, in
+ * addition to that time itself: it is taken from other requests, and evicts
+ * other segments from the cache.  A copy takes only memory. */
+#define REPREFILL_WEIGHT 2.0
+#define COPY_WEIGHT 1.0
+
+/* Least time of a KV cache copy, since copies queue on the engines' links. */
+#define COPY_MIN_MS 20.0
+
+/* From the preferred engine a copy is requested without a report that it caches
+ * the segments.  It spares compute time of the engine rather than time of the
+ * request, so it pays for shorter segments too. */
+#define COPY_PREFERRED_MIN_TOKENS 256
+
+double
+place_backlog_tokens (const struct choice *c, const struct fleet_ep *ep)
+{
+	return ep->prefill_tokens + fleet_peer_prefill (c->pool, ep);
+}
+
+double
+place_backlog_ms (const struct choice *c, const struct fleet_ep *ep)
+{
+	return place_backlog_tokens (c, ep) / PLACE_PREFILL_PER_MS *
+	       fleet_slowdown (c->f, ep);
+}
+
+double
+place_running (const struct choice *c, const struct fleet_ep *ep)
+{
+	return ep->inflight + fleet_peer_running (c->pool, ep);
+}
+
+/* Time to copy the KV cache of @tokens from another engine. */
+static double
+copy_ms (const struct plan_service *s, double tokens)
+{
+	return COPY_MIN_MS +
+	       tokens * s->kv_token_bytes * 8 / 1000 / s->link_mbps;
+}
+
+/* The engine to copy the rest of the shared segments from where no report says
+ * which one caches them: the preferred one, which most such prompts go to. */
+static const struct fleet_ep *
+likely_holder (const struct choice *c, const struct candidate *p, double cached)
+{
+	const struct candidate *first = &c->candidates[0];
+
+	if (p == first || first->origin != FROM_RING ||
+	    c->req->service->link_mbps <= 0 ||
+	    c->shared_tokens < cached + COPY_PREFERRED_MIN_TOKENS)
+		return NULL;
+	return first->ep;
+}
+
+bool
+place_has_room (const struct choice *c, const struct fleet_ep *ep)
+{
+	return place_backlog_ms (c, ep) <= c->req->max_backlog_ms;
+}
+
+void
+place_estimate (struct candidate *p, const struct choice *c)
+{
+	const struct fleet_ep *ep = p->ep;
+	const struct place_req *req = c->req;
+	double reported =
+		fleet_cached_tokens (ep, req->segments, req->segment_count);
+	double cached = reported, reprefill, copy_cost_ms = 0, missing;
+	double assumed_share = c->f->eps->len <= FLEET_SUBSET_THRESHOLD
+				       ? PREFERRED_CACHED_SHARE
+				       : PREFERRED_CACHED_SHARE_UNREPORTED;
+
+	if (p->origin == FROM_RING && !place_is_short (req))
+		cached = MAX (cached, assumed_share * c->shared_tokens);
+	missing = c->holder_tokens > cached ? c->holder_tokens - cached : 0;
+	if (missing >= COPY_MIN_TOKENS && c->holder != NULL &&
+	    c->holder != ep) {
+		p->copy_from = c->holder;
+		copy_cost_ms = copy_ms (req->service, missing);
+		cached = c->holder_tokens;
+	} else {
+		p->copy_from = likely_holder (c, p, cached);
+	}
+	p->prefill_tokens =
+		req->prompt_tokens > cached ? req->prompt_tokens - cached : 0;
+	p->cost_ms = place_backlog_ms (c, ep) + copy_cost_ms +
+		     p->prefill_tokens / PLACE_PREFILL_PER_MS *
+			     fleet_slowdown (c->f, ep) +
+		     BATCH_REQUEST_MS * place_running (c, ep);
+	if (strcmp (ep->info.domain, c->relay->domain) != 0)
+		p->cost_ms += CROSS_DOMAIN_MS;
+	p->ttft_ms = p->cost_ms;
+	reprefill = c->shared_tokens > cached ? c->shared_tokens - cached : 0;
+	if (!place_is_short (req) && !req->late)
+		p->cost_ms +=
+			REPREFILL_WEIGHT * reprefill / PLACE_PREFILL_PER_MS +
+			COPY_WEIGHT * copy_cost_ms;
+}
