place: a full engine's wait for a slot is predicted

An engine runs 24 requests, and the prediction knew no slots: each one more that runs cost half a millisecond. Change: beyond the slots, a request waits for as many ends of streams as are ahead of it, at the pace at which streams were seen to end. A short prompt goes where a slot is free, also in the other lane; an engine counts as full from .85 of its slots, since peers' load is known late, and that load is told at a change of an eighth instead of a third.

--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -23,6 +23,11 @@
 #define SLOWDOWN_WEIGHT 0.1
 #define FLEET_SLOWDOWN_WEIGHT 0.02
 
+/* Time that a stream holds a slot: before the first one ended, and the weight
+ * of one stream in the moving average. */
+#define SLOT_HOLD_FIRST_MS 1000
+#define SLOT_HOLD_WEIGHT 0.02
+
 /* Bounds of the slowdown. */
 #define SLOWDOWN_MIN 0.5
 #define SLOWDOWN_MAX 8.0
@@ -54,7 +59,10 @@
 void
 fleet_init (struct fleet *f, const struct fleet_ops *ops, void *ctx)
 {
-	*f = (struct fleet){.ops = ops, .ctx = ctx, .slowdown = 1};
+	*f = (struct fleet){.ops = ops,
+			    .ctx = ctx,
+			    .slowdown = 1,
+			    .slot_hold_ms = SLOT_HOLD_FIRST_MS};
 	f->eps = g_ptr_array_new ();
 	g_queue_init (&f->recent);
 	f->drained_domains = g_ptr_array_new_with_free_func (g_free);
@@ -386,6 +394,12 @@
 	f->slowdown += FLEET_SLOWDOWN_WEIGHT * (x - f->slowdown);
 }
 
+void
+fleet_note_stream (struct fleet *f, double held_ms)
+{
+	f->slot_hold_ms += SLOT_HOLD_WEIGHT * (held_ms - f->slot_hold_ms);
+}
+
 uint32_t
 fleet_ready_count (const struct fleet *f, uint64_t now_ms)
 {
--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -173,6 +173,7 @@
 	bool subscription_changed;  /* since fleet_subscription() */
 	bool want_snapshot;         /* peer load must be sent in full again */
 	double slowdown; /* measured prefill time over predicted, averaged */
+	double slot_hold_ms; /* time that a stream holds a slot, averaged */
 };
 
 /**
@@ -400,6 +401,10 @@
  * long as predicted */
 void fleet_note_slowdown (struct fleet *f, struct fleet_ep *ep, double factor);
 
+/** fleet_note_stream() - record that a stream held a slot of an engine for
+ * @held_ms */
+void fleet_note_stream (struct fleet *f, double held_ms);
+
 /** fleet_ready_count() - number of usable endpoints */
 uint32_t fleet_ready_count (const struct fleet *f, uint64_t now_ms);
 
--- a/lib/loads.h
+++ b/lib/loads.h
@@ -29,7 +29,7 @@
 /* A change in running requests is sent when it is more than this fraction of
  * them.  Where few run, each one is sent, since a plain service runs them one
  * after the other; many share an engine's batch, so one more matters less. */
-#define LOADS_DELTA_DIVISOR 3
+#define LOADS_DELTA_DIVISOR 8
 
 /**
  * struct load - load at one endpoint
--- a/lib/place.h
+++ b/lib/place.h
@@ -29,6 +29,11 @@
  * is copied from there, which is faster than to prefill and takes no compute
  * time of the engine.
  *
+ * More streams than the lane for short prompts runs at once, such as a burst of
+ * questions after a reclaim.  An engine runs a fixed number of requests; the
+ * next one waits until a stream ends.  That wait is part of the prediction, and
+ * a short prompt goes to the other lane if its own has no free slot.
+ *
  * More prompts than can be prefilled.  An engine processes prompts roughly in
  * order of arrival, so a request can't overtake a backlog there.  Beyond a
  * limit it waits in the relay, where more urgent requests go first.
--- a/lib/place_cost.c
+++ b/lib/place_cost.c
@@ -73,10 +73,27 @@
 	return first->ep;
 }
 
+/* Share of an engine's slots up to which it is taken to have a free one: the
+ * load of peers is known late and in steps. */
+#define SLOT_SHARE 0.85
+
+/* Time until the engine has a free slot for another request. */
+static double
+slot_wait_ms (const struct choice *c, const struct fleet_ep *ep)
+{
+	double slots = SLOT_SHARE * c->req->service->slots;
+	double ahead = place_running (c, ep) + 1 - slots;
+
+	if (slots <= 0 || ahead <= 0)
+		return 0;
+	return ahead * c->f->slot_hold_ms / slots;
+}
+
 bool
 place_has_room (const struct choice *c, const struct fleet_ep *ep)
 {
-	return place_backlog_ms (c, ep) <= c->req->max_backlog_ms;
+	return place_backlog_ms (c, ep) <= c->req->max_backlog_ms &&
+	       slot_wait_ms (c, ep) <= 0;
 }
 
 void
@@ -107,7 +124,8 @@
 	p->cost_ms = place_backlog_ms (c, ep) + copy_cost_ms +
 		     p->prefill_tokens / PLACE_PREFILL_PER_MS *
 			     fleet_slowdown (c->f, ep) +
-		     BATCH_REQUEST_MS * place_running (c, ep);
+		     BATCH_REQUEST_MS * place_running (c, ep) +
+		     slot_wait_ms (c, ep);
 	if (strcmp (ep->info.domain, c->relay->domain) != 0)
 		p->cost_ms += CROSS_DOMAIN_MS;
 	p->ttft_ms = p->cost_ms;
--- a/relayd/attempt.c
+++ b/relayd/attempt.c
@@ -176,6 +176,9 @@
 	struct h1srv_conn *client = c->client;
 
 	c->r->stats.served++;
+	if (c->is_stream && c->headers_sent && c->service->is_engine)
+		fleet_note_stream (&c->r->fleet,
+				   (double)(tmr_now_ms () - c->first_byte_ms));
 	if (c->is_stream) {
 		if (!c->headers_sent)
 			send_headers (c);
