relayd: a stream that may not run again goes on from a copy of its run

Change: for 20 s after a relay lost an engine, engines are asked to keep a copy of such runs at one in another domain. When the stream breaks, a new connection to its engine is tried; only if it is refused, so that the run can't be at both, the request is sent to where the copy is, with the id of the last event. It counts against the retry budget. An engine without the copy says so, and the stream is cut as before.

--- a/lib/dialect.h
+++ b/lib/dialect.h
@@ -67,6 +67,10 @@
  * @last_event_id: id of the event after which a stream resumes, or -1
  * @kv_source: IP:port of an engine from which the endpoint may copy the KV
  *	cache of prompt segments, or NULL
+ * @backup: IP:port of an engine that receives a copy of the run's KV cache as
+ *	it grows, or NULL
+ * @run_copy: IP:port of the engine whose copy of the run is continued, or NULL
+ * @request_id: id of the request, needed with @run_copy
  */
 struct dia_forward {
 	const char *endpoint_id;
@@ -76,6 +80,9 @@
 	bool is_engine;
 	int64_t last_event_id;
 	const char *kv_source;
+	const char *backup;
+	const char *run_copy;
+	const char *request_id;
 };
 
 /**
--- a/lib/failover.c
+++ b/lib/failover.c
@@ -36,7 +36,7 @@
 
 	if (!can_retry)
 		return failover_final (f);
-	if (!f->sent)
+	if (!f->sent && (!f->response_started || may_run_again (f)))
 		return FAILOVER_RETRY_UNSENT;
 	/* This endpoint did not run it, but an earlier one may have: a retry
 	 * could then be the second run. */
@@ -44,6 +44,8 @@
 		return FAILOVER_RETRY;
 	if (may_run_again (f) && f->possible_runs < f->max_runs)
 		return FAILOVER_RETRY;
+	if (f->response_started && f->has_copy)
+		return FAILOVER_CONTINUE;
 	return failover_final (f);
 }
 
@@ -63,6 +65,8 @@
 		return "unknown";
 	case FAILOVER_CUT:
 		return "cut";
+	case FAILOVER_CONTINUE:
+		return "continue";
 	}
 	return "?";
 }
--- a/lib/failover.h
+++ b/lib/failover.h
@@ -11,6 +11,10 @@
  * crash, refuse requests or fail some of them, and the retry budget is small
  * and shared by all relays; a request that may run only once must never be
  * retried after it may have run.
+ *
+ * Engines that crash or are reclaimed end many streams at once, some of which
+ * may not run again.  Such a run goes on where a copy of its KV cache is kept,
+ * but only after its engine has ended, since it must not run at both.
  */
 
 /**
@@ -21,6 +25,8 @@
  * @not_run: the endpoint stated that it did not run it and will not run it
  * @answered: a complete response arrived that could be forwarded
  * @response_started: bytes of a response have reached the client
+ * @has_copy: another engine has a copy of the run, which can go on there if the
+ *	first engine has ended
  * @possible_runs: endpoints at which the request may have run
  * @max_runs: endpoints at which it may run at most
  * @attempt_count: times an endpoint received the request, also those where it
@@ -34,6 +40,7 @@
 	bool not_run;
 	bool answered;
 	bool response_started;
+	bool has_copy;
 	uint32_t possible_runs;
 	uint32_t max_runs;
 	uint32_t attempt_count;
@@ -48,6 +55,8 @@
 	FAILOVER_REFUSE,       /* tell the client that it did not run */
 	FAILOVER_UNKNOWN,      /* tell the client that it may have run */
 	FAILOVER_CUT, /* end the response so that it is seen as truncated */
+	FAILOVER_CONTINUE, /* go on from the copy once the engine is known to
+			      have ended; otherwise as FAILOVER_CUT */
 };
 
 /**
--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -172,7 +172,8 @@
 	uint64_t subset_digest;     /* of the subset; 0 when it is everything */
 	bool subscription_changed;  /* since fleet_subscription() */
 	bool want_snapshot;         /* peer load must be sent in full again */
-	double slowdown; /* measured prefill time over predicted, averaged */
+	double slowdown;  /* measured prefill time over predicted, averaged */
+	uint64_t loss_ms; /* when an endpoint was lost last; 0: never */
 	double slot_hold_ms; /* time that a stream holds a slot, averaged */
 };
 
--- a/lib/fleet_health.c
+++ b/lib/fleet_health.c
@@ -92,6 +92,7 @@
 fleet_suspect (struct fleet *f, struct fleet_ep *ep, uint64_t now_ms)
 {
 	/* One that is suspect with its domain is now suspect by itself. */
+	f->loss_ms = now_ms;
 	if (ep->health == FLEET_SUSPECT && !ep->suspect_by_domain)
 		return;
 	ep->health = FLEET_SUSPECT;
--- a/lib/place.c
+++ b/lib/place.c
@@ -429,6 +429,8 @@
 		return "other-lane";
 	case PLACE_LEAST:
 		return "least";
+	case PLACE_COPY:
+		return "copy";
 	}
 	return "?";
 }
--- a/lib/place.h
+++ b/lib/place.h
@@ -92,6 +92,7 @@
 	PLACE_SPILL,      /* another engine of the prompt's lane */
 	PLACE_OTHER_LANE, /* an engine of the other lane */
 	PLACE_LEAST, /* least loaded endpoint of a service without engines */
+	PLACE_COPY,  /* where a copy of the run is kept */
 };
 
 /**
@@ -137,6 +138,24 @@
 				  const struct place_relay *relay,
 				  const struct place_req *req, uint64_t now_ms);
 
+/**
+ * place_choose_backup() - choose the engine that keeps a copy of a run
+ * @f: the endpoints
+ * @ep: the engine that runs the request
+ * @random: random value
+ * @now_ms: current time
+ *
+ * Engines of a failure domain are reclaimed together, so the copy is kept in
+ * another one if there is one.  Copies take memory and links, so they are kept
+ * only while engines are being lost.
+ *
+ * Return: a warm engine in use; NULL if none was lost lately, or a few draws
+ * found none.
+ */
+struct fleet_ep *place_choose_backup (const struct fleet *f,
+				      const struct fleet_ep *ep,
+				      uint32_t random, uint64_t now_ms);
+
 /**
  * place_should_advertise() - whether to tell peers which engine caches a prefix
  * @f: the endpoints
--- /dev/null
+++ b/lib/place_backup.c
@@ -0,0 +1,41 @@
+/*
+ * Choice of the engine that keeps a copy of a run.
+ */
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "place.h"
+
+/* Engines mostly end in clusters: a crash of many, a reclaim, a release.  After
+ * one was lost, copies are kept for this long. */
+#define AFTER_LOSS_MS 20000
+
+/* Engines that are examined.  Most are in use and two thirds are in another
+ * domain, so few choices fail. */
+#define DRAWS 12
+
+struct fleet_ep *
+place_choose_backup (const struct fleet *f, const struct fleet_ep *ep,
+		     uint32_t random, uint64_t now_ms)
+{
+	const struct fleet_pool *p = fleet_pool (f, ep->info.service);
+	struct fleet_ep *near = NULL;
+	uint64_t rng = random;
+
+	if (f->loss_ms == 0 || now_ms > f->loss_ms + AFTER_LOSS_MS)
+		return NULL;
+	for (uint32_t i = 0; p != NULL && i < DRAWS && p->eps->len > 0; i++) {
+		struct fleet_ep *x;
+
+		rng = XXH64 (&rng, sizeof rng, 0);
+		x = g_ptr_array_index (p->eps, rng % p->eps->len);
+		if (x == ep || !fleet_usable (f, x, now_ms) ||
+		    fleet_is_cold (x, now_ms) || x->peer_suspect)
+			continue;
+		if (strcmp (x->info.domain, ep->info.domain) != 0)
+			return x;
+		near = x;
+	}
+	return near;
+}
--- a/lib/plan.h
+++ b/lib/plan.h
@@ -88,6 +88,8 @@
  *	cached prefix segments share
  * @kv_token_bytes: KV cache memory of one token
  * @link_mbps: bandwidth for KV cache transfers between engines
+ * @kv_backups: an engine can keep a copy of a stream's KV cache at another one,
+ *	where the run goes on if the first engine ends
  * @elastic: endpoints may be ordered and released; @min_endpoints to
  *	@price_count apply
  * @min_endpoints: lower bound of the endpoints in each failure domain
@@ -109,6 +111,7 @@
 	uint64_t kv_capacity_tokens;
 	double kv_token_bytes;
 	double link_mbps;
+	bool kv_backups;
 	bool elastic;
 	uint32_t min_endpoints;
 	uint32_t max_endpoints;
--- a/relayd/attempt.c
+++ b/relayd/attempt.c
@@ -261,8 +261,26 @@
 	.done = on_attempt_end,
 };
 
+/* A stream that may not run again goes on from a copy of the run where its
+ * engine ends.  The copy is as large as the prompt and what was generated, so
+ * others, which can run again, do without it. */
+static struct fleet_ep *
+choose_backup (struct call *c, uint64_t now_ms)
+{
+	struct fleet_ep *backup = NULL;
+
+	if (c->service->kv_backups && c->route->kind == PLAN_STREAM &&
+	    !c->route->resumable && !c->continues)
+		backup = place_choose_backup (&c->r->fleet, c->ep,
+					      g_rand_int (c->r->rand), now_ms);
+	g_strlcpy (c->backup_id, backup != NULL ? backup->info.id : "",
+		   sizeof c->backup_id);
+	return backup;
+}
+
 static GString *
-format_request (struct call *c, uint64_t remaining_ms)
+format_request (struct call *c, const struct fleet_ep *backup,
+		uint64_t remaining_ms)
 {
 	GString *out = g_string_sized_new (512 + c->body->len);
 	struct dia_forward s = {
@@ -273,8 +291,12 @@
 		.is_engine = c->service->is_engine,
 		.last_event_id = c->evstream.last_id,
 		.kv_source = c->kv_from[0] != '\0' ? c->kv_from : NULL,
+		.run_copy = c->continues ? c->ep->info.addr : NULL,
+		.request_id = c->req.id,
 	};
 
+	if (backup != NULL)
+		s.backup = backup->info.addr;
 	g_string_append_printf (out, "%s HTTP/1.1\r\n%s", c->request_line->str,
 				c->headers->str);
 	c->r->dialect->format_headers (&s, out);
@@ -357,7 +379,7 @@
 		place_reason_name (v->reason), v->ttft_ms, v->prefill_tokens,
 		c->kv_from, c->ep->inflight, c->tier, remaining_ms,
 		now_ms - c->r->list_read_ms, c->plan->version);
-	text = format_request (c, remaining_ms);
+	text = format_request (c, choose_backup (c, now_ms), remaining_ms);
 	req.bytes = text->str;
 	req.len = text->len;
 	c->exchange = h1cli_start (&u->host, &req, &attempt_ops, c);
--- a/relayd/call.c
+++ b/relayd/call.c
@@ -100,6 +100,15 @@
 	call_close (c, "caller-gone");
 }
 
+void
+call_cut (struct call *c, const char *outcome)
+{
+	h1srv_set_data (c->client, NULL);
+	h1srv_end (c->client, false);
+	c->r->stats.cut++;
+	call_close (c, outcome);
+}
+
 void
 call_fail (struct call *c, int status, uint32_t retry_after_ms, const char *why)
 {
@@ -206,10 +215,7 @@
 	}
 	dequeue_call (c);
 	if (c->headers_sent) {
-		h1srv_set_data (c->client, NULL);
-		h1srv_end (c->client, false);
-		c->r->stats.cut++;
-		call_close (c, "cut");
+		call_cut (c, "cut");
 		return;
 	}
 	call_fail (c, c->maybe_run > 0 ? 502 : 503, random_retry_after_ms (c),
@@ -253,10 +259,10 @@
 		call_fail (c, 502, 0, "outcome unknown");
 		break;
 	case FAILOVER_CUT:
-		h1srv_set_data (c->client, NULL);
-		h1srv_end (c->client, false);
-		c->r->stats.cut++;
-		call_close (c, "cut");
+		call_cut (c, "cut");
+		break;
+	case FAILOVER_CONTINUE:
+		continue_start (c);
 		break;
 	}
 }
@@ -272,6 +278,7 @@
 		.not_run = c->answer.not_executed,
 		.answered = c->status > 0 && !c->headers_sent,
 		.response_started = c->headers_sent,
+		.has_copy = c->backup_id[0] != '\0' && !c->continues,
 		.possible_runs = c->maybe_run,
 		.max_runs = c->route->max_attempts,
 		.attempt_count = c->attempts,
@@ -279,7 +286,7 @@
 	};
 	enum failover_action v = failover_decide (&f);
 
-	if (v == FAILOVER_RETRY &&
+	if ((v == FAILOVER_RETRY || v == FAILOVER_CONTINUE) &&
 	    !rbudget_take (c->r->rbudget, c->service->name, c->r->relay_count,
 			   now_ms))
 		v = failover_final (&f);
@@ -298,7 +305,9 @@
 		c->last_failure_ms = now_ms;
 	}
 	c->exchange = NULL;
-	call_release_ep (c);
+	/* The engine is kept until its end is confirmed. */
+	if (v != FAILOVER_CONTINUE)
+		call_release_ep (c);
 	apply_verdict (c, v);
 }
 
@@ -306,10 +315,7 @@
 call_expire (struct call *c)
 {
 	if (c->headers_sent) {
-		h1srv_set_data (c->client, NULL);
-		h1srv_end (c->client, false);
-		c->r->stats.cut++;
-		call_close (c, "timeout-cut");
+		call_cut (c, "timeout-cut");
 	} else if (c->attempts == 0 ||
 		   (c->maybe_run == 0 &&
 		    (c->exchange == NULL || !h1cli_sent (c->exchange)))) {
@@ -361,6 +367,8 @@
 		c = g_ptr_array_index (r->calls, i - 1);
 		if (now_ms >= c->deadline_ms) {
 			call_expire (c);
+		} else if (c->confirm_until_ms != 0) {
+			continue_tick (c, now_ms);
 		} else if (c->paused &&
 			   h1srv_pending (c->client) < PENDING_MAX_BYTES / 2) {
 			c->paused = false;
--- /dev/null
+++ b/relayd/continue.c
@@ -0,0 +1,103 @@
+/*
+ * Streams whose engine ended in the middle, and that go on from a copy of the
+ * run at another engine.  The run must not be at both, so a new connection to
+ * the first engine is tried; only where nothing listens any more does the
+ * stream go on.
+ */
+#include <string.h>
+
+#include "relayd.h"
+
+/* A closed port answers within a round trip. */
+#define CONFIRM_TIMEOUT_MS 60
+
+static void
+cut (struct call *c, const char *why)
+{
+	log_event (LOG_LV_INFO, "continue", "req=%s possible=0 why=\"%s\"",
+		   c->req.id, why);
+	call_cut (c, "cut");
+}
+
+static void
+continue_at_copy (struct call *c)
+{
+	struct place_result v = {.reason = PLACE_COPY};
+
+	v.ep = fleet_find (&c->r->fleet, c->backup_id);
+	if (v.ep == NULL || !fleet_usable (&c->r->fleet, v.ep, tmr_now_ms ())) {
+		cut (c, "the copy is gone");
+		return;
+	}
+	c->continues = true;
+	attempt_start (c, &v);
+}
+
+static void
+on_confirm_head (struct h1cli *x, const struct h1_head *h, bool echoed,
+		 void *ctx)
+{
+	(void)x;
+	(void)h;
+	(void)echoed;
+	(void)ctx;
+}
+
+static void
+on_confirm_data (struct h1cli *x, const char *data, size_t len, void *ctx)
+{
+	(void)x;
+	(void)data;
+	(void)len;
+	(void)ctx;
+}
+
+static void
+on_confirm_done (struct h1cli *x, enum h1cli_end end, void *ctx)
+{
+	struct call *c = ctx;
+
+	(void)x;
+	c->exchange = NULL;
+	c->confirm_until_ms = 0;
+	call_release_ep (c);
+	if (end == H1CLI_UNSENT)
+		continue_at_copy (c);
+	else
+		cut (c, "the engine still runs");
+}
+
+static const struct h1cli_ops confirm_ops = {
+	.head = on_confirm_head,
+	.data = on_confirm_data,
+	.done = on_confirm_done,
+};
+
+void
+continue_start (struct call *c)
+{
+	struct upstream *u = c->ep->owner_data;
+	char *text =
+		g_strdup_printf ("GET %s HTTP/1.1\r\nHost: %s\r\n\r\n",
+				 c->service->health_path, c->ep->info.addr);
+	struct h1cli_req req = {
+		.bytes = text,
+		.len = strlen (text),
+		.connect_ms = CONFIRM_TIMEOUT_MS,
+		.limits = {.user_timeout_ms = CONFIRM_TIMEOUT_MS}};
+
+	c->r->stats.probes++;
+	c->confirm_until_ms = tmr_now_ms () + 2 * CONFIRM_TIMEOUT_MS;
+	c->exchange = h1cli_start (&u->host, &req, &confirm_ops, c);
+	g_free (text);
+}
+
+void
+continue_tick (struct call *c, uint64_t now_ms)
+{
+	if (c->confirm_until_ms == 0 || now_ms < c->confirm_until_ms)
+		return;
+	c->confirm_until_ms = 0;
+	call_release_ep (c);
+	cut (c, "the engine still runs");
+}
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -59,6 +59,9 @@
  * @exchange: HTTP exchange of the current attempt, or NULL
  * @sent_ms: when the current attempt started
  * @kv_from: address of the engine to copy the KV cache from, or ""
+ * @backup_id: engine that keeps a copy of the run, or ""
+ * @continues: the current attempt continues the run from that copy
+ * @confirm_until_ms: until when the end of its engine has to be confirmed
  * @prefill_counted: its prefill is included in relay.prefill_total_ms
  * @prefill_tokens: prompt tokens that this attempt has to prefill
  * @prefill_ms: predicted prefill time at the engine's usual speed
@@ -99,6 +102,9 @@
 	struct h1cli *exchange;
 	uint64_t sent_ms;
 	char kv_from[FLEET_NAME_BYTES];
+	char backup_id[FLEET_NAME_BYTES];
+	bool continues;
+	uint64_t confirm_until_ms;
 	bool prefill_counted;
 	double prefill_tokens;
 	double prefill_ms;
@@ -360,6 +366,17 @@
 
 /* attempt.c: HTTP exchanges with endpoints */
 
+/** call_cut() - end the started answer so that the client sees it as truncated
+ */
+void call_cut (struct call *c, const char *outcome);
+
+/** continue_start() - confirm that the call's engine has ended, then let the
+ * stream go on from the copy of its run, or cut it */
+void continue_start (struct call *c);
+
+/** continue_tick() - cut the stream whose engine did not end in time */
+void continue_tick (struct call *c, uint64_t now_ms);
+
 /** attempt_start() - send the request to the endpoint that @v names */
 void attempt_start (struct call *c, const struct place_result *v);
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -115,6 +115,26 @@
 					  "X-Expect-Instance: i-2\r\n"
 					  "Kv-Fetch: 10.0.0.1:80\r\n"
 					  "Last-Event-Id: 0\r\n");
+	/* A copy of the run is kept, and later the run continues from it. */
+	s = (struct dia_forward){.endpoint_id = "i-3",
+				 .remaining_ms = 1,
+				 .last_event_id = -1,
+				 .request_id = "9c41",
+				 .backup = "10.0.0.2:80"};
+	g_string_truncate (out, 0);
+	d->format_headers (&s, out);
+	CU_ASSERT_STRING_EQUAL (out->str, "X-Deadline-Ms: 1\r\n"
+					  "X-Expect-Instance: i-3\r\n"
+					  "X-Kv-Backup: 10.0.0.2:80\r\n");
+	s.backup = NULL;
+	s.run_copy = "10.0.0.2:80";
+	s.last_event_id = 7;
+	g_string_truncate (out, 0);
+	d->format_headers (&s, out);
+	CU_ASSERT_STRING_EQUAL (out->str, "X-Deadline-Ms: 1\r\n"
+					  "X-Expect-Instance: i-3\r\n"
+					  "Kv-From: 10.0.0.2:80/9c41\r\n"
+					  "Last-Event-Id: 7\r\n");
 	g_string_free (out, TRUE);
 }
 
@@ -167,7 +187,8 @@
 	"{\"service\":\"app\",\"weight\":10}]}],"
 	"\"services\":[{\"name\":\"llm\",\"health_path\":\"/health\","
 	"\"max_connections\":370,\"cold_start_s\":3.0,\"cold_per_s\":6.3,"
-	"\"engine\":{\"slots\":64,\"kv_capacity\":539774},"
+	"\"engine\":{\"slots\":64,\"kv_capacity\":539774,"
+	"\"backups\":true},"
 	"\"scaling\":{\"min\":1,\"max\":12,\"boot_s\":4.0,"
 	"\"spot_price\":0.22,\"zone_prices\":{\"n\":1.0,\"s\":0.8}}},"
 	"{\"name\":\"app\",\"max_connections\":110}],"
@@ -199,7 +220,8 @@
 	llm = plan_service (p, "llm");
 	CU_ASSERT (llm->is_engine && llm->elastic && llm->max_endpoints == 12 &&
 		   llm->boot_ms == 4000 && llm->cold_ms == 3000 &&
-		   llm->price_count == 2 && llm->kv_capacity_tokens == 539774);
+		   llm->price_count == 2 && llm->kv_capacity_tokens == 539774 &&
+		   llm->kv_backups);
 	CU_ASSERT (!plan_service (p, "app")->is_engine);
 	CU_ASSERT (plan_account_by_key (p, "k2")->has_tier &&
 		   plan_account_by_key (p, "k2")->tier == 0);
