relayd: a stream goes on only where the connection is refused

A connection attempt without an answer ended like a refused one, so an engine behind lost packets could still have run when the stream went on elsewhere. The attempt may now take no longer than the check, which then cuts the stream.

--- a/relayd/continue.c
+++ b/relayd/continue.c
@@ -1,20 +1,25 @@
 /*
  * Streams whose engine ended in the middle, and that go on from a copy of the
  * run at another engine.  The run must not be at both, so a new connection to
- * the first engine is tried; only where nothing listens any more does the
- * stream go on.
+ * the first engine is tried, and the stream goes on only if it is refused.  A
+ * connection attempt without an answer proves nothing: the engine may be out of
+ * reach and still run.
  */
 #include <string.h>
 
 #include "relayd.h"
 
-/* A closed port answers within a round trip. */
+/* A closed port refuses within a round trip; longer than this, the client is
+ * better off with a cut stream. */
 #define CONFIRM_TIMEOUT_MS 60
 
+/* Limit of the connection attempt itself; it is never reached. */
+#define CONNECT_TIMEOUT_MS 1000
+
 static void
 cut (struct call *c, const char *why)
 {
-	log_event (LOG_LV_INFO, "continue", "req=%s possible=0 why=\"%s\"",
+	log_event (LOG_LV_INFO, "continue", "req=%s continued=0 why=\"%s\"",
 		   c->req.id, why);
 	call_cut (c, "cut");
 }
@@ -30,6 +35,7 @@
 		return;
 	}
 	c->continues = true;
+	c->r->stats.continued++;
 	attempt_start (c, &v);
 }
 
@@ -83,11 +89,11 @@
 	struct h1cli_req req = {
 		.bytes = text,
 		.len = strlen (text),
-		.connect_ms = CONFIRM_TIMEOUT_MS,
-		.limits = {.user_timeout_ms = CONFIRM_TIMEOUT_MS}};
+		.connect_ms = CONNECT_TIMEOUT_MS,
+		.limits = {.user_timeout_ms = CONNECT_TIMEOUT_MS}};
 
 	c->r->stats.probes++;
-	c->confirm_until_ms = tmr_now_ms () + 2 * CONFIRM_TIMEOUT_MS;
+	c->confirm_until_ms = tmr_now_ms () + CONFIRM_TIMEOUT_MS;
 	c->exchange = h1cli_start (&u->host, &req, &confirm_ops, c);
 	g_free (text);
 }
@@ -99,5 +105,5 @@
 		return;
 	c->confirm_until_ms = 0;
 	call_release_ep (c);
-	cut (c, "the engine still runs");
+	cut (c, "the end of the engine is not confirmed");
 }
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -178,13 +178,14 @@
  * @cut: answers that ended incomplete after their headers were sent
  * @client_gone: requests whose client disconnected
  * @retries: failed attempts that another attempt was to follow
+ * @continued: streams that went on from a copy of their run
  * @connect_failed: attempts for which no connection was made
  * @first_byte_us: time from arrival to the first byte of the answer
  * @total_us: time from arrival to the end of the answer
  */
 struct relay_stats {
 	uint64_t requests, served, refused, failed, passed_on, cut, client_gone;
-	uint64_t attempts, retries, resumed, connect_failed, probes;
+	uint64_t attempts, retries, continued, connect_failed, probes;
 	struct hist first_byte_us, total_us;
 };
 
