place: copies that no prediction includes are bounded by their time on the links

Change: the preferred engine is named as a source only where the transfer is four times faster than the prefill, and copies of runs are kept only where one occupies a link for 20 ms at most.

--- a/lib/place.h
+++ b/lib/place.h
@@ -142,19 +142,23 @@
  * place_choose_backup() - choose the engine that keeps a copy of a run
  * @f: the endpoints
  * @ep: the engine that runs the request
+ * @service: its service
+ * @tokens: length of the prompt and of the longest answer
  * @random: random value
  * @now_ms: current time
  *
  * Engines of a failure domain are reclaimed together, so the copy is kept in
  * another one if there is one.  Copies take memory and links, so they are kept
- * only while engines are being lost.
+ * only of small runs, and while engines are being lost.
  *
- * Return: a warm engine in use; NULL if none was lost lately, or a few draws
- * found none.
+ * Return: a warm engine in use; NULL if none was lost lately, the run is too
+ * large, or a few draws found none.
  */
 struct fleet_ep *place_choose_backup (const struct fleet *f,
 				      const struct fleet_ep *ep,
-				      uint32_t random, uint64_t now_ms);
+				      const struct plan_service *service,
+				      uint32_t tokens, uint32_t random,
+				      uint64_t now_ms);
 
 /**
  * place_should_advertise() - whether to tell peers which engine caches a prefix
--- a/lib/place_backup.c
+++ b/lib/place_backup.c
@@ -5,25 +5,32 @@
 
 #include <xxhash.h>
 
-#include "place.h"
+#include "place_priv.h"
 
 /* Engines mostly end in clusters: a crash of many, a reclaim, a release.  After
  * one was lost, copies are kept for this long. */
 #define AFTER_LOSS_MS 20000
 
+/* Longest time that the copy of a run may occupy a link.  An engine starts some
+ * ten runs a second, and its links carry other copies too. */
+#define LINK_MAX_MS 20.0
+
 /* Engines that are examined.  Most are in use and two thirds are in another
  * domain, so few choices fail. */
 #define DRAWS 12
 
 struct fleet_ep *
 place_choose_backup (const struct fleet *f, const struct fleet_ep *ep,
+		     const struct plan_service *service, uint32_t tokens,
 		     uint32_t random, uint64_t now_ms)
 {
 	const struct fleet_pool *p = fleet_pool (f, ep->info.service);
 	struct fleet_ep *near = NULL;
 	uint64_t rng = random;
 
-	if (f->loss_ms == 0 || now_ms > f->loss_ms + AFTER_LOSS_MS)
+	if (f->loss_ms == 0 || now_ms > f->loss_ms + AFTER_LOSS_MS ||
+	    service->link_mbps <= 0 ||
+	    place_link_ms (service, tokens) > LINK_MAX_MS)
 		return NULL;
 	for (uint32_t i = 0; p != NULL && i < DRAWS && p->eps->len > 0; i++) {
 		struct fleet_ep *x;
--- a/lib/place_cost.c
+++ b/lib/place_cost.c
@@ -32,6 +32,10 @@
  * request, so it pays for shorter segments too. */
 #define COPY_PREFERRED_MIN_TOKENS 256
 
+/* Such a copy is not part of the prediction, since it may find nothing, so its
+ * transfer must be this many times faster than the prefill. */
+#define COPY_PREFERRED_SPEEDUP 4.0
+
 double
 place_backlog_tokens (const struct choice *c, const struct fleet_ep *ep)
 {
@@ -51,12 +55,17 @@
 	return ep->inflight + fleet_peer_running (c->pool, ep);
 }
 
+double
+place_link_ms (const struct plan_service *s, double tokens)
+{
+	return tokens * s->kv_token_bytes * 8 / 1000 / s->link_mbps;
+}
+
 /* Time to copy the KV cache of @tokens from another engine. */
 static double
 copy_ms (const struct plan_service *s, double tokens)
 {
-	return COPY_MIN_MS +
-	       tokens * s->kv_token_bytes * 8 / 1000 / s->link_mbps;
+	return COPY_MIN_MS + place_link_ms (s, tokens);
 }
 
 /* The engine to copy the rest of the shared segments from where no report says
@@ -65,10 +74,13 @@
 likely_holder (const struct choice *c, const struct candidate *p, double cached)
 {
 	const struct candidate *first = &c->candidates[0];
+	const struct plan_service *s = c->req->service;
+	double missing = c->shared_tokens - cached;
 
-	if (p == first || first->origin != FROM_RING ||
-	    c->req->service->link_mbps <= 0 ||
-	    c->shared_tokens < cached + COPY_PREFERRED_MIN_TOKENS)
+	if (p == first || first->origin != FROM_RING || s->link_mbps <= 0 ||
+	    missing < COPY_PREFERRED_MIN_TOKENS ||
+	    place_link_ms (s, missing) * COPY_PREFERRED_SPEEDUP >
+		    missing / PLACE_PREFILL_PER_MS)
 		return NULL;
 	return first->ep;
 }
--- a/lib/place_priv.h
+++ b/lib/place_priv.h
@@ -54,6 +54,8 @@
 bool place_is_short (const struct place_req *req);
 
 /* place_cost.c */
+/* Time that the KV cache of @tokens occupies a link between engines. */
+double place_link_ms (const struct plan_service *s, double tokens);
 double place_backlog_tokens (const struct choice *c, const struct fleet_ep *ep);
 double place_backlog_ms (const struct choice *c, const struct fleet_ep *ep);
 /* Requests of all relays in flight at an endpoint. */
--- a/relayd/attempt.c
+++ b/relayd/attempt.c
@@ -271,7 +271,9 @@
 
 	if (c->service->kv_backups && c->route->kind == PLAN_STREAM &&
 	    !c->route->resumable && !c->continues)
-		backup = place_choose_backup (&c->r->fleet, c->ep,
+		backup = place_choose_backup (&c->r->fleet, c->ep, c->service,
+					      c->req.prompt_tokens +
+						      c->req.max_output_tokens,
 					      g_rand_int (c->r->rand), now_ms);
 	g_strlcpy (c->backup_id, backup != NULL ? backup->info.id : "",
 		   sizeof c->backup_id);
