--- a/lib/raft_restart.c
+++ b/lib/raft_restart.c
@@ -7,19 +7,20 @@
  * and callers wait for nothing.
  *
  * Members ask each other whether that is so, learners too, since one may have
- * been made a voter.  The one that holds the most, of these the one with the
- * lowest id, stands for election once all have said yes; of a member that lost
- * its disk, the new identity at its address is the word.
+ * been made a voter.  Once all have confirmed it, the one with the longest log
+ * stands for election; of several, the one with the lowest id.  A member that
+ * lost its disk can't confirm; it is left out once another identity uses its
+ * address.
  *
- * The word counts for the start in which it was given: a vote names the
- * incarnation of the voter, and a voter that has heard a leader since, or has
- * started again, refuses it.  So whichever member leads meanwhile, each that
- * answered it refuses, and those are a majority.
+ * A confirmation is valid for the start in which it was given: the request for
+ * a vote names the incarnation of the voter, and a voter that has heard a
+ * leader since, or has started again, refuses.  If another member became leader
+ * meanwhile, a majority has heard it, so the candidate can't win.
  */
 #include "raft_priv.h"
 
 /* Interval between two rounds of questions: a few round trips, and links that
- * are made while the members start. */
+ * come up while the members start. */
 #define ASK_MIN_MS 30
 #define ASK_MAX_MS 60
 
