e2e_fakes: the caller that leaves meets a stream that still runs

Ruled out: the engine's queue, the other cases of the test use it before. Change: 100 tokens, three seconds; the caller is seen to be gone when its turn comes, so that wait counts from the longer stream.

--- a/tests/e2e_fakes.sh
+++ b/tests/e2e_fakes.sh
@@ -66,9 +66,11 @@
 wait_for 10 test -s "$TMP/prio5.txt"
 check "priority 1 was served before 5" test "$TMP/prio1.txt" -ot "$TMP/prio5.txt"
 
-# A caller that leaves while it waits costs nothing.
+# A caller that leaves while it waits costs nothing: it is seen to be gone when
+# its turn comes.  The stream that it waits for takes three seconds, so that it
+# still runs when the caller arrives on a busy machine.
 start again curl -sN "$(port_of p)/v1/completions" \
-	-d '{"model":"m1","stream":true,"x_tokens":20}'
+	-d '{"model":"m1","stream":true,"x_tokens":100}'
 wait_for 5 running p 1
 start leaver curl -sN "$(port_of p)/v1/completions" \
 	-d '{"model":"m1","x_tokens":5}'
@@ -77,7 +79,7 @@
 cancelled () {
 	[ "$(seen p cancelled)" -ge 1 ]
 }
-wait_for 5 cancelled
+wait_for 8 cancelled
 
 # Over the cold bound it collapses, and counts that; in time it is warm.  The
 # stream that fills the bound runs until it is stopped.
