--- a/tests/e2e_dhctl_live.sh
+++ b/tests/e2e_dhctl_live.sh
@@ -85,7 +85,11 @@
 expect 1 "no instance" safe-to-stop nobody
 
 echo "leader lost"
-old=$(leader)
+# On a busy machine the leader may change at any moment.
+leader_found () {
+	old=$(leader) && [ -n "$old" ]
+}
+wait_for 10 leader_found
 stop "$old" KILL
 expect 0 revision drain endpoint s1
 expect 0 "term" show leader
