capacity: a quarter is on-demand again where there are three domains

Before a reclaim of one domain of three the on-demand engines of the others are what does not wait for a boot. Conclusion: the rule that a reclaim leaves three quarters stays, and with it the checks of test_capacity as they were.

--- a/lib/capacity.c
+++ b/lib/capacity.c
@@ -18,9 +18,12 @@
  * ordered. */
 #define ON_DEMAND_UTILIZATION 0.5
 
-/* Share of the endpoints of low load that are on-demand.  They serve the most
- * urgent requests when reclaims take the others of several domains. */
-#define ON_DEMAND_SHARE 0.1
+/* A reclaim takes the reclaimable endpoints of one domain, which should be no
+ * more than this share of all endpoints.  So the more domains there are, the
+ * smaller the share of on-demand endpoints in each, within these limits. */
+#define RECLAIM_SHARE 0.25
+#define ON_DEMAND_SHARE_MIN 0.1
+#define ON_DEMAND_SHARE_MAX 0.25
 
 /* Time constants of the smoothed demand.  It rises fast and falls slowly, since
  * bursts recur; a provisional demand falls sooner. */
@@ -75,11 +78,20 @@
 		    MIN ((uint32_t)ceil (missing * room / room_all), room));
 }
 
+/* Share of a domain's endpoints that is on-demand under low load. */
+static double
+on_demand_share (const struct capacity_input *in)
+{
+	return CLAMP (1 - RECLAIM_SHARE * in->domain_count, ON_DEMAND_SHARE_MIN,
+		      ON_DEMAND_SHARE_MAX);
+}
+
 struct capacity_target
 capacity_for_domain (const struct capacity_input *in)
 {
 	uint32_t total = wanted_total (in);
-	uint32_t few = (uint32_t)ceil (ON_DEMAND_SHARE * BASE_SHARE * in->max);
+	uint32_t few =
+		(uint32_t)ceil (on_demand_share (in) * BASE_SHARE * in->max);
 	uint32_t base = MIN (MAX (few, in->min), total), on_demand;
 	struct capacity_target out = {.reclaimable = total - base};
 
