--- a/lib/place_backup.c
+++ b/lib/place_backup.c
@@ -11,8 +11,8 @@
  * one was lost, copies are kept for this long. */
 #define AFTER_LOSS_MS 20000
 
-/* Longest time that the copy of a run may occupy a link.  An engine starts some
- * ten runs a second, and its links carry other copies too. */
+/* Longest time that the copy of one run may occupy a link: at ten runs a second
+ * on an engine, its links stay free most of the time. */
 #define LINK_MAX_MS 20.0
 
 /* Engines that are examined.  Most are in use and two thirds are in another
--- a/lib/raft_restart.c
+++ b/lib/raft_restart.c
@@ -7,13 +7,13 @@
  * and callers wait for nothing.
  *
  * Members ask each other whether that is so, learners too, since one may have
- * been made a voter.  Once all have confirmed it, the one with the longest log
+ * been made a voter.  Once all have said yes, the one with the longest log
  * stands for election; of several, the one with the lowest id.  A member that
- * lost its disk can't confirm; it is left out once another identity uses its
+ * lost its disk can't reply; it is left out once another identity uses its
  * address.
  *
- * A confirmation is valid for the start in which it was given: the request for
- * a vote names the incarnation of the voter, and a voter that has heard a
+ * A reply is valid for the start in which it was sent: the request for a vote
+ * names the incarnation of the voter, and a voter that has heard a
  * leader since, or has started again, refuses.  If another member became leader
  * meanwhile, a majority has heard it, so the candidate can't win.
  */
--- a/tests/test_raft_restart.c
+++ b/tests/test_raft_restart.c
@@ -89,8 +89,8 @@
 	}
 }
 
-/* Two of five lost their disks: the others wait for their confirmation until
- * the new identities are known. */
+/* Two of five lost their disks: the others wait for their replies until the new
+ * identities are known. */
 static void
 test_lost_disks (void)
 {
@@ -163,10 +163,10 @@
 	return n->raft.vote == 2 && n->raft.term == m.term;
 }
 
-/* The confirmation of a member is valid for the start in which it was given,
- * and until it hears a leader. */
+/* The reply of a member is valid for the start in which it was sent, and until
+ * the member hears a leader. */
 static void
-test_confirmation_expires (void)
+test_reply_expires (void)
 {
 	struct raft_msg heartbeat = {
 		.kind = RAFT_MSG_APPEND, .from = 3, .to = 1, .term = 7};
@@ -281,7 +281,7 @@
 		{"all restart", test_all_restart},
 		{"lost disks", test_lost_disks},
 		{"a leader lives", test_leader_lives},
-		{"a confirmation expires", test_confirmation_expires},
+		{"a reply expires", test_reply_expires},
 		{"seeded schedules", test_schedules},
 		{NULL, NULL}};
 
