--- a/groupd/scale.c
+++ b/groupd/scale.c
@@ -214,6 +214,8 @@
 		.reclaimable = listed_count (g, reclaimable),
 		.expected = expected_count (g, on_demand, s->boot_ms, now_ms) +
 			    expected_count (g, reclaimable, s->boot_ms, now_ms),
+		.reclaimable_expected =
+			expected_count (g, reclaimable, s->boot_ms, now_ms),
 		.expected_reclaimable = expected_total (g, s, true, now_ms),
 		.before_traffic =
 			!has_served (g) && s->boot_ms <= FIRST_BOOT_MAX_MS,
--- a/lib/capacity.c
+++ b/lib/capacity.c
@@ -67,7 +67,7 @@
 {
 	double missing =
 		in->demand / ON_DEMAND_UTILIZATION - in->expected_reclaimable;
-	uint32_t room = in->max - MIN (in->reclaimable, in->max);
+	uint32_t room = in->max - MIN (in->reclaimable_expected, in->max);
 	double room_all =
 		(double)in->max * in->domain_count - in->expected_reclaimable;
 
--- a/lib/capacity.h
+++ b/lib/capacity.h
@@ -30,6 +30,7 @@
  * @reclaimable: the same for reclaimable ones
  * @expected: endpoints of both kinds here after the last orders, including
  *	those that boot
+ * @reclaimable_expected: the reclaimable ones of @expected
  * @expected_all: the same in all domains
  * @expected_reclaimable: the reclaimable ones of @expected_all
  * @before_traffic: no request has arrived yet, and what is ordered now boots in
@@ -46,6 +47,7 @@
 	uint32_t on_demand;
 	uint32_t reclaimable;
 	uint32_t expected;
+	uint32_t reclaimable_expected;
 	uint32_t expected_all;
 	uint32_t expected_reclaimable;
 	bool before_traffic;
--- a/tests/test_capacity.c
+++ b/tests/test_capacity.c
@@ -73,11 +73,33 @@
 	in.on_demand = 2;
 	in.expected_all = 16;
 	CU_ASSERT (capacity_for_domain (&in).on_demand == 6);
-	in.reclaimable = 10;
+	in.reclaimable = in.reclaimable_expected = 10;
 	CU_ASSERT (capacity_for_domain (&in).on_demand == 2 &&
 		   capacity_for_domain (&in).reclaimable == 10);
 }
 
+/* A domain that was reclaimed has on-demand endpoints, and reclaimable ones are
+ * granted again and boot when the next burst comes.  They are not replaced by
+ * on-demand ones, which boot as long and cost more. */
+static void
+test_burst_after_reclaim (void)
+{
+	struct capacity_input in = {.min = 1,
+				    .max = 60,
+				    .price_ratio = 0.22,
+				    .demand = 103,
+				    .domain_count = 3,
+				    .on_demand = 34,
+				    .reclaimable = 0,
+				    .expected = 60,
+				    .reclaimable_expected = 26,
+				    .expected_all = 180,
+				    .expected_reclaimable = 128};
+	struct capacity_target out = capacity_for_domain (&in);
+
+	CU_ASSERT (out.on_demand == 34 && out.reclaimable == 26);
+}
+
 /* With any number of domains, a reclaim of one leaves three quarters of all
  * endpoints, and each domain has on-demand ones. */
 static void
@@ -321,6 +343,7 @@
 		{"low load", test_low_load},
 		{"burst", test_burst},
 		{"reclaim", test_reclaim},
+		{"burst after reclaim", test_burst_after_reclaim},
 		{"domains", test_domains},
 		{"bounds", test_bounds},
 		{"demand", test_demand},
