fleet: a domain that drops packets is found by its silence, and left

Ruled out: the time-outs themselves (shorter ones would end slow engines), the silence of group members (their messages are up to 0.7 s apart). Change: where several endpoints of a domain have work, streams among it, and no byte came for 0.3 s, the domain is suspect as after three failures, and two are probed. When both probes fail, requests there that may run again, and streams, run elsewhere, if there is an endpoint and budget for them. Replay: test_fleet (silence), which fails without the check; a process that did not run, and an endpoint that still sends, are no cut.

--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -88,11 +88,15 @@
 	uint64_t suspect_since_ms;
 	uint64_t last_heard_ms; /* when bytes from it arrived last */
 	bool suspect_by_domain; /* suspect with its domain: fleet_suspect() */
+	bool probe_failed;      /* since it became suspect with its domain */
+	bool cut_off;           /* see fleet_is_cut_off() */
 	uint64_t probe_at_ms;   /* next probe of a suspect endpoint */
 	uint32_t probe_backoff_ms;
 	uint64_t avoid_until_ms;      /* avoided for its error rate */
 	double error_rate;            /* moving average, 0 to 1 */
 	uint32_t inflight;            /* requests of this relay */
+	uint64_t busy_since_ms;       /* when the first of these was sent */
+	uint32_t answering;           /* streams of this relay that began */
 	double prefill_tokens;        /* their prompt tokens still to prefill */
 	uint32_t peer_running;        /* requests of the peer relays */
 	uint32_t peer_prefill_tokens; /* prompt tokens of them to prefill */
@@ -174,6 +178,7 @@
 	bool want_snapshot;         /* peer load must be sent in full again */
 	double slowdown;  /* measured prefill time over predicted, averaged */
 	uint64_t loss_ms; /* when an endpoint was lost last; 0: never */
+	uint64_t silence_checked_ms; /* fleet_check_silence() */
 	double slot_hold_ms; /* time that a stream holds a slot, averaged */
 };
 
@@ -285,6 +290,25 @@
  */
 void fleet_suspect (struct fleet *f, struct fleet_ep *ep, uint64_t now_ms);
 
+/**
+ * fleet_check_silence() - suspect failure domains that fell silent
+ * @now_ms: current time
+ *
+ * Where a link drops packets, nothing fails for a while: requests on open
+ * connections get no answer, streams stand still, and new connections time out
+ * one by one.  Streams send an event every few milliseconds, so a domain of
+ * which several endpoints have work and none sends a byte is suspect, as by
+ * fleet_suspect().  To be called several times a second; a call that comes late
+ * is skipped, since the process did not read what had arrived.
+ *
+ * Return: an endpoint of a domain that became suspect now, or NULL.
+ */
+const struct fleet_ep *fleet_check_silence (struct fleet *f, uint64_t now_ms);
+
+/** fleet_is_cut_off() - whether @ep is silent in a domain that is suspect as a
+ * whole and whose probes failed: what runs there should run elsewhere */
+bool fleet_is_cut_off (const struct fleet_ep *ep, uint64_t now_ms);
+
 /** fleet_probed() - record the result of a probe of a suspect endpoint: it is
  * healthy again, or is probed again after a longer pause */
 void fleet_probed (struct fleet *f, struct fleet_ep *ep, bool success,
--- a/lib/fleet_health.c
+++ b/lib/fleet_health.c
@@ -19,6 +19,14 @@
 #define CUT_ENDPOINTS_MIN 3
 #define CUT_WINDOW_MS 2000
 
+/* A domain is silent when none of its endpoints sent a byte for this long while
+ * they have work: a stream sends an event every few milliseconds, and a prompt
+ * that is prefilled beside it delays that by a prefill step of some tens. */
+#define SILENCE_MS 300
+
+/* Longest time between two calls of fleet_check_silence(). */
+#define SILENCE_CHECK_MAX_MS 150
+
 /* Behind a cut, this many endpoints are probed at once.  The others are probed
  * CUT_PROBE_DELAY_MS later, in case the first ones have ended. */
 #define CUT_PROBES 2
@@ -30,6 +38,14 @@
 	return strcmp (a->info.domain, b->info.domain) == 0;
 }
 
+/* Whether @e has work and sent no byte for SILENCE_MS. */
+static bool
+is_silent (const struct fleet_ep *e, uint64_t now_ms)
+{
+	return e->inflight > 0 &&
+	       MAX (e->last_heard_ms, e->busy_since_ms) + SILENCE_MS <= now_ms;
+}
+
 /* Whether several endpoints of @ep's domain stopped answering together and none
  * of the domain was heard since. */
 static bool
@@ -45,11 +61,14 @@
 		if (!same_domain (e, ep))
 			continue;
 		heard_ms = MAX (heard_ms, e->last_heard_ms);
-		if (e->health == FLEET_HEALTHY ||
-		    now_ms > e->suspect_since_ms + CUT_WINDOW_MS)
-			continue;
-		silent++;
-		first_ms = MIN (first_ms, e->suspect_since_ms);
+		if (e->health == FLEET_SUSPECT &&
+		    now_ms <= e->suspect_since_ms + CUT_WINDOW_MS) {
+			silent++;
+			first_ms = MIN (first_ms, e->suspect_since_ms);
+		} else if (is_silent (e, now_ms)) {
+			silent++;
+			first_ms = MIN (first_ms, now_ms - SILENCE_MS + 1);
+		}
 	}
 	return silent >= CUT_ENDPOINTS_MIN && heard_ms < first_ms;
 }
@@ -66,6 +85,7 @@
 			continue;
 		e->health = FLEET_SUSPECT;
 		e->suspect_by_domain = true;
+		e->probe_failed = false;
 		e->suspect_since_ms = now_ms;
 		e->probe_backoff_ms = PROBE_FIRST_MS;
 		e->probe_at_ms = now_ms;
@@ -81,7 +101,10 @@
 	for (guint i = 0; i < f->eps->len; i++) {
 		struct fleet_ep *e = g_ptr_array_index (f->eps, i);
 
-		if (!e->suspect_by_domain || !same_domain (e, ep))
+		if (!same_domain (e, ep))
+			continue;
+		e->cut_off = false;
+		if (!e->suspect_by_domain)
 			continue;
 		e->suspect_by_domain = false;
 		e->health = FLEET_HEALTHY;
@@ -104,6 +127,53 @@
 		suspect_domain (f, ep, now_ms);
 }
 
+const struct fleet_ep *
+fleet_check_silence (struct fleet *f, uint64_t now_ms)
+{
+	bool late = now_ms > f->silence_checked_ms + SILENCE_CHECK_MAX_MS;
+
+	f->silence_checked_ms = now_ms;
+	for (guint i = 0; i < f->eps->len && !late; i++) {
+		const struct fleet_ep *e = g_ptr_array_index (f->eps, i);
+
+		/* Before the first byte, a request may wait for long. */
+		if (e->health == FLEET_SUSPECT || e->answering == 0 ||
+		    !is_silent (e, now_ms) || !domain_is_silent (f, e, now_ms))
+			continue;
+		suspect_domain (f, e, now_ms);
+		return e;
+	}
+	return NULL;
+}
+
+/* Once as many probes failed as are sent at once, no endpoint of the domain is
+ * reached: a single one may have crashed. */
+static void
+note_failed_probe (struct fleet *f, struct fleet_ep *ep)
+{
+	uint32_t failed = 0;
+
+	ep->probe_failed = true;
+	for (guint i = 0; i < f->eps->len; i++) {
+		const struct fleet_ep *e = g_ptr_array_index (f->eps, i);
+
+		failed += e->suspect_by_domain && e->probe_failed &&
+			  same_domain (e, ep);
+	}
+	for (guint i = 0; i < f->eps->len && failed >= CUT_PROBES; i++) {
+		struct fleet_ep *e = g_ptr_array_index (f->eps, i);
+
+		if (same_domain (e, ep))
+			e->cut_off = true;
+	}
+}
+
+bool
+fleet_is_cut_off (const struct fleet_ep *ep, uint64_t now_ms)
+{
+	return ep->cut_off && is_silent (ep, now_ms);
+}
+
 void
 fleet_probed (struct fleet *f, struct fleet_ep *ep, bool success,
 	      uint64_t now_ms)
@@ -117,6 +187,8 @@
 	}
 	ep->probe_backoff_ms = MIN (ep->probe_backoff_ms * 2, PROBE_MAX_MS);
 	ep->probe_at_ms = now_ms + ep->probe_backoff_ms;
+	if (ep->suspect_by_domain)
+		note_failed_probe (f, ep);
 }
 
 void
--- a/relayd/attempt.c
+++ b/relayd/attempt.c
@@ -67,6 +67,8 @@
 	if (c->first_byte_seen)
 		return;
 	c->first_byte_seen = true;
+	if (c->is_stream)
+		ep->answering++;
 	c->r->load_changed = true;
 	ep->prefill_tokens = MAX (ep->prefill_tokens - c->prefill_tokens, 0);
 	call_place_waiting (c->r);
@@ -358,7 +360,7 @@
 		   v->copy_from != NULL ? v->copy_from->info.addr : "",
 		   sizeof c->kv_from);
 	c->prefill_ms = v->nominal_ms;
-	c->first_byte_seen = false;
+	c->first_byte_seen = c->is_stream = false;
 	c->status = 0;
 	c->answer = (struct dia_response){0};
 	g_string_truncate (c->answer_body, 0);
@@ -366,7 +368,8 @@
 	c->r->load_changed = true;
 	c->ep->last_sent_ms = now_ms;
 	fleet_note_sent (&c->r->fleet, c->ep);
-	c->ep->inflight++;
+	if (c->ep->inflight++ == 0)
+		c->ep->busy_since_ms = now_ms;
 	c->ep->prefill_tokens += c->prefill_tokens;
 	if (c->service->is_engine)
 		record_segments (c, v, now_ms);
--- a/relayd/call.c
+++ b/relayd/call.c
@@ -66,6 +66,8 @@
 	if (!c->first_byte_seen)
 		c->ep->prefill_tokens =
 			MAX (c->ep->prefill_tokens - c->prefill_tokens, 0);
+	else if (c->is_stream)
+		c->ep->answering--;
 	c->ep = NULL;
 }
 
@@ -267,11 +269,10 @@
 	}
 }
 
-void
-call_attempt_failed (struct call *c)
+static struct failover_input
+failover_state (const struct call *c, uint64_t now_ms)
 {
-	uint64_t now_ms = tmr_now_ms ();
-	struct failover_input f = {
+	return (struct failover_input){
 		.kind = c->route->kind,
 		.resumable = c->route->resumable,
 		.sent = c->exchange == NULL || h1cli_sent (c->exchange),
@@ -284,19 +285,29 @@
 		.attempt_count = c->attempts,
 		.remaining_ms = remaining_ms (c, now_ms),
 	};
-	enum failover_action v = failover_decide (&f);
+}
 
-	if ((v == FAILOVER_RETRY || v == FAILOVER_CONTINUE) &&
-	    !rbudget_take (c->r->rbudget, c->service->name, c->r->relay_count,
-			   now_ms))
-		v = failover_final (&f);
+static bool
+take_retry (struct call *c, uint64_t now_ms)
+{
+	return rbudget_take (c->r->rbudget, c->service->name, c->r->relay_count,
+			     now_ms);
+}
+
+/* Ends the attempt, whose exchange is over, and does what @v says. */
+static void
+end_attempt (struct call *c, const struct failover_input *f,
+	     enum failover_action v, uint64_t now_ms)
+{
 	log_event (LOG_LV_INFO, "attempt-failed",
 		   "req=%s verdict=%s status=%d sent=%d not_run=%d "
 		   "headers_sent=%d maybe_run=%u attempts=%u "
-		   "remaining_ms=%" G_GUINT64_FORMAT,
-		   c->req.id, failover_action_name (v), c->status, f.sent,
-		   f.not_run, f.response_started, f.possible_runs,
-		   f.attempt_count, f.remaining_ms);
+		   "cut_off=%d remaining_ms=%" G_GUINT64_FORMAT,
+		   c->req.id, failover_action_name (v), c->status, f->sent,
+		   f->not_run, f->response_started, f->possible_runs,
+		   f->attempt_count,
+		   c->ep != NULL && fleet_is_cut_off (c->ep, now_ms),
+		   f->remaining_ms);
 	if (v == FAILOVER_RETRY || v == FAILOVER_RETRY_UNSENT) {
 		c->r->stats.retries++;
 		c->prefill_counted = false;
@@ -311,6 +322,40 @@
 	apply_verdict (c, v);
 }
 
+void
+call_attempt_failed (struct call *c)
+{
+	uint64_t now_ms = tmr_now_ms ();
+	struct failover_input f = failover_state (c, now_ms);
+	enum failover_action v = failover_decide (&f);
+
+	if ((v == FAILOVER_RETRY || v == FAILOVER_CONTINUE) &&
+	    !take_retry (c, now_ms))
+		v = failover_final (&f);
+	end_attempt (c, &f, v, now_ms);
+}
+
+/* Runs a request elsewhere whose endpoint is in a domain that is cut off.  Its
+ * connection would time out only after its client has waited for long. */
+static void
+leave_cut_off (struct call *c, uint64_t now_ms)
+{
+	struct failover_input f = failover_state (c, now_ms);
+	struct place_result v;
+
+	f.answered = false;
+	f.possible_runs++;
+	if (!f.sent || failover_decide (&f) != FAILOVER_RETRY)
+		return;
+	choose_endpoint (c, &v, now_ms);
+	if (v.ep == NULL || !take_retry (c, now_ms))
+		return;
+	h1cli_cancel (c->exchange);
+	c->maybe_run++;
+	c->status = 0;
+	end_attempt (c, &f, FAILOVER_RETRY, now_ms);
+}
+
 static void
 call_expire (struct call *c)
 {
@@ -373,6 +418,9 @@
 			   h1srv_pending (c->client) < PENDING_MAX_BYTES / 2) {
 			c->paused = false;
 			h1cli_resume (c->exchange);
+		} else if (c->exchange != NULL &&
+			   fleet_is_cut_off (c->ep, now_ms)) {
+			leave_cut_off (c, now_ms);
 		}
 	}
 	place_waiting (r);
--- a/relayd/upstream.c
+++ b/relayd/upstream.c
@@ -260,11 +260,27 @@
 	h1cli_host_finish (&r->platform);
 }
 
+static void
+check_silence (struct relay *r, uint64_t now_ms)
+{
+	const struct fleet_ep *ep = fleet_check_silence (&r->fleet, now_ms);
+
+	if (ep == NULL)
+		return;
+	r->load_changed = true; /* load reports name suspect endpoints */
+	log_event (LOG_LV_INFO, "domain-silent",
+		   "domain=%s heard_ms=%" G_GUINT64_FORMAT, ep->info.domain,
+		   now_ms - ep->last_heard_ms);
+}
+
 void
 upstream_tick (struct relay *r, uint64_t now_ms)
 {
 	bool due = now_ms >= r->probe_check_ms + PROBE_CHECK_MS;
 
+	if (due)
+		check_silence (r, now_ms);
+
 	for (guint i = 0; due && i < r->fleet.eps->len; i++) {
 		struct fleet_ep *ep = g_ptr_array_index (r->fleet.eps, i);
 
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -379,6 +379,80 @@
 	fleet_finish (&f);
 }
 
+/* Every endpoint of the table has a stream whose last event came at @heard_ms,
+ * except those of domain @silent, which were heard last at @silent_ms. */
+static void
+stream_all (struct fleet *f, uint64_t heard_ms, const char *silent,
+	    uint64_t silent_ms)
+{
+	for (guint i = 0; i < f->eps->len; i++) {
+		struct fleet_ep *e = f->eps->pdata[i];
+
+		e->inflight = e->answering = 1;
+		e->busy_since_ms = 1000;
+		fleet_heard (e, strcmp (e->info.domain, silent) == 0
+					? silent_ms
+					: heard_ms);
+	}
+}
+
+/* A link drops packets at 2000 ms while streams run.  No connection fails yet;
+ * what may run again has to run elsewhere before a pause of a second, which is
+ * the longest one that clients of long answers accept. */
+static void
+test_silence (void)
+{
+	const uint64_t cut_ms = 2000, pause_ms = 1000, probe_ms = 300;
+	uint64_t now_ms, suspect_ms = 0;
+	struct fleet f;
+
+	two_domains (&f);
+	for (now_ms = 1900; suspect_ms == 0 && now_ms < 4000; now_ms += 60) {
+		stream_all (&f, now_ms, "n", MIN (now_ms, cut_ms));
+		if (fleet_check_silence (&f, now_ms) != NULL)
+			suspect_ms = now_ms;
+	}
+	CU_ASSERT (suspect_ms > cut_ms &&
+		   suspect_ms + probe_ms < cut_ms + pause_ms);
+	CU_ASSERT (fleet_ready_count (&f, suspect_ms) == 6);
+	CU_ASSERT (probes_due (&f, suspect_ms) == 2);
+	now_ms = suspect_ms + probe_ms;
+	/* One failed probe may be a crash, two are a cut. */
+	fleet_probed (&f, fleet_find (&f, "n0"), false, suspect_ms + 10);
+	CU_ASSERT (!fleet_is_cut_off (fleet_find (&f, "n5"), now_ms));
+	fleet_probed (&f, fleet_find (&f, "n1"), false, suspect_ms + probe_ms);
+	CU_ASSERT (fleet_is_cut_off (fleet_find (&f, "n5"), now_ms) &&
+		   !fleet_is_cut_off (fleet_find (&f, "s5"), now_ms));
+	/* An endpoint that still sends is not left. */
+	fleet_heard (fleet_find (&f, "n4"), now_ms - 10);
+	CU_ASSERT (!fleet_is_cut_off (fleet_find (&f, "n4"), now_ms));
+	fleet_probed (&f, fleet_find (&f, "n1"), true, 7000);
+	CU_ASSERT (!fleet_is_cut_off (fleet_find (&f, "n5"), now_ms) &&
+		   fleet_ready_count (&f, 7000) == 12);
+	fleet_finish (&f);
+}
+
+/* What is no cut: one endpoint that is still heard, requests that only wait for
+ * their first byte, and a process that was not running. */
+static void
+test_no_silence (void)
+{
+	struct fleet f;
+
+	two_domains (&f);
+	fleet_check_silence (&f, 2500);
+	stream_all (&f, 2600, "n", 2000);
+	fleet_heard (fleet_find (&f, "n3"), 2550);
+	CU_ASSERT (fleet_check_silence (&f, 2600) == NULL);
+	stream_all (&f, 2600, "n", 2000);
+	for (guint i = 0; i < f.eps->len; i++)
+		((struct fleet_ep *)f.eps->pdata[i])->answering = 0;
+	CU_ASSERT (fleet_check_silence (&f, 2600) == NULL);
+	stream_all (&f, 2600, "n", 2600);
+	CU_ASSERT (fleet_check_silence (&f, 6000) == NULL);
+	fleet_finish (&f);
+}
+
 int
 main (void)
 {
@@ -388,6 +462,8 @@
 					      {"suspect", test_suspect},
 					      {"cut", test_cut},
 					      {"crash", test_crash},
+					      {"silence", test_silence},
+					      {"no silence", test_no_silence},
 					      {"error rate", test_error_rate},
 					      {"segments", test_segments},
 					      {"deltas", test_deltas},
