place: an endpoint that breaks requests gets only those that may run again

From 5.9 to 11.2 s 21 engines reset all connections while their health checks succeed: each relay suspected one, probed it after 0.25 s, took it for healthy, and lost the next request there; so did the others. Ruled out: the crashes (their health checks fail too), the error rate (it counts answers), the retry budget (chat has none). Change: an endpoint that closed a new connection without an answer is on trial after its probe succeeds: the relay sends it only requests that may run again, until one is answered; the pause before its next probe grows, and peers are told meanwhile. A trial without a request ends after 5 s.

--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -92,6 +92,8 @@
 	bool cut_off;           /* see fleet_is_cut_off() */
 	uint64_t probe_at_ms;   /* next probe of a suspect endpoint */
 	uint32_t probe_backoff_ms;
+	bool on_trial;                /* see fleet_broke_request() */
+	uint64_t trial_end_ms;        /* end of the trial; 0: not probed yet */
 	uint64_t avoid_until_ms;      /* avoided for its error rate */
 	double error_rate;            /* moving average, 0 to 1 */
 	uint32_t inflight;            /* requests of this relay */
@@ -290,6 +292,28 @@
  */
 void fleet_suspect (struct fleet *f, struct fleet_ep *ep, uint64_t now_ms);
 
+/**
+ * fleet_broke_request() - the endpoint closed a new connection without an
+ * answer to the request on it: it is suspect as by fleet_suspect(), and then on
+ * trial
+ *
+ * An endpoint may break every request while its health check succeeds, and a
+ * request that may run once is lost with the connection.  On trial, an endpoint
+ * gets only requests that may run again, until it answers one of them.
+ */
+void fleet_broke_request (struct fleet *f, struct fleet_ep *ep,
+			  uint64_t now_ms);
+
+/** fleet_answered() - @ep answered a request, which ends its trial */
+void fleet_answered (struct fleet_ep *ep);
+
+/** fleet_on_trial() - whether @ep should get only requests that may run again
+ */
+bool fleet_on_trial (const struct fleet_ep *ep, uint64_t now_ms);
+
+/** fleet_is_reported() - whether peers are told that @ep is suspect */
+bool fleet_is_reported (const struct fleet_ep *ep, uint64_t now_ms);
+
 /**
  * fleet_check_silence() - suspect failure domains that fell silent
  * @now_ms: current time
--- a/lib/fleet_health.c
+++ b/lib/fleet_health.c
@@ -32,6 +32,10 @@
 #define CUT_PROBES 2
 #define CUT_PROBE_DELAY_MS 10000
 
+/* Longest trial of an endpoint that gets no request that may run again, as in a
+ * service whose requests all run once. */
+#define TRIAL_MAX_MS 5000
+
 static bool
 same_domain (const struct fleet_ep *a, const struct fleet_ep *b)
 {
@@ -127,6 +131,43 @@
 		suspect_domain (f, ep, now_ms);
 }
 
+void
+fleet_broke_request (struct fleet *f, struct fleet_ep *ep, uint64_t now_ms)
+{
+	uint32_t backoff_ms = ep->probe_backoff_ms;
+
+	if (ep->health == FLEET_SUSPECT && !ep->suspect_by_domain)
+		return;
+	fleet_suspect (f, ep, now_ms);
+	if (ep->on_trial) {
+		ep->probe_backoff_ms = MIN (backoff_ms * 2, PROBE_MAX_MS);
+		ep->probe_at_ms = now_ms + ep->probe_backoff_ms;
+	}
+	ep->on_trial = true;
+	ep->trial_end_ms = 0;
+}
+
+void
+fleet_answered (struct fleet_ep *ep)
+{
+	ep->on_trial = false;
+}
+
+bool
+fleet_on_trial (const struct fleet_ep *ep, uint64_t now_ms)
+{
+	return ep->on_trial &&
+	       (ep->trial_end_ms == 0 || now_ms < ep->trial_end_ms);
+}
+
+bool
+fleet_is_reported (const struct fleet_ep *ep, uint64_t now_ms)
+{
+	return ep->listed &&
+	       ((ep->health == FLEET_SUSPECT && !ep->suspect_by_domain) ||
+		fleet_on_trial (ep, now_ms));
+}
+
 const struct fleet_ep *
 fleet_check_silence (struct fleet *f, uint64_t now_ms)
 {
@@ -179,6 +220,8 @@
 	      uint64_t now_ms)
 {
 	if (success) {
+		if (ep->on_trial && ep->trial_end_ms == 0)
+			ep->trial_end_ms = now_ms + TRIAL_MAX_MS;
 		ep->health = FLEET_HEALTHY;
 		ep->suspect_by_domain = false;
 		fleet_heard (ep, now_ms);
--- a/lib/place.c
+++ b/lib/place.c
@@ -62,6 +62,18 @@
 	return n < 2 ? 2 : (uint32_t)n;
 }
 
+/* Whether an endpoint is likely to fail the request.  One on trial is tried by
+ * each relay that saw it fail, with a request that may run again. */
+static bool
+is_failing (const struct choice *c, const struct fleet_ep *ep)
+{
+	if (c->now_ms < ep->avoid_until_ms)
+		return true;
+	if (fleet_on_trial (ep, c->now_ms))
+		return !c->req->may_repeat;
+	return ep->peer_suspect;
+}
+
 /* Whether an endpoint may get the request; notes in the choice why not. */
 static bool
 allowed (struct choice *c, const struct fleet_ep *ep)
@@ -70,8 +82,7 @@
 
 	if (!fleet_usable (c->f, ep, c->now_ms) || was_tried (c->req, ep))
 		return false;
-	if (!c->allow_failing &&
-	    (c->now_ms < ep->avoid_until_ms || ep->peer_suspect)) {
+	if (!c->allow_failing && is_failing (c, ep)) {
 		c->skipped_failing = true;
 		return false;
 	}
--- a/relayd/attempt.c
+++ b/relayd/attempt.c
@@ -30,8 +30,8 @@
 /* Time to the first token beyond prefill: decode steps and the network. */
 #define TTFT_OVERHEAD_MS 20.0
 
-static bool
-is_repeatable (const struct call *c)
+bool
+attempt_is_repeatable (const struct call *c)
 {
 	return c->route->kind == PLAN_IDEMPOTENT || c->route->resumable;
 }
@@ -91,6 +91,7 @@
 	(void)x;
 	c->r->dialect->parse_response (h, &c->answer);
 	fleet_heard (c->ep, now_ms);
+	fleet_answered (c->ep);
 	if (c->answer.cold_ms > 0)
 		fleet_set_cold (c->ep, c->answer.cold_ms, now_ms);
 	c->status = h->status;
@@ -219,10 +220,13 @@
 	if (end == H1CLI_UNSENT ||
 	    (end == H1CLI_BROKEN && !reused && c->status == 0 &&
 	     !c->answer.not_executed)) {
+		if (end == H1CLI_UNSENT)
+			fleet_suspect (&c->r->fleet, ep, now_ms);
+		else
+			fleet_broke_request (&c->r->fleet, ep, now_ms);
 		log_event (LOG_LV_INFO, "endpoint",
-			   "ep=%s addr=%s suspect=1 end=%d", ep->info.id,
-			   ep->info.addr, end);
-		fleet_suspect (&c->r->fleet, ep, now_ms);
+			   "ep=%s addr=%s suspect=1 end=%d trial=%d",
+			   ep->info.id, ep->info.addr, end, ep->on_trial);
 		return;
 	}
 	if (!c->answer.not_executed)
@@ -344,8 +348,8 @@
 		.to_head = c->is_head,
 		.echo_name = c->r->dialect->request_id_header,
 		.echo_value = c->req.id,
-		.idle_max_ms = is_repeatable (c) ? REUSE_IDLE_MAX_MS
-						 : REUSE_IDLE_ONCE_MS,
+		.idle_max_ms = attempt_is_repeatable (c) ? REUSE_IDLE_MAX_MS
+							 : REUSE_IDLE_ONCE_MS,
 		.connect_ms = (uint32_t)MIN (CONNECT_TIMEOUT_MS, remaining_ms),
 		.limits = {TCP_USER_TIMEOUT_MS, KEEPALIVE_PROBE_S},
 	};
--- a/relayd/call.c
+++ b/relayd/call.c
@@ -173,6 +173,8 @@
 		.segment_count = c->req.segment_count,
 		.prompt_tokens = c->req.prompt_tokens,
 		.max_backlog_ms = waitq_max_backlog_ms (c->route),
+		.may_repeat = attempt_is_repeatable (c) &&
+			      c->maybe_run + 1 < c->route->max_attempts,
 		.late = waitq_is_late (&c->wait, c->route, now_ms),
 		.tried_count = c->tried_count,
 		.random = g_rand_int (c->r->rand),
--- a/relayd/member.c
+++ b/relayd/member.c
@@ -315,16 +315,14 @@
 /* Returns an array of struct load: the endpoints that have work of this relay,
  * or are suspect. */
 static GArray *
-own_loads (const struct relay *r)
+own_loads (const struct relay *r, uint64_t now_ms)
 {
 	GArray *list = g_array_new (FALSE, FALSE, sizeof (struct load));
 
 	for (guint i = 0; i < r->fleet.eps->len; i++) {
 		struct fleet_ep *ep = g_ptr_array_index (r->fleet.eps, i);
 		struct load x = {ep->ep_hash, (uint32_t)ep->prefill_tokens,
-				 ep->inflight,
-				 ep->listed && ep->health == FLEET_SUSPECT &&
-					 !ep->suspect_by_domain};
+				 ep->inflight, fleet_is_reported (ep, now_ms)};
 
 		if (x.running > 0 || x.suspect)
 			g_array_append_val (list, x);
@@ -389,7 +387,7 @@
 		return;
 	r->load_changed = false;
 	r->load_reported_ms = now_ms;
-	loads = own_loads (r);
+	loads = own_loads (r, now_ms);
 	subset = g_array_new (FALSE, FALSE, sizeof (struct load_ep));
 	m.loads.items = loads->data;
 	m.loads.count = loads->len;
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -378,6 +378,9 @@
 /** continue_tick() - cut the stream whose engine did not end in time */
 void continue_tick (struct call *c, uint64_t now_ms);
 
+/** attempt_is_repeatable() - whether the request may run more than once */
+bool attempt_is_repeatable (const struct call *c);
+
 /** attempt_start() - send the request to the endpoint that @v names */
 void attempt_start (struct call *c, const struct place_result *v);
 
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -453,6 +453,37 @@
 	fleet_finish (&f);
 }
 
+/* An endpoint broke a request and its health check succeeds: it is on trial
+ * until it answers, the pause before the next probe grows with each request
+ * that it breaks, and a trial in which it gets no request ends by itself. */
+static void
+test_trial (void)
+{
+	struct fleet_ep *ep;
+	struct fleet f;
+	uint32_t pause_ms;
+
+	two_domains (&f);
+	ep = fleet_find (&f, "n0");
+	fleet_broke_request (&f, ep, 2000);
+	pause_ms = ep->probe_backoff_ms;
+	CU_ASSERT (!fleet_usable (&f, ep, 2000) &&
+		   fleet_is_reported (ep, 2000));
+	fleet_probed (&f, ep, true, 2250);
+	CU_ASSERT (fleet_usable (&f, ep, 2250) && fleet_on_trial (ep, 2250) &&
+		   fleet_is_reported (ep, 2250));
+	fleet_broke_request (&f, ep, 2300);
+	CU_ASSERT (ep->probe_backoff_ms == 2 * pause_ms &&
+		   ep->probe_at_ms == 2300 + 2 * pause_ms);
+	fleet_probed (&f, ep, true, 2800);
+	fleet_answered (ep);
+	CU_ASSERT (!fleet_on_trial (ep, 2810) && !fleet_is_reported (ep, 2810));
+	fleet_broke_request (&f, ep, 3000);
+	fleet_probed (&f, ep, true, 3250);
+	CU_ASSERT (fleet_on_trial (ep, 8000) && !fleet_on_trial (ep, 9000));
+	fleet_finish (&f);
+}
+
 int
 main (void)
 {
@@ -463,6 +494,7 @@
 					      {"cut", test_cut},
 					      {"crash", test_crash},
 					      {"silence", test_silence},
+					      {"trial", test_trial},
 					      {"no silence", test_no_silence},
 					      {"error rate", test_error_rate},
 					      {"segments", test_segments},
