e2e_keys, e2e_once: the control member is waited for until it leads

On a busy machine the member did not listen yet when the grant came, and a refused connection is an error for dhctl. Shown with a member that starts 0.5 s late: the test fails with the line that was seen, 'connect to ...: connection failure'. Ruled out: a member that ends or stops listening (its log), dhctl's time-outs. Change: the tests wait until the member leads, with the same limit of 20 s. Before, late member: failed. After: passed, and both tests as they are.

--- a/tests/e2e_keys.sh
+++ b/tests/e2e_keys.sh
@@ -85,7 +85,7 @@
 
 echo "withdrawn while requests wait"
 start c1 "$BIN/controld" -f "$TMP/c1.json"
-wait_for 20 ctl show status
+wait_for 20 ctl show leader
 grant inspectors
 wait_for 10 everywhere "$KEY" 200
 for engine in n1 n2 s1 s2; do
--- a/tests/e2e_once.sh
+++ b/tests/e2e_once.sh
@@ -99,7 +99,7 @@
 expect "refused" "503 no" "$(book e1 k5 '{"tag":"t5"}')"
 expect "did not run" 0 "$(runs t5)"
 start c1 "$BIN/controld" -f "$TMP/c1.json"
-wait_for 20 ctl show status
+wait_for 20 ctl show leader
 # Each entry finds control again by itself, after a pause of its own.
 again () {
 	[ "$(book "$1" k5 '{"tag":"t5"}')" = "200 yes" ]
