relayd: a request is counted once in a usage window

Each attempt that got a first byte was counted, so a stream that broke and ran again elsewhere, or a lookup after a 500, was billed twice. Ruled out: counts of relays that lose power (they are too few, and the sum was too large), windows sealed too early, two clocks. Change: a call is counted at its first byte only. The log line of a seal has the number of requests.

--- a/groupd/usage_report.c
+++ b/groupd/usage_report.c
@@ -44,17 +44,21 @@
 	GArray *sum = winsum_total (&g->usage_report.sums, number);
 	struct gstate_window cmd = {.number = number};
 	msgpack_sbuffer buf;
-	uint64_t index;
+	uint64_t index, requests = 0;
 	struct err e = {0};
 
+	for (guint i = 0; i < sum->len; i++)
+		requests +=
+			g_array_index (sum, struct gstate_count, i).requests;
 	cmd.counts.items = sum->data;
 	cmd.counts.count = sum->len;
 	msgpack_sbuffer_init (&buf);
 	gstate_encode (GSTATE_WINDOW, &cmd, &buf);
 	if (raft_propose (&g->raft, buf.data, buf.size, &index, &e))
 		log_event (LOG_LV_INFO, "seal",
-			   "window=%" G_GUINT64_FORMAT " accounts=%u", number,
-			   sum->len);
+			   "window=%" G_GUINT64_FORMAT
+			   " accounts=%u requests=%" G_GUINT64_FORMAT,
+			   number, sum->len, requests);
 	else
 		log_event (LOG_LV_WARN, "seal", "why=\"%s\"", e.msg);
 	msgpack_sbuffer_destroy (&buf);
--- a/relayd/attempt.c
+++ b/relayd/attempt.c
@@ -72,8 +72,11 @@
 	c->r->load_changed = true;
 	ep->prefill_tokens = MAX (ep->prefill_tokens - c->prefill_tokens, 0);
 	call_place_waiting (c->r);
-	if (c->account[0] != '\0')
+	/* A request is billed once, however often it runs. */
+	if (c->account[0] != '\0' && !c->usage_counted) {
+		c->usage_counted = true;
 		usage_count (c->r, c->account);
+	}
 	if (c->service->is_engine)
 		fleet_note_slowdown (
 			&c->r->fleet, ep,
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -62,6 +62,7 @@
  * @backup_id: engine that keeps a copy of the run, or ""
  * @continues: the current attempt continues the run from that copy
  * @confirm_until_ms: until when the end of its engine has to be confirmed
+ * @usage_counted: it is counted in a usage window
  * @prefill_counted: its prefill is included in relay.prefill_total_ms
  * @prefill_tokens: prompt tokens that this attempt has to prefill
  * @prefill_ms: predicted prefill time at the engine's usual speed
@@ -105,6 +106,7 @@
 	char backup_id[FLEET_NAME_BYTES];
 	bool continues;
 	uint64_t confirm_until_ms;
+	bool usage_counted;
 	bool prefill_counted;
 	double prefill_tokens;
 	double prefill_ms;
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -9,7 +9,6 @@
 #include "link.h"
 #include "soak.h"
 
-#define ACCOUNTS 3
 #define WITHDRAWN 9
 #define PATIENCE_MS 3000
 #define ANSWER_MS 2000
@@ -166,7 +165,7 @@
 		   "64,\"kv_capacity\":100000}},{\"name\":\"app\","
 		   "\"health_path\":\"/health\",\"max_connections\":300}],"
 		   "\"tenants\":[");
-	for (int i = 0; i < ACCOUNTS; i++)
+	for (int i = 0; i < SOAK_ACCOUNTS; i++)
 		g_string_append_printf (
 			s, "%s{\"name\":\"acct-%d\",\"api_keys\":[\"key-%d\"]}",
 			i > 0 ? "," : "", i, i);
@@ -277,7 +276,7 @@
 		uint32_t account = g_rand_int_range (k->rand, 0, 20) == 0
 					   ? WITHDRAWN
 					   : (uint32_t)g_rand_int_range (
-						     k->rand, 0, ACCOUNTS);
+						     k->rand, 0, SOAK_ACCOUNTS);
 
 		k->next_req_ms =
 			now_ms + (uint64_t)g_rand_int_range (k->rand, 2, 15);
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -14,6 +14,7 @@
 #define START_MS 15000 /* for the first configuration to be acknowledged */
 #define HEAL_MS 12000  /* for all to be in order again after the last fault */
 #define JUDGE_MS 3000
+#define ERRORS_MS 6000
 #define RESTART_MS 4000   /* a leader is elected in half of it */
 #define SERVED_SHARE 0.95 /* of the requests in the end */
 
@@ -77,6 +78,7 @@
 			    served, refused, failed);
 	if (k->read_version < k->acked && k->read_version == 0)
 		soak_wrong (k, "nothing is read back");
+	world_check_usage (k);
 }
 
 /* All processes are killed at once and start again: callers that come before
@@ -93,8 +95,18 @@
 			    k->served - served, k->refused - refused);
 }
 
+/* An engine and a server answer each request with an error, so that requests
+ * run twice. */
 static void
-play (struct soak *k, uint64_t fault_ms, bool restart)
+play_errors (struct soak *k)
+{
+	k->eps[0].mode = k->eps[SOAK_EPS - 1].mode = SOAK_FAILS;
+	run_for (k, ERRORS_MS, false);
+	k->eps[0].mode = k->eps[SOAK_EPS - 1].mode = SOAK_WELL;
+}
+
+static void
+play (struct soak *k, uint64_t fault_ms, bool restart, bool errors)
 {
 	k->loop = h2o_evloop_create ();
 	k->rand = g_rand_new_with_seed (k->seed);
@@ -110,6 +122,8 @@
 	run_for (k, 1500, false);
 	if (restart)
 		play_restart (k);
+	if (errors)
+		play_errors (k);
 	k->next_fault_ms = fault_ms > 0 ? tmr_now_ms () : 0;
 	run_for (k, fault_ms, false);
 	k->next_fault_ms = 0;
@@ -131,10 +145,10 @@
 {
 	struct soak k = {.seed = 1, .bin = (char *)"build/bin"};
 	uint64_t fault_ms = 8000;
-	bool restart = false;
+	bool restart = false, errors = false;
 	int c;
 
-	while ((c = getopt (argc, argv, "s:t:b:pr")) != -1) {
+	while ((c = getopt (argc, argv, "s:t:b:pre")) != -1) {
 		if (c == 's')
 			k.seed = (uint32_t)strtoul (optarg, NULL, 10);
 		else if (c == 't')
@@ -143,6 +157,8 @@
 			k.bin = optarg;
 		else if (c == 'r')
 			restart = true;
+		else if (c == 'e')
+			errors = true;
 		else if (c == 'p')
 			return printf ("%u\n", procs_free_port ()) < 0;
 		else
@@ -151,7 +167,7 @@
 	signal (SIGPIPE, SIG_IGN);
 	log_init ("soak", "", LOG_LV_ERROR);
 	k.dir = g_dir_make_tmp ("soak-XXXXXX", NULL);
-	play (&k, fault_ms, restart);
+	play (&k, fault_ms, restart, errors);
 	printf ("seed %u: %s: %u served, %u refused, %u failed, %u faults, "
 		"version %" G_GUINT64_FORMAT "%s%s\n",
 		k.seed, k.wrong == 0 ? "passed" : "FAILED", k.served, k.refused,
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -19,6 +19,8 @@
 
 #define SOAK_MEMBERS 3
 #define SOAK_RELAYS 3
+#define SOAK_ACCOUNTS 3 /* whose keys are in force */
+#define SOAK_USAGE_WINDOW_MS 2000
 #define SOAK_EPS 8
 #define SOAK_ID_BYTES 32
 
@@ -52,7 +54,8 @@
 	uint32_t account; /* whose key it shows; 9: one that was withdrawn */
 	uint32_t relay;
 	uint32_t runs;
-	bool refused; /* its caller was told that it did not run */
+	uint64_t run_wall_ms; /* when it first ran */
+	bool refused;         /* its caller was told that it did not run */
 	bool done;
 	bool probe; /* of the configuration; not counted */
 	int status;
@@ -146,6 +149,7 @@
 void world_ep_up (struct soak_ep *e);
 void world_ep_down (struct soak_ep *e);
 void world_platform (struct soak *k, bool up);
+void world_check_usage (struct soak *k);
 
 /* callers.c: callers and the operator */
 void callers_init (struct soak *k);
--- a/tests/soak/world.c
+++ b/tests/soak/world.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <json-c/json.h>
+
 #include "soak.h"
 
 #define EVENT_MS 15
@@ -160,7 +162,8 @@
 			    want);
 	if (r->refused)
 		soak_wrong (e->k, "%s runs after a refusal", r->id);
-	r->runs++;
+	if (r->runs++ == 0)
+		r->run_wall_ms = tmr_wall_ms ();
 	if (r->runs > 1 && (r->kind == SOAK_ONCE || r->kind == SOAK_STREAM))
 		soak_wrong (e->k, "%s runs %u times", r->id, r->runs);
 	if (e->leaving && e->k->calm && r->begun_ms > e->leaving_ms + DRAIN_MS)
@@ -302,6 +305,58 @@
 	g_free (token);
 }
 
+/* Adds the counts of a report to @sums, by account. */
+static void
+add_counts (uint64_t sums[SOAK_ACCOUNTS], const char *text)
+{
+	json_object *report = json_tokener_parse (text), *counts;
+
+	if (json_object_object_get_ex (report, "counts", &counts)) {
+		json_object_object_foreach (counts, name, count)
+		{
+			uint32_t account = (uint32_t)atoi (name + 5);
+
+			if (g_str_has_prefix (name, "acct-") &&
+			    account < SOAK_ACCOUNTS)
+				sums[account] += json_object_get_uint64 (count);
+		}
+	}
+	json_object_put (report);
+}
+
+/* An account is billed once for a request, however often that ran.  Counts of a
+ * killed relay may be lost, so the sum may be smaller than what ran by the end
+ * of the last window that was reported, but not greater. */
+void
+world_check_usage (struct soak *k)
+{
+	uint64_t reported[SOAK_ACCOUNTS] = {0}, run[SOAK_ACCOUNTS] = {0};
+	uint64_t last = 0;
+	GHashTableIter it;
+	void *key, *value;
+
+	g_hash_table_iter_init (&it, k->windows);
+	while (g_hash_table_iter_next (&it, &key, &value)) {
+		last = MAX (last, strtoull (key, NULL, 10));
+		add_counts (reported, value);
+	}
+	g_hash_table_iter_init (&it, k->reqs);
+	while (g_hash_table_iter_next (&it, NULL, &value)) {
+		const struct soak_req *r = value;
+
+		if (r->runs > 0 && r->account < SOAK_ACCOUNTS &&
+		    r->run_wall_ms < (last + 1) * SOAK_USAGE_WINDOW_MS)
+			run[r->account]++;
+	}
+	for (uint32_t i = 0; i < SOAK_ACCOUNTS; i++) {
+		if (reported[i] > run[i])
+			soak_wrong (k,
+				    "acct-%u is billed for %" G_GUINT64_FORMAT
+				    " requests of %" G_GUINT64_FORMAT,
+				    i, reported[i], run[i]);
+	}
+}
+
 static void
 on_platform (struct h1srv_conn *c, const struct h1_head *h,
 	     const GByteArray *body, void *ctx)
