capacity: the demand rises over half of the boot time

Ruled out: a jump from the new leader's first reports (the requests sent show the same peak), the provisional demand (it was 45 before). Change: the rise takes half of the time that an endpoint takes to boot, 2 s here; the time comes from the configuration. Replay: test_capacity (returning clients), which fails with a rise of 1 s.

--- a/groupd/scale.c
+++ b/groupd/scale.c
@@ -195,7 +195,7 @@
 					  s->name) == 0;
 		capacity_demand_init (&g->scaler.demand, !has_served (g),
 				      s->max_endpoints, s->price_count, listed,
-				      now_ms);
+				      s->boot_ms, now_ms);
 	}
 	g->scaler.demand_started = true;
 }
--- a/lib/capacity.c
+++ b/lib/capacity.c
@@ -26,8 +26,11 @@
 #define ON_DEMAND_SHARE_MAX 0.25
 
 /* Time constants of the smoothed demand.  It rises fast and falls slowly, since
- * bursts recur; a provisional demand falls sooner. */
-#define RISE_MS 1000.0
+ * bursts recur; a provisional demand falls sooner.  What is over before an
+ * endpoint has booted is not worth an order, so the rise takes a share of the
+ * boot time. */
+#define RISE_BOOT_SHARE 0.5
+#define RISE_MIN_MS 1000.0
 #define FALL_MS 15000.0
 #define FALL_PROVISIONAL_MS 3000.0
 
@@ -160,6 +163,7 @@
 {
 	double span_ms = (double)(now_ms - d->updated_ms), rate, weight;
 	double fall_ms = d->provisional ? FALL_PROVISIONAL_MS : FALL_MS;
+	double rise_ms = MAX (RISE_BOOT_SHARE * d->boot_ms, RISE_MIN_MS);
 
 	if (d->updated_ms == 0 || span_ms <= 0) {
 		d->updated_ms = now_ms;
@@ -169,14 +173,16 @@
 	rate = work_ms / span_ms;
 	if (rate > d->engines)
 		d->provisional = false;
-	weight = 1 - exp (-span_ms / (rate > d->engines ? RISE_MS : fall_ms));
+	weight = 1 - exp (-span_ms / (rate > d->engines ? rise_ms : fall_ms));
 	d->engines += weight * (rate - d->engines);
 }
 
 void
 capacity_demand_init (struct capacity_demand *d, bool first, uint32_t max,
-		      uint32_t domain_count, uint32_t listed, uint64_t now_ms)
+		      uint32_t domain_count, uint32_t listed, uint32_t boot_ms,
+		      uint64_t now_ms)
 {
+	d->boot_ms = boot_ms;
 	d->engines = RECLAIMABLE_UTILIZATION *
 		     (first ? (double)max * domain_count : listed);
 	d->provisional = true;
--- a/lib/capacity.h
+++ b/lib/capacity.h
@@ -119,6 +119,7 @@
  * @max: most endpoints in a domain
  * @domain_count: domains that have endpoints of the service
  * @listed: endpoints listed in all domains
+ * @boot_ms: time from an order until its endpoints serve
  * @now_ms: current time
  *
  * Before the first request no prefix cache holds anything, so the first seconds
@@ -129,16 +130,18 @@
 struct capacity_demand;
 void capacity_demand_init (struct capacity_demand *d, bool first, uint32_t max,
 			   uint32_t domain_count, uint32_t listed,
-			   uint64_t now_ms);
+			   uint32_t boot_ms, uint64_t now_ms);
 
 /**
  * struct capacity_demand - smoothed demand of a service
  * @engines: engines that the work keeps busy
+ * @boot_ms: time from an order until its endpoints serve, 0 if not known
  * @updated_ms: when it was updated last, 0 if never
  * @provisional: an estimate that no observed work confirms yet
  */
 struct capacity_demand {
 	double engines;
+	uint32_t boot_ms;
 	uint64_t updated_ms;
 	bool provisional;
 };
--- a/tests/test_capacity.c
+++ b/tests/test_capacity.c
@@ -165,6 +165,33 @@
 	CU_ASSERT (n.engines < 0.5);
 }
 
+/* Clients whose requests were lost with all relays return when their time
+ * limits pass, all within half a second.  Endpoints ordered for that would boot
+ * long after it. */
+static void
+test_returning_clients (void)
+{
+	struct capacity_demand n;
+	struct capacity_input in = low_load ();
+	uint64_t now_ms = 1000;
+
+	in.max = 60;
+	capacity_demand_init (&n, false, 60, 3, 108, 4000, now_ms);
+	for (int i = 0; i < 24; i++) /* work for 35 engines, 6 s */
+		capacity_demand_add (&n, 35 * 250, now_ms += 250);
+	for (int i = 0; i < 2; i++) /* for 95, half a second */
+		capacity_demand_add (&n, 95 * 250, now_ms += 250);
+	CU_ASSERT (n.engines < 35 * 1.5);
+	/* A burst is followed before an endpoint has booted. */
+	for (int i = 0; i < 14; i++)
+		capacity_demand_add (&n, 95 * 250, now_ms += 250);
+	in.demand = n.engines;
+	CU_ASSERT (n.engines > 80);
+	CU_ASSERT (capacity_for_domain (&in).on_demand +
+			   capacity_for_domain (&in).reclaimable ==
+		   60);
+}
+
 /* A domain at its maximum gives up some on-demand endpoints to make room for
  * reclaimable ones. */
 static void
@@ -194,7 +221,7 @@
 	struct capacity_input in = low_load ();
 	uint64_t now_ms = 1000;
 
-	capacity_demand_init (&n, true, 12, 3, 18, now_ms);
+	capacity_demand_init (&n, true, 12, 3, 18, 4000, now_ms);
 	in.demand = n.engines;
 	CU_ASSERT (capacity_for_domain (&in).on_demand +
 			   capacity_for_domain (&in).reclaimable ==
@@ -205,7 +232,7 @@
 	CU_ASSERT (capacity_for_domain (&in).on_demand +
 			   capacity_for_domain (&in).reclaimable ==
 		   8);
-	capacity_demand_init (&n, false, 12, 3, 30, now_ms);
+	capacity_demand_init (&n, false, 12, 3, 30, 4000, now_ms);
 	in.demand = n.engines;
 	CU_ASSERT (capacity_for_domain (&in).on_demand +
 			   capacity_for_domain (&in).reclaimable ==
@@ -347,6 +374,7 @@
 		{"domains", test_domains},
 		{"bounds", test_bounds},
 		{"demand", test_demand},
+		{"returning clients", test_returning_clients},
 		{"start", test_start},
 		{"full", test_full},
 		{"before traffic", test_before_traffic},
