place: streams leave engines that turned slow, and relays tell each other

What bound: chat has an objective of 250 ms between events. Ruled out: the time to the first token (3 late), the wait in the relay (none), the retries. Change: a relay measures the time from one event to the next over eight events; an engine above 1.7 times the mean is slow for two seconds after the last slow stream, and peers are told (struct load, field 5), confirmed by two domains as suspects are, since a bad link to one domain slows its streams too. A stream whose objective the pauses on slow engines exceed, as measured, pays its latency objective there. Others go on to use them, which shows when they are fast again.

--- a/relayd/call.c
+++ b/relayd/call.c
@@ -80,11 +80,12 @@
 		LOG_LV_INFO, "done",
 		"req=%s outcome=%s status=%d route=%s account=%s attempts=%u "
 		"first_byte_ms=%" G_GUINT64_FORMAT
-		" total_ms=%" G_GUINT64_FORMAT " events=%" G_GUINT64_FORMAT,
+		" total_ms=%" G_GUINT64_FORMAT " events=%" G_GUINT64_FORMAT
+		" max_gap_ms=%" G_GUINT64_FORMAT,
 		c->req.id, outcome, c->status, c->route->name, c->account,
 		c->attempts,
 		c->first_byte_ms > 0 ? c->first_byte_ms - c->arrived_ms : 0,
-		now_ms - c->arrived_ms, c->evstream.events);
+		now_ms - c->arrived_ms, c->evstream.events, c->max_gap_ms);
 	if (c->first_byte_ms > 0) {
 		hist_add (&c->r->stats.first_byte_us,
 			  (c->first_byte_ms - c->arrived_ms) * 1000);
@@ -173,6 +174,8 @@
 		.segment_count = c->req.segment_count,
 		.prompt_tokens = c->req.prompt_tokens,
 		.max_backlog_ms = waitq_max_backlog_ms (c->route),
+		.latency_target_ms = c->route->latency_target_ms,
+		.gap_target_ms = c->route->gap_target_ms,
 		.may_repeat = attempt_is_repeatable (c) &&
 			      c->maybe_run + 1 < c->route->max_attempts,
 		.late = waitq_is_late (&c->wait, c->route, now_ms),
--- a/relayd/member.c
+++ b/relayd/member.c
@@ -313,7 +313,7 @@
 }
 
 /* Returns an array of struct load: the endpoints that have work of this relay,
- * or are suspect. */
+ * or are suspect or slow. */
 static GArray *
 own_loads (const struct relay *r, uint64_t now_ms)
 {
@@ -322,9 +322,10 @@
 	for (guint i = 0; i < r->fleet.eps->len; i++) {
 		struct fleet_ep *ep = g_ptr_array_index (r->fleet.eps, i);
 		struct load x = {ep->ep_hash, (uint32_t)ep->prefill_tokens,
-				 ep->inflight, fleet_is_reported (ep, now_ms)};
+				 ep->inflight, fleet_is_reported (ep, now_ms),
+				 fleet_is_slow (ep, now_ms)};
 
-		if (x.running > 0 || x.suspect)
+		if (x.running > 0 || x.suspect || x.slow)
 			g_array_append_val (list, x);
 	}
 	return list;
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -76,6 +76,10 @@
  * @evstream: server-sent events of the answer
  * @paused: reading from the endpoint is paused, as the client reads slowly
  * @first_byte_ms: when the first byte was sent to the client; 0: not yet
+ * @last_piece_ms: when a piece of a stream was last sent to it; 0: not yet
+ * @max_gap_ms: longest time between two pieces
+ * @pace_since_ms: since when the speed of the stream is measured; 0: not yet
+ * @pace_event: events passed on by then
  */
 struct call {
 	struct relay *r;
@@ -121,6 +125,10 @@
 	struct evstream evstream;
 	bool paused;
 	uint64_t first_byte_ms;
+	uint64_t last_piece_ms;
+	uint64_t max_gap_ms;
+	uint64_t pace_since_ms;
+	uint64_t pace_event;
 };
 
 /**
