relayd: a stream that its client holds up says nothing of its engine

Cause, by reading: a client that reads slowly pauses the stream, and the pause counted as the engine's; so did the pause of a stream that went on at another engine. The report that an engine is no longer slow waited for another change. Change: such streams are not measured, and a report with a slow engine is followed by another one.

--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -190,9 +190,8 @@
 	uint64_t loss_ms; /* when an endpoint was lost last; 0: never */
 	uint64_t silence_checked_ms; /* fleet_check_silence() */
 	double slot_hold_ms; /* time that a stream holds a slot, averaged */
-	struct fleet_mean event_ms; /* time from one event to the next */
-	struct fleet_mean
-		slow_gap_ms; /* longest of a stream on a slow engine */
+	struct fleet_mean event_ms;    /* from one event to the next */
+	struct fleet_mean slow_gap_ms; /* longest pause on a slow engine */
 };
 
 /**
--- a/relayd/attempt.c
+++ b/relayd/attempt.c
@@ -137,13 +137,14 @@
 	c->last_piece_ms = now_ms;
 }
 
-/* Measures the speed of the engine's stream over several events. */
+/* Measures the speed of the engine's stream over several events, unless the
+ * client holds it up. */
 static void
 measure_pace (struct call *c)
 {
 	uint64_t now_ms = tmr_now_ms (), events;
 
-	if (!c->service->is_engine)
+	if (!c->service->is_engine || c->was_paused)
 		return;
 	if (c->pace_since_ms == 0) {
 		c->pace_since_ms = now_ms;
@@ -175,7 +176,7 @@
 	h1srv_write (c->client, data, len);
 	h1srv_write (c->client, "\r\n", 2);
 	if (h1srv_pending (c->client) > PENDING_MAX_BYTES && !c->paused) {
-		c->paused = true;
+		c->paused = c->was_paused = true;
 		h1cli_pause (c->exchange);
 	}
 }
@@ -214,13 +215,17 @@
 	return !c->is_stream || !evstream_is_partial (&c->evstream);
 }
 
+/* Records how long a stream took and paused.  The pause of one that ran at
+ * several engines or was held up by its client is not this engine's. */
 static void
 note_stream (struct call *c)
 {
 	uint64_t now_ms = tmr_now_ms ();
 
 	fleet_note_stream (&c->r->fleet, (double)(now_ms - c->first_byte_ms));
-	fleet_note_gap (&c->r->fleet, c->ep, (double)c->max_gap_ms, now_ms);
+	if (c->attempts == 1 && !c->was_paused)
+		fleet_note_gap (&c->r->fleet, c->ep, (double)c->max_gap_ms,
+				now_ms);
 }
 
 static void
--- a/relayd/member.c
+++ b/relayd/member.c
@@ -390,6 +390,9 @@
 	r->load_reported_ms = now_ms;
 	loads = own_loads (r, now_ms);
 	subset = g_array_new (FALSE, FALSE, sizeof (struct load_ep));
+	/* That an engine is no longer slow is reported, too. */
+	for (guint i = 0; i < loads->len; i++)
+		r->load_changed |= g_array_index (loads, struct load, i).slow;
 	m.loads.items = loads->data;
 	m.loads.count = loads->len;
 	m.segments.items = r->unreported_segments->data;
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -75,6 +75,7 @@
  * @headers_sent: response headers were sent to the client
  * @evstream: server-sent events of the answer
  * @paused: reading from the endpoint is paused, as the client reads slowly
+ * @was_paused: it was paused at some time
  * @first_byte_ms: when the first byte was sent to the client; 0: not yet
  * @last_piece_ms: when a piece of a stream was last sent to it; 0: not yet
  * @max_gap_ms: longest time between two pieces
@@ -124,6 +125,7 @@
 	bool headers_sent;
 	struct evstream evstream;
 	bool paused;
+	bool was_paused;
 	uint64_t first_byte_ms;
 	uint64_t last_piece_ms;
 	uint64_t max_gap_ms;
