--- a/lib/fleet_pace.c
+++ b/lib/fleet_pace.c
@@ -17,9 +17,9 @@
 #define PACE_WEIGHT 0.02
 #define CLIP_FACTOR 1.5
 
-/* Longest pause of a stream on a slow engine until this relay has measured some:
- * in mean times of an event, and where it knows no such time either, since it
- * has just started. */
+/* Longest pause of a stream on a slow engine until this relay has measured
+ * some: in mean times of an event, and where it knows no such time either,
+ * since it has just started. */
 #define SLOW_GAP_EVENTS 8
 #define SLOW_GAP_DEFAULT_MS 500
 
