--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -103,8 +103,6 @@
 	uint32_t peer_running;        /* requests of the peer relays */
 	uint32_t peer_prefill_tokens; /* prompt tokens of them to prefill */
 	bool peer_suspect;            /* struct load.suspect of the peers */
-	bool peer_slow;               /* struct load.slow of the peers */
-	uint64_t slow_until_ms;       /* see fleet_note_pace() */
 	uint64_t last_sent_ms;        /* when this relay sent it work last */
 	uint64_t cold_since_ms;       /* when it was first known to be cold */
 	bool in_subset;               /* see fleet_choose_subset() */
@@ -154,12 +152,6 @@
 	uint32_t mean_running;
 };
 
-/** struct fleet_mean - moving average of @count values */
-struct fleet_mean {
-	double value;
-	uint32_t count;
-};
-
 /**
  * struct fleet_ops - callbacks to the owner of a table
  * @added: @ep was added to the table
@@ -190,8 +182,6 @@
 	uint64_t loss_ms; /* when an endpoint was lost last; 0: never */
 	uint64_t silence_checked_ms; /* fleet_check_silence() */
 	double slot_hold_ms; /* time that a stream holds a slot, averaged */
-	struct fleet_mean event_ms;    /* from one event to the next */
-	struct fleet_mean slow_gap_ms; /* longest pause on a slow engine */
 };
 
 /**
@@ -460,31 +450,6 @@
  * long as predicted */
 void fleet_note_slowdown (struct fleet *f, struct fleet_ep *ep, double factor);
 
-/**
- * fleet_note_pace() - record the speed of a stream
- * @f: the endpoints
- * @ep: the engine that it runs on
- * @event_ms: mean time from one event to the next, over several of them
- * @now_ms: current time
- *
- * Whether the engine is slow, compared with all engines, is known for a few
- * seconds.
- */
-void fleet_note_pace (struct fleet *f, struct fleet_ep *ep, double event_ms,
-		      uint64_t now_ms);
-
-/** fleet_is_slow() - whether this relay found the streams of @ep slow */
-bool fleet_is_slow (const struct fleet_ep *ep, uint64_t now_ms);
-
-/** fleet_note_gap() - record the longest time between two events of a stream,
- * in milliseconds */
-void fleet_note_gap (struct fleet *f, const struct fleet_ep *ep, double gap_ms,
-		     uint64_t now_ms);
-
-/** fleet_slow_gap_ms() - longest time between two events to expect of a stream
- * on a slow engine, in milliseconds */
-double fleet_slow_gap_ms (const struct fleet *f);
-
 /** fleet_note_stream() - record that a stream held a slot of an engine for
  * @held_ms */
 void fleet_note_stream (struct fleet *f, double held_ms);
--- a/lib/fleet_subset.c
+++ b/lib/fleet_subset.c
@@ -122,7 +122,7 @@
 reset_peer_load (struct fleet_ep *ep)
 {
 	ep->peer_running = ep->peer_prefill_tokens = 0;
-	ep->peer_suspect = ep->peer_slow = false;
+	ep->peer_suspect = false;
 }
 
 static void
@@ -186,7 +186,6 @@
 		ep->peer_running = loads[i].running;
 		ep->peer_prefill_tokens = loads[i].prefill_tokens;
 		ep->peer_suspect = loads[i].suspect;
-		ep->peer_slow = loads[i].slow;
 	}
 	for (guint i = 0; i < f->pools->len; i++)
 		pool_means (g_ptr_array_index (f->pools, i));
--- a/lib/loads.c
+++ b/lib/loads.c
@@ -12,7 +12,6 @@
 	MSG_FIELD (2, MSG_U32, struct load, prefill_tokens),
 	MSG_FIELD (3, MSG_U32, struct load, running),
 	MSG_FIELD (4, MSG_BOOL, struct load, suspect),
-	MSG_FIELD (5, MSG_BOOL, struct load, slow),
 	MSG_FIELD_END,
 };
 
@@ -61,12 +60,12 @@
 };
 
 /* Failure domains counted separately for one endpoint. */
-#define ACCUSER_DOMAINS_MAX 8
+#define SUSPICION_DOMAINS_MAX 8
 
-/* How many relays of which failure domains report a fault of one endpoint. */
-struct accusers {
-	uint32_t domains[ACCUSER_DOMAINS_MAX];
-	uint32_t relays[ACCUSER_DOMAINS_MAX];
+/* How many relays of which failure domains suspect one endpoint. */
+struct suspicion {
+	uint32_t domains[SUSPICION_DOMAINS_MAX];
+	uint32_t relays[SUSPICION_DOMAINS_MAX];
 	uint32_t count;
 };
 
@@ -87,16 +86,15 @@
 	return x != NULL ? x : &none;
 }
 
-/* Set an endpoint's load; one that is idle and without a fault is removed from
- * the table. */
+/* Set an endpoint's load; one that is idle and not suspect is removed from the
+ * table. */
 static void
 load_set (GHashTable *table, struct load to)
 {
 	struct load *x =
 		g_hash_table_lookup (table, GUINT_TO_POINTER (to.ep_hash));
 
-	if (to.prefill_tokens == 0 && to.running == 0 && !to.suspect &&
-	    !to.slow) {
+	if (to.prefill_tokens == 0 && to.running == 0 && !to.suspect) {
 		g_hash_table_remove (table, GUINT_TO_POINTER (to.ep_hash));
 		return;
 	}
@@ -107,22 +105,23 @@
 	*x = to;
 }
 
-/* Count in @table one more, or one less, relay of failure domain @domain that
- * reports a fault of an endpoint. */
+/* Count one more, or one less, relay of failure domain @domain that
+ * suspects an endpoint. */
 static void
-accusers_add (GHashTable *table, uint32_t ep_hash, uint32_t domain, bool more)
+suspicion_add (struct loads *l, uint32_t ep_hash, uint32_t domain, bool more)
 {
-	struct accusers *d =
-		g_hash_table_lookup (table, GUINT_TO_POINTER (ep_hash));
+	struct suspicion *d =
+		g_hash_table_lookup (l->suspicions, GUINT_TO_POINTER (ep_hash));
 	uint32_t i = 0;
 
 	if (d == NULL) {
-		d = g_new0 (struct accusers, 1);
-		g_hash_table_insert (table, GUINT_TO_POINTER (ep_hash), d);
+		d = g_new0 (struct suspicion, 1);
+		g_hash_table_insert (l->suspicions, GUINT_TO_POINTER (ep_hash),
+				     d);
 	}
 	while (i < d->count && d->domains[i] != domain)
 		i++;
-	if (i == ACCUSER_DOMAINS_MAX)
+	if (i == SUSPICION_DOMAINS_MAX)
 		return;
 	if (i == d->count)
 		d->domains[d->count++] = domain;
@@ -137,15 +136,14 @@
 	d->relays[i] = d->relays[d->count];
 	d->relays[d->count] = 0;
 	if (d->count == 0)
-		g_hash_table_remove (table, GUINT_TO_POINTER (ep_hash));
+		g_hash_table_remove (l->suspicions, GUINT_TO_POINTER (ep_hash));
 }
 
-/* Whether relays of two failure domains report a fault of an endpoint. */
 static bool
-is_confirmed (const struct loads *l, GHashTable *table, uint32_t ep_hash)
+is_suspect (const struct loads *l, uint32_t ep_hash)
 {
-	const struct accusers *d =
-		g_hash_table_lookup (table, GUINT_TO_POINTER (ep_hash));
+	const struct suspicion *d =
+		g_hash_table_lookup (l->suspicions, GUINT_TO_POINTER (ep_hash));
 
 	if (d == NULL)
 		return false;
@@ -188,7 +186,6 @@
 	l->reports = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL,
 					    report_free);
 	l->suspicions = load_table ();
-	l->slow = load_table ();
 	l->relay_domains = g_hash_table_new (g_direct_hash, g_direct_equal);
 	l->prefill_ms = 0;
 	l->segments =
@@ -201,7 +198,6 @@
 	g_hash_table_destroy (l->sum);
 	g_hash_table_destroy (l->reports);
 	g_hash_table_destroy (l->suspicions);
-	g_hash_table_destroy (l->slow);
 	g_hash_table_destroy (l->relay_domains);
 	g_array_free (l->segments, TRUE);
 }
@@ -219,15 +215,11 @@
 				  *s = load_get (l->sum, x->ep_hash);
 
 		if (x->suspect)
-			accusers_add (l->suspicions, x->ep_hash, r->domain_hash,
-				      false);
-		if (x->slow)
-			accusers_add (l->slow, x->ep_hash, r->domain_hash,
-				      false);
+			suspicion_add (l, x->ep_hash, r->domain_hash, false);
 		load_set (l->sum,
 			  (struct load){x->ep_hash,
 					s->prefill_tokens - x->prefill_tokens,
-					s->running - x->running, false, false});
+					s->running - x->running, false});
 	}
 	g_hash_table_remove_all (r->own);
 }
@@ -369,22 +361,16 @@
 		const struct load *o = load_get (r->own, x[i].ep_hash);
 
 		if (x[i].suspect && !o->suspect)
-			accusers_add (l->suspicions, x[i].ep_hash,
-				      r->domain_hash, true);
-		if (x[i].slow && !o->slow)
-			accusers_add (l->slow, x[i].ep_hash, r->domain_hash,
-				      true);
+			suspicion_add (l, x[i].ep_hash, r->domain_hash, true);
 		load_set (l->sum,
 			  (struct load){x[i].ep_hash,
 					s->prefill_tokens + x[i].prefill_tokens,
-					s->running + x[i].running, false,
-					false});
+					s->running + x[i].running, false});
 		load_set (r->own,
 			  (struct load){x[i].ep_hash,
 					o->prefill_tokens + x[i].prefill_tokens,
 					o->running + x[i].running,
-					o->suspect || x[i].suspect,
-					o->slow || x[i].slow});
+					o->suspect || x[i].suspect});
 	}
 }
 
@@ -398,7 +384,7 @@
 static bool
 load_changed (const struct load *before, const struct load *now)
 {
-	return before->suspect != now->suspect || before->slow != now->slow ||
+	return before->suspect != now->suspect ||
 	       difference (before->prefill_tokens, now->prefill_tokens) >=
 		       LOADS_DELTA_TOKENS ||
 	       (now->prefill_tokens == 0) != (before->prefill_tokens == 0) ||
@@ -414,9 +400,7 @@
 	const struct load *o = load_get (r->own, ep_hash);
 
 	return (struct load){ep_hash, s->prefill_tokens - o->prefill_tokens,
-			     s->running - o->running,
-			     is_confirmed (l, l->suspicions, ep_hash),
-			     is_confirmed (l, l->slow, ep_hash)};
+			     s->running - o->running, is_suspect (l, ep_hash)};
 }
 
 static void
@@ -429,7 +413,7 @@
 }
 
 /* Add the changes at all endpoints: those that had load when last sent and
- * those that have load or a reported fault now. */
+ * those that have load or are suspect now. */
 static void
 add_all_changed (const struct loads *l, struct report *r, GArray *out)
 {
@@ -450,10 +434,6 @@
 	while (g_hash_table_iter_next (&it, &key, NULL))
 		add_changed (r, peer_load_at (l, r, GPOINTER_TO_UINT (key)),
 			     out);
-	g_hash_table_iter_init (&it, l->slow);
-	while (g_hash_table_iter_next (&it, &key, NULL))
-		add_changed (r, peer_load_at (l, r, GPOINTER_TO_UINT (key)),
-			     out);
 }
 
 bool
--- a/lib/loads.h
+++ b/lib/loads.h
@@ -39,15 +39,12 @@
  * @suspect: from one relay: the endpoint did not answer and gets no work until
  *	a probe succeeds; in a sum: relays of two failure domains say so, see
  *	loads_peer_loads()
- * @slow: from one relay: streams there are slow, see fleet_note_pace(); in a
- *	sum: as for @suspect, since a bad link to one domain slows them too
  */
 struct load {
 	uint32_t ep_hash;
 	uint32_t prefill_tokens;
 	uint32_t running;
 	bool suspect;
-	bool slow;
 };
 
 /**
@@ -100,8 +97,7 @@
 struct loads {
 	GHashTable *sum;           /* ep_hash to struct load */
 	GHashTable *reports;       /* relay to struct report */
-	GHashTable *suspicions;    /* ep_hash to struct accusers: suspect */
-	GHashTable *slow;          /* the same: slow */
+	GHashTable *suspicions;    /* ep_hash to struct suspicion */
 	GHashTable *relay_domains; /* domain_hash to number of relays */
 	double prefill_ms; /* of all relays, since loads_take_prefill_ms() */
 	GArray *segments;  /* of struct reported_segment, not yet passed on */
--- a/lib/place.h
+++ b/lib/place.h
@@ -34,11 +34,6 @@
  * next one waits until a stream ends.  That wait is part of the prediction, and
  * a short prompt goes to the other lane if its own has no free slot.
  *
- * Engines that turn slow.  Their streams begin in time but pause for longer
- * than the objective.  Relays measure the speed of their streams and tell each
- * other; requests whose objective the pauses there exceed avoid such an engine,
- * and the others go on to use it, which shows when it is fast again.
- *
  * More prompts than can be prefilled.  An engine processes prompts roughly in
  * order of arrival, so a request can't overtake a backlog there.  Beyond a
  * limit it waits in the relay, where more urgent requests go first.
@@ -57,8 +52,6 @@
  * @segment_count: number of @segments
  * @prompt_tokens: length of the prompt
  * @max_backlog_ms: prefill backlog of an engine beyond which the request waits
- * @latency_target_ms: objective for the time to its first token
- * @gap_target_ms: objective for the longest pause of its stream; 0: none
  * @may_repeat: it may run again elsewhere if an endpoint breaks it
  * @late: half of its latency objective has passed; from then on only latency
  *	counts, and not the cost of prefilling cached segments again
@@ -72,8 +65,6 @@
 	uint32_t segment_count;
 	uint32_t prompt_tokens;
 	double max_backlog_ms;
-	uint32_t latency_target_ms;
-	uint32_t gap_target_ms;
 	bool may_repeat;
 	bool late;
 	const struct fleet_ep *tried[PLACE_TRIED_MAX];
--- a/lib/place_cost.c
+++ b/lib/place_cost.c
@@ -108,16 +108,6 @@
 	       slot_wait_ms (c, ep) <= 0;
 }
 
-/* Whether a stream of the request on this engine would probably pause for
- * longer than its objective. */
-static bool
-exceeds_gap (const struct choice *c, const struct fleet_ep *ep)
-{
-	return c->req->gap_target_ms > 0 &&
-	       (ep->peer_slow || fleet_is_slow (ep, c->now_ms)) &&
-	       fleet_slow_gap_ms (c->f) > c->req->gap_target_ms;
-}
-
 void
 place_estimate (struct candidate *p, const struct choice *c)
 {
@@ -151,9 +141,6 @@
 	if (strcmp (ep->info.domain, c->relay->domain) != 0)
 		p->cost_ms += CROSS_DOMAIN_MS;
 	p->ttft_ms = p->cost_ms;
-	/* A stream that pauses too long is as late as one that begins late. */
-	if (exceeds_gap (c, ep))
-		p->cost_ms += c->req->latency_target_ms;
 	reprefill = c->shared_tokens > cached ? c->shared_tokens - cached : 0;
 	if (!place_is_short (req) && !req->late)
 		p->cost_ms +=
--- a/relayd/attempt.c
+++ b/relayd/attempt.c
@@ -27,9 +27,6 @@
  * paused. */
 #define PENDING_MAX_BYTES (256U << 10)
 
-/* Events of a stream over which the speed of its engine is measured. */
-#define PACE_EVENTS 8
-
 /* Time to the first token beyond prefill: decode steps and the network. */
 #define TTFT_OVERHEAD_MS 20.0
 
@@ -137,29 +134,6 @@
 	c->last_piece_ms = now_ms;
 }
 
-/* Measures the speed of the engine's stream over several events, unless the
- * client holds it up. */
-static void
-measure_pace (struct call *c)
-{
-	uint64_t now_ms = tmr_now_ms (), events;
-
-	if (!c->service->is_engine || c->was_paused)
-		return;
-	if (c->pace_since_ms == 0) {
-		c->pace_since_ms = now_ms;
-		c->pace_event = c->evstream.events;
-	}
-	events = c->evstream.events - c->pace_event;
-	if (events < PACE_EVENTS)
-		return;
-	fleet_note_pace (&c->r->fleet, c->ep,
-			 (double)(now_ms - c->pace_since_ms) / (double)events,
-			 now_ms);
-	c->pace_since_ms = now_ms;
-	c->pace_event = c->evstream.events;
-}
-
 static void
 write_chunk (struct call *c, const char *data, size_t len)
 {
@@ -176,7 +150,7 @@
 	h1srv_write (c->client, data, len);
 	h1srv_write (c->client, "\r\n", 2);
 	if (h1srv_pending (c->client) > PENDING_MAX_BYTES && !c->paused) {
-		c->paused = c->was_paused = true;
+		c->paused = true;
 		h1cli_pause (c->exchange);
 	}
 }
@@ -203,7 +177,6 @@
 		c->status = 0;
 	else
 		write_chunk (c, c->answer_body->str, c->answer_body->len);
-	measure_pace (c);
 }
 
 static bool
@@ -215,19 +188,6 @@
 	return !c->is_stream || !evstream_is_partial (&c->evstream);
 }
 
-/* Records how long a stream took and paused.  The pause of one that ran at
- * several engines or was held up by its client is not this engine's. */
-static void
-note_stream (struct call *c)
-{
-	uint64_t now_ms = tmr_now_ms ();
-
-	fleet_note_stream (&c->r->fleet, (double)(now_ms - c->first_byte_ms));
-	if (c->attempts == 1 && !c->was_paused)
-		fleet_note_gap (&c->r->fleet, c->ep, (double)c->max_gap_ms,
-				now_ms);
-}
-
 static void
 finish_answer (struct call *c)
 {
@@ -235,7 +195,8 @@
 
 	c->r->stats.served++;
 	if (c->is_stream && c->headers_sent && c->service->is_engine)
-		note_stream (c);
+		fleet_note_stream (&c->r->fleet,
+				   (double)(tmr_now_ms () - c->first_byte_ms));
 	if (c->is_stream) {
 		if (!c->headers_sent)
 			send_headers (c);
@@ -423,7 +384,6 @@
 	c->answer = (struct dia_response){0};
 	g_string_truncate (c->answer_body, 0);
 	evstream_restart (&c->evstream);
-	c->pace_since_ms = 0;
 	c->r->load_changed = true;
 	c->ep->last_sent_ms = now_ms;
 	fleet_note_sent (&c->r->fleet, c->ep);
--- a/relayd/member.c
+++ b/relayd/member.c
@@ -313,7 +313,7 @@
 }
 
 /* Returns an array of struct load: the endpoints that have work of this relay,
- * or are suspect or slow. */
+ * or are suspect. */
 static GArray *
 own_loads (const struct relay *r, uint64_t now_ms)
 {
@@ -322,10 +322,9 @@
 	for (guint i = 0; i < r->fleet.eps->len; i++) {
 		struct fleet_ep *ep = g_ptr_array_index (r->fleet.eps, i);
 		struct load x = {ep->ep_hash, (uint32_t)ep->prefill_tokens,
-				 ep->inflight, fleet_is_reported (ep, now_ms),
-				 fleet_is_slow (ep, now_ms)};
+				 ep->inflight, fleet_is_reported (ep, now_ms)};
 
-		if (x.running > 0 || x.suspect || x.slow)
+		if (x.running > 0 || x.suspect)
 			g_array_append_val (list, x);
 	}
 	return list;
@@ -390,9 +389,6 @@
 	r->load_reported_ms = now_ms;
 	loads = own_loads (r, now_ms);
 	subset = g_array_new (FALSE, FALSE, sizeof (struct load_ep));
-	/* That an engine is no longer slow is reported, too. */
-	for (guint i = 0; i < loads->len; i++)
-		r->load_changed |= g_array_index (loads, struct load, i).slow;
 	m.loads.items = loads->data;
 	m.loads.count = loads->len;
 	m.segments.items = r->unreported_segments->data;
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -75,12 +75,9 @@
  * @headers_sent: response headers were sent to the client
  * @evstream: server-sent events of the answer
  * @paused: reading from the endpoint is paused, as the client reads slowly
- * @was_paused: it was paused at some time
  * @first_byte_ms: when the first byte was sent to the client; 0: not yet
  * @last_piece_ms: when a piece of a stream was last sent to it; 0: not yet
  * @max_gap_ms: longest time between two pieces
- * @pace_since_ms: since when the speed of the stream is measured; 0: not yet
- * @pace_event: events passed on by then
  */
 struct call {
 	struct relay *r;
@@ -125,12 +122,9 @@
 	bool headers_sent;
 	struct evstream evstream;
 	bool paused;
-	bool was_paused;
 	uint64_t first_byte_ms;
 	uint64_t last_piece_ms;
 	uint64_t max_gap_ms;
-	uint64_t pace_since_ms;
-	uint64_t pace_event;
 };
 
 /**
--- a/tests/test_fleet_subset.c
+++ b/tests/test_fleet_subset.c
@@ -118,8 +118,8 @@
 	a = g_ptr_array_index (fleet_pool (&f, "engines")->subset[0], 0);
 	for (guint i = 0; (b = f.eps->pdata[i])->in_subset; i++)
 		;
-	loads[0] = (struct load){a->ep_hash, 5000, 2, false, false};
-	loads[1] = (struct load){b->ep_hash, 5000, 2, true, false};
+	loads[0] = (struct load){a->ep_hash, 5000, 2, false};
+	loads[1] = (struct load){b->ep_hash, 5000, 2, true};
 	fleet_set_peer_loads (&f, loads, 2, true);
 	g_array_set_size (out, 0);
 	fleet_subscription (&f, out);
@@ -159,8 +159,7 @@
 		struct fleet_ep *ep = g_ptr_array_index (f.eps, i);
 
 		if (ep->in_subset)
-			loads[n++] = (struct load){ep->ep_hash, 4000, 2, false,
-						   false};
+			loads[n++] = (struct load){ep->ep_hash, 4000, 2, false};
 		else if (strcmp (ep->info.service, "engines") == 0)
 			other = ep;
 	}
@@ -174,7 +173,7 @@
 	f.subscription_changed = false;
 	fleet_note_sent (&f, other);
 	CU_ASSERT (f.subscription_changed && other->recent);
-	loads[0] = (struct load){other->ep_hash, 9000, 5, false, false};
+	loads[0] = (struct load){other->ep_hash, 9000, 5, false};
 	fleet_set_peer_loads (&f, loads, 1, true);
 	CU_ASSERT (fleet_peer_prefill (p, other) == 9000 &&
 		   fleet_peer_running (p, other) == 5);
--- a/tests/test_loads.c
+++ b/tests/test_loads.c
@@ -9,7 +9,7 @@
 report (struct loads *l, const void *relay, uint32_t ep, uint32_t prefill,
 	uint64_t prefill_ms)
 {
-	struct load x = {ep, prefill, 1, false, false};
+	struct load x = {ep, prefill, 1, false};
 	struct load_segment p = {ep * 10, ep, 500};
 	struct loads_msg m = {.loads = {&x, 1},
 			      .prefill_ms = prefill_ms,
@@ -119,7 +119,7 @@
 		uint32_t e = (uint32_t)g_rand_int_range (s->rand, 0, ENGINES);
 		uint32_t n = (uint32_t)g_rand_int_range (s->rand, 0, 4);
 
-		s->own[r][e] = (struct load){e, n * 5000, n, false, false};
+		s->own[r][e] = (struct load){e, n * 5000, n, false};
 	}
 	for (uint32_t e = 0; e < ENGINES; e++) {
 		if (s->own[r][e].running > 0)
@@ -141,7 +141,7 @@
 	if (lost)
 		loads_want_snapshot (&s->l, &s->own[r]);
 	for (uint32_t e = 0; !lost && !changes && e < ENGINES; e++)
-		s->seen[r][e] = (struct load){e, 0, 0, false, false};
+		s->seen[r][e] = (struct load){e, 0, 0, false};
 	for (guint i = 0; !lost && i < out->len; i++) {
 		const struct load *x = &g_array_index (out, struct load, i);
 
@@ -154,7 +154,7 @@
 static void
 sim_check (struct sim *s, uint32_t r, uint32_t e)
 {
-	struct load sum = {e, 0, 0, false, false};
+	struct load sum = {e, 0, 0, false};
 
 	for (uint32_t o = 0; o < RELAYS; o++) {
 		if (o == r)
@@ -194,7 +194,7 @@
 			subscribed = subscribed ||
 				     s->subscription[r][i].ep_hash == e;
 		if (!subscribed)
-			s->seen[r][e] = (struct load){e, 0, 0, false, false};
+			s->seen[r][e] = (struct load){e, 0, 0, false};
 	}
 	sim_change (s, r, true);
 }
@@ -314,7 +314,7 @@
 report_suspect (struct loads *l, const int *relay, uint32_t domain,
 		bool suspect)
 {
-	struct load x = {7, 0, 0, suspect, false};
+	struct load x = {7, 0, 0, suspect};
 	struct loads_msg m = {.loads = {&x, suspect},
 			      .has_subscription = true,
 			      .domain_hash = domain};
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -96,7 +96,7 @@
 		loads[i] = (struct load){loads_ep_hash (w->infos[i].id),
 					 (uint32_t)(w->engines[i].queue_ms *
 						    PLACE_PREFILL_PER_MS),
-					 0, false, false};
+					 0, false};
 	fleet_set_peer_loads (&w->fleets[relay], loads, ENGINES, false);
 }
 
--- a/tests/test_place_many.c
+++ b/tests/test_place_many.c
@@ -149,7 +149,7 @@
 	fleet_add_segments (holder, &part, 1, MEMORY);
 	v = choose_long (&f, 1, 5);
 	CU_ASSERT (v.ep == holder || v.copy_from == holder);
-	down = (struct load){holder->ep_hash, 0, 0, true, false};
+	down = (struct load){holder->ep_hash, 0, 0, true};
 	fleet_set_peer_loads (&f, &down, 1, true);
 	for (uint32_t dice = 0; dice < 50; dice++) {
 		v = choose_long (&f, 1, dice);
@@ -207,7 +207,7 @@
 
 				if (ep->health == FLEET_SUSPECT)
 					own[m.loads.count++] = (struct load){
-						ep->ep_hash, 0, 0, true, false};
+						ep->ep_hash, 0, 0, true};
 			}
 			loads_set_report (&l, f, &m);
 		} while (i++ < 50);
@@ -259,8 +259,8 @@
 		struct fleet_ep *ep = f->eps->pdata[i];
 
 		if (ep->cold_until_ms == 0)
-			loads[n++] = (struct load){ep->ep_hash, 20000, 40,
-						   false, false};
+			loads[n++] =
+				(struct load){ep->ep_hash, 20000, 40, false};
 	}
 	CU_ASSERT (n == COLD_ENGINES - cold_count);
 	fleet_set_peer_loads (f, loads, n, false);
--- a/tests/test_place_slots.c
+++ b/tests/test_place_slots.c
@@ -63,7 +63,7 @@
 			const struct fleet_ep *ep = w->fleets[r].eps->pdata[i];
 
 			own[m.loads.count++] = (struct load){
-				ep->ep_hash, 0, ep->inflight, false, false};
+				ep->ep_hash, 0, ep->inflight, false};
 		}
 		loads_set_report (&w->loads, &w->fleets[r], &m);
 	}
--- a/tests/test_place_trial.c
+++ b/tests/test_place_trial.c
@@ -139,8 +139,8 @@
 			struct fleet_ep *ep = f->eps->pdata[i];
 
 			if (fleet_is_reported (ep, now_ms))
-				own[m.loads.count++] = (struct load){
-					ep->ep_hash, 0, 0, true, false};
+				own[m.loads.count++] =
+					(struct load){ep->ep_hash, 0, 0, true};
 		}
 		loads_set_report (&w->loads, f, &m);
 	}
