test_sm_claim, capacity, soak: what stopped a newcomer

Cause, from reading the whole change: test_sm had 791 lines and two subjects; capacity_demand_init() was documented before the structure it sets; a constant stood between the functions of place_cost.c; a comment on draws spoke of three domains; the soak wrote its usage window and the name of an account twice. Change: claims have a test program of their own, as the module has a file; the rest in place.

--- a/lib/capacity.c
+++ b/lib/capacity.c
@@ -28,7 +28,7 @@
 /* Time constants of the smoothed demand.  It rises fast and falls slowly, since
  * bursts recur; a provisional demand falls sooner.  What is over before an
  * endpoint has booted is not worth an order, so the rise takes a share of the
- * boot time. */
+ * boot time, and several checks where endpoints boot at once. */
 #define RISE_BOOT_SHARE 0.5
 #define RISE_MIN_MS 1000.0
 #define FALL_MS 15000.0
--- a/lib/capacity.h
+++ b/lib/capacity.h
@@ -112,6 +112,20 @@
 			 uint32_t wanted, uint32_t boot_ms, bool before_traffic,
 			 uint64_t now_ms);
 
+/**
+ * struct capacity_demand - smoothed demand of a service
+ * @engines: engines that the work keeps busy
+ * @boot_ms: time from an order until its endpoints serve, 0 if not known
+ * @updated_ms: when it was updated last, 0 if never
+ * @provisional: an estimate that no observed work confirms yet
+ */
+struct capacity_demand {
+	double engines;
+	uint32_t boot_ms;
+	uint64_t updated_ms;
+	bool provisional;
+};
+
 /**
  * capacity_demand_init() - set a provisional demand
  * @d: the demand
@@ -127,25 +141,10 @@
  * in each domain.  A member that takes over from another leader starts with the
  * demand that the @listed endpoints suggest.
  */
-struct capacity_demand;
 void capacity_demand_init (struct capacity_demand *d, bool first, uint32_t max,
 			   uint32_t domain_count, uint32_t listed,
 			   uint32_t boot_ms, uint64_t now_ms);
 
-/**
- * struct capacity_demand - smoothed demand of a service
- * @engines: engines that the work keeps busy
- * @boot_ms: time from an order until its endpoints serve, 0 if not known
- * @updated_ms: when it was updated last, 0 if never
- * @provisional: an estimate that no observed work confirms yet
- */
-struct capacity_demand {
-	double engines;
-	uint32_t boot_ms;
-	uint64_t updated_ms;
-	bool provisional;
-};
-
 /**
  * capacity_demand_add() - add a measurement
  * @d: the demand
--- a/lib/place_backup.c
+++ b/lib/place_backup.c
@@ -15,8 +15,8 @@
  * on an engine, its links stay free most of the time. */
 #define LINK_MAX_MS 20.0
 
-/* Engines that are examined.  Most are in use and two thirds are in another
- * domain, so few choices fail. */
+/* Engines that are examined.  Where there are several domains, most engines are
+ * in another one, so few choices fail. */
 #define DRAWS 12
 
 struct fleet_ep *
--- a/lib/place_cost.c
+++ b/lib/place_cost.c
@@ -36,6 +36,10 @@
  * transfer must be this many times faster than the prefill. */
 #define COPY_PREFERRED_SPEEDUP 4.0
 
+/* Share of an engine's slots up to which it is taken to have a free one: the
+ * load of peers is known late and in steps. */
+#define SLOT_SHARE 0.85
+
 double
 place_backlog_tokens (const struct choice *c, const struct fleet_ep *ep)
 {
@@ -85,10 +89,6 @@
 	return first->ep;
 }
 
-/* Share of an engine's slots up to which it is taken to have a free one: the
- * load of peers is known late and in steps. */
-#define SLOT_SHARE 0.85
-
 /* Time until the engine has a free slot for another request. */
 static double
 slot_wait_ms (const struct choice *c, const struct fleet_ep *ep)
--- a/tests/soak/procs.c
+++ b/tests/soak/procs.c
@@ -32,10 +32,10 @@
 		"\"name\":\"%s\",\"domain\":\"z%d\",\"peer\":\"%s:%u\","
 		"\"cluster_key_file\":\"%s/key\",\"seeds\":%s,"
 		"\"platform\":\"127.0.0.1:%u\",\"platform_calls_per_s\":50,"
-		"\"usage_window_s\":2",
+		"\"usage_window_s\":%d",
 		p->name, p->ip[strlen (p->ip) - 1] % 2,
 		p->member ? k->doors[p - k->procs].ip : p->ip, k->peer, k->dir,
-		seeds, k->platform.port);
+		seeds, k->platform.port, SOAK_USAGE_WINDOW_MS / 1000);
 
 	if (p->member)
 		text = g_strdup_printf (
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -149,6 +149,7 @@
 void world_ep_up (struct soak_ep *e);
 void world_ep_down (struct soak_ep *e);
 void world_platform (struct soak *k, bool up);
+/** world_check_usage() - compare what accounts are billed with what ran */
 void world_check_usage (struct soak *k);
 
 /* callers.c: callers and the operator */
--- a/tests/soak/world.c
+++ b/tests/soak/world.c
@@ -13,6 +13,9 @@
 #define WORK_MS 10
 #define DRAIN_MS 3000
 
+/* Client accounts are named by this and their number. */
+#define ACCOUNT_PREFIX "acct-"
+
 /* A request at an endpoint. */
 struct job {
 	struct soak_ep *e;
@@ -154,7 +157,7 @@
 	char *tenant = h1_copy (h1_find (h, "X-Tenant"));
 	char want[16];
 
-	g_snprintf (want, sizeof want, "acct-%u", r->account);
+	g_snprintf (want, sizeof want, ACCOUNT_PREFIX "%u", r->account);
 	if (h1_find (h, "Authorization") != NULL)
 		soak_wrong (e->k, "an endpoint sees the key of %s", r->id);
 	if (g_strcmp0 (tenant, want) != 0)
@@ -314,10 +317,13 @@
 	if (json_object_object_get_ex (report, "counts", &counts)) {
 		json_object_object_foreach (counts, name, count)
 		{
-			uint32_t account = (uint32_t)atoi (name + 5);
+			uint32_t account;
 
-			if (g_str_has_prefix (name, "acct-") &&
-			    account < SOAK_ACCOUNTS)
+			if (!g_str_has_prefix (name, ACCOUNT_PREFIX))
+				continue;
+			account =
+				(uint32_t)atoi (name + strlen (ACCOUNT_PREFIX));
+			if (account < SOAK_ACCOUNTS)
 				sums[account] += json_object_get_uint64 (count);
 		}
 	}
@@ -351,7 +357,8 @@
 	for (uint32_t i = 0; i < SOAK_ACCOUNTS; i++) {
 		if (reported[i] > run[i])
 			soak_wrong (k,
-				    "acct-%u is billed for %" G_GUINT64_FORMAT
+				    ACCOUNT_PREFIX
+				    "%u is billed for %" G_GUINT64_FORMAT
 				    " requests of %" G_GUINT64_FORMAT,
 				    i, reported[i], run[i]);
 	}
--- a/tests/t_sm.c
+++ b/tests/t_sm.c
@@ -58,3 +58,36 @@
 	c.json.len = (uint32_t)strlen (json);
 	return c;
 }
+
+struct sm_claim
+t_sm_claim (const char *key, uint8_t digest, const char *entry, uint64_t inc,
+	    uint64_t attempt, uint64_t wall_ms)
+{
+	struct sm_claim c = {.account = "a",
+			     .incarnation = inc,
+			     .attempt = attempt,
+			     .wall_ms = wall_ms};
+
+	memset (c.digest, digest, sizeof c.digest);
+	g_strlcpy (c.key, key, sizeof c.key);
+	g_strlcpy (c.entry, entry, sizeof c.entry);
+	return c;
+}
+
+void
+t_sm_claim_done (struct t_sm *t, const struct sm_claim *c,
+		 enum sm_outcome outcome, uint16_t status, const char *body)
+{
+	struct sm_claim_done d = {.outcome = (uint8_t)outcome,
+				  .status = status,
+				  .incarnation = c->incarnation,
+				  .attempt = c->attempt,
+				  .wall_ms = c->wall_ms};
+
+	g_strlcpy (d.account, c->account, sizeof d.account);
+	g_strlcpy (d.key, c->key, sizeof d.key);
+	g_strlcpy (d.entry, c->entry, sizeof d.entry);
+	d.body.data = (const uint8_t *)body;
+	d.body.len = (uint32_t)strlen (body);
+	t_sm_put (t, SM_CLAIM_DONE, &d);
+}
--- a/tests/t_sm.h
+++ b/tests/t_sm.h
@@ -31,4 +31,14 @@
 struct inv_change t_sm_set (enum inv_section section, const char *name,
 			    const char *json);
 
+/** t_sm_claim() - a claim of account "a" on @key by attempt @attempt of an
+ * entry; every byte of the request's digest is @digest */
+struct sm_claim t_sm_claim (const char *key, uint8_t digest, const char *entry,
+			    uint64_t inc, uint64_t attempt, uint64_t wall_ms);
+
+/** t_sm_claim_done() - apply the outcome of the attempt that holds @c */
+void t_sm_claim_done (struct t_sm *t, const struct sm_claim *c,
+		      enum sm_outcome outcome, uint16_t status,
+		      const char *body);
+
 #endif
