relayd: failed attempts name their endpoint and its silence, cut streams why no other took them

A trial showed a stream cut in the same millisecond in which its silent engine was left, and the logs did not tell whether no endpoint was left, all were full, or all were busy; nor how long the engine had been silent, which the three hypotheses differ in.

attempt-failed has ep= and silent_ms=; a stream that was under way and finds no other endpoint logs no-endpoint with the reason and how long it waited. No decision changes.

--- a/relayd/call.c
+++ b/relayd/call.c
@@ -220,6 +220,10 @@
 	}
 	dequeue_call (c);
 	if (c->headers_sent) {
+		log_event (LOG_LV_INFO, "no-endpoint",
+			   "req=%s why=%s waited_ms=%" G_GUINT64_FORMAT,
+			   c->req.id, place_reason_name (v.reason),
+			   now_ms - MIN (c->last_failure_ms, now_ms));
 		call_cut (c, "cut");
 		return;
 	}
@@ -297,20 +301,34 @@
 			     now_ms);
 }
 
+/* Time since the endpoint of the attempt sent a byte to this relay, or since
+ * the attempt began. */
+static uint64_t
+silent_ms (const struct call *c, uint64_t now_ms)
+{
+	uint64_t heard_ms = c->sent_ms;
+
+	if (c->ep != NULL)
+		heard_ms = MAX (heard_ms, c->ep->last_heard_ms);
+	return now_ms - MIN (heard_ms, now_ms);
+}
+
 /* Ends the attempt, whose exchange is over, and does what @v says. */
 static void
 end_attempt (struct call *c, const struct failover_input *f,
 	     enum failover_action v, uint64_t now_ms)
 {
 	log_event (LOG_LV_INFO, "attempt-failed",
-		   "req=%s verdict=%s status=%d sent=%d not_run=%d "
+		   "req=%s verdict=%s ep=%s status=%d sent=%d not_run=%d "
 		   "headers_sent=%d maybe_run=%u attempts=%u "
-		   "cut_off=%d remaining_ms=%" G_GUINT64_FORMAT,
-		   c->req.id, failover_action_name (v), c->status, f->sent,
+		   "cut_off=%d silent_ms=%" G_GUINT64_FORMAT
+		   " remaining_ms=%" G_GUINT64_FORMAT,
+		   c->req.id, failover_action_name (v),
+		   c->ep != NULL ? c->ep->info.id : "", c->status, f->sent,
 		   f->not_run, f->response_started, f->possible_runs,
 		   f->attempt_count,
 		   c->ep != NULL && fleet_is_cut_off (c->ep, now_ms),
-		   f->remaining_ms);
+		   silent_ms (c, now_ms), f->remaining_ms);
 	if (v == FAILOVER_RETRY || v == FAILOVER_RETRY_UNSENT) {
 		c->r->stats.retries++;
 		c->prefill_counted = false;
