relayd: the run of a silent endpoint is given up only for another that takes it

What callers saw: a stream that was under way ended as cut although its engine was sound (LOST). Callers of a resumable route had 19 and 39 events when it ended; nothing was refused and nothing else failed.

Cause: leave_cut_off() asked place_choose() whether another endpoint was free, gave up the exchange, and then placed the request anew. The second choice was made under other conditions (one more possible run, the endpoint in the list of those tried, another random value), found nothing, and the stream was cut in the same millisecond. A domain counts as cut off after two unanswered probes, 0.7 s into a silence that sound endpoints may have.

Ruled out: the change of the configuration (the calls keep theirs), the transport (the exchange still ran).

Change: the endpoint is left with the choice in hand, for the endpoint that was chosen; else it stays. Class: giving up what one has on the absence of news, before its replacement is certain.

--- a/relayd/call.c
+++ b/relayd/call.c
@@ -313,10 +313,9 @@
 	return now_ms - MIN (heard_ms, now_ms);
 }
 
-/* Ends the attempt, whose exchange is over, and does what @v says. */
 static void
-end_attempt (struct call *c, const struct failover_input *f,
-	     enum failover_action v, uint64_t now_ms)
+log_failed_attempt (struct call *c, const struct failover_input *f,
+		    enum failover_action v, uint64_t now_ms)
 {
 	log_event (LOG_LV_INFO, "attempt-failed",
 		   "req=%s verdict=%s ep=%s status=%d sent=%d not_run=%d "
@@ -329,13 +328,27 @@
 		   f->attempt_count,
 		   c->ep != NULL && fleet_is_cut_off (c->ep, now_ms),
 		   silent_ms (c, now_ms), f->remaining_ms);
-	if (v == FAILOVER_RETRY || v == FAILOVER_RETRY_UNSENT) {
-		c->r->stats.retries++;
-		c->prefill_counted = false;
-		if (c->tried_count < PLACE_TRIED_MAX && c->ep != NULL)
-			c->tried[c->tried_count++] = c->ep;
-		c->last_failure_ms = now_ms;
-	}
+}
+
+/* Another attempt is to follow the one that ends. */
+static void
+count_retry (struct call *c, uint64_t now_ms)
+{
+	c->r->stats.retries++;
+	c->prefill_counted = false;
+	if (c->tried_count < PLACE_TRIED_MAX && c->ep != NULL)
+		c->tried[c->tried_count++] = c->ep;
+	c->last_failure_ms = now_ms;
+}
+
+/* Ends the attempt, whose exchange is over, and does what @v says. */
+static void
+end_attempt (struct call *c, const struct failover_input *f,
+	     enum failover_action v, uint64_t now_ms)
+{
+	log_failed_attempt (c, f, v, now_ms);
+	if (v == FAILOVER_RETRY || v == FAILOVER_RETRY_UNSENT)
+		count_retry (c, now_ms);
 	c->exchange = NULL;
 	/* The engine is kept until its end is confirmed. */
 	if (v != FAILOVER_CONTINUE)
@@ -356,8 +369,10 @@
 	end_attempt (c, &f, v, now_ms);
 }
 
-/* Runs a request elsewhere whose endpoint is in a domain that is cut off.  Its
- * connection would time out only after its client has waited for long. */
+/* Runs a request elsewhere whose endpoint is cut off.  Its connection would
+ * time out only after its client has waited for long.  The endpoint may only be
+ * silent for a moment, so it is left only for another one that takes the
+ * request now. */
 static void
 leave_cut_off (struct call *c, uint64_t now_ms)
 {
@@ -368,13 +383,16 @@
 	f.possible_runs++;
 	if (!f.sent || failover_decide (&f) != FAILOVER_RETRY)
 		return;
+	c->maybe_run++;
 	choose_endpoint (c, &v, now_ms);
-	if (v.ep == NULL || !take_retry (c, now_ms))
+	if (v.ep == NULL || v.ep == c->ep || !take_retry (c, now_ms)) {
+		c->maybe_run--;
 		return;
-	h1cli_cancel (c->exchange);
-	c->maybe_run++;
-	c->status = 0;
-	end_attempt (c, &f, FAILOVER_RETRY, now_ms);
+	}
+	log_failed_attempt (c, &f, FAILOVER_RETRY, now_ms);
+	count_retry (c, now_ms);
+	call_release_ep (c);
+	attempt_start (c, &v);
 }
 
 static void
