waitq: a stream under way waits for an engine as long as its client does

What callers saw: a stream whose engine was lost or left ended as cut at once where the other engines were busy for a moment.

Cause: the time that a request waits for a busy engine counts from its arrival, six tenths of the client's patience for the first byte. A stream that has run for longer than that has no such time left, although its client only gives up after a pause.

Evidence: no-endpoint why=busy waited_ms=0 3.3 s after the request came, with 39 events passed on. test_waitq: a stream that lost its engine 3 s after it came; by the old bound it is refused before the loss.

Change: after the first event the bound is the client's patience since the last piece (waitq_resume_until_ms()).

--- a/lib/waitq.c
+++ b/lib/waitq.c
@@ -13,9 +13,10 @@
  * its client waits. */
 #define BUSY_SHARE 0.6
 
-/* How long a client waits for the first byte of a stream: the longest of a
- * fixed time, a multiple of the latency objective and a multiple of the longest
- * pause between events.  The clients in use give up after that. */
+/* How long a client waits for the first byte of a stream, or for the next one:
+ * the longest of a fixed time, a multiple of the latency objective and a
+ * multiple of the longest pause between events.  The clients in use give up
+ * after that. */
 #define PATIENCE_MIN_MS 2000
 #define PATIENCE_TARGETS 4
 #define PATIENCE_GAPS 8
@@ -27,17 +28,20 @@
 #define BACKLOG_MAX_MS 300.0
 #define BACKLOG_TIER_WEIGHT 0.25
 
+static uint64_t
+stream_patience_ms (const struct plan_route *route)
+{
+	return MAX (PATIENCE_MIN_MS,
+		    MAX (PATIENCE_TARGETS * route->latency_target_ms,
+			 PATIENCE_GAPS * route->gap_target_ms));
+}
+
 void
 waitq_entry_init (struct waitq_entry *q, const struct plan_route *route,
 		  uint32_t tier, uint64_t wait_ms, uint64_t now_ms)
 {
-	uint64_t patience_ms =
-		MAX (PATIENCE_MIN_MS,
-		     MAX (PATIENCE_TARGETS * route->latency_target_ms,
-			  PATIENCE_GAPS * route->gap_target_ms));
-
 	if (route->kind == PLAN_STREAM)
-		wait_ms = MIN (wait_ms, patience_ms);
+		wait_ms = MIN (wait_ms, stream_patience_ms (route));
 	*q = (struct waitq_entry){now_ms, now_ms + wait_ms, tier};
 }
 
@@ -67,6 +71,12 @@
 	       route->latency_target_ms / NO_ENDPOINT_DIVISOR;
 }
 
+uint64_t
+waitq_resume_until_ms (const struct plan_route *route, uint64_t last_piece_ms)
+{
+	return last_piece_ms + stream_patience_ms (route);
+}
+
 uint64_t
 waitq_startup_refuse_at_ms (uint64_t wait_ms, uint64_t now_ms,
 			    uint64_t ready_ms)
--- a/lib/waitq.h
+++ b/lib/waitq.h
@@ -72,6 +72,19 @@
 			     const struct plan_route *route,
 			     enum place_reason reason, uint64_t lost_ms);
 
+/**
+ * waitq_resume_until_ms() - how long a stream under way waits for an endpoint
+ * that goes on with it
+ * @route: route of the request
+ * @last_piece_ms: when its client was last sent a piece
+ *
+ * Its client abandons a stream that stands still, however long ago it began.
+ *
+ * Return: the time from which the stream is ended as cut.
+ */
+uint64_t waitq_resume_until_ms (const struct plan_route *route,
+				uint64_t last_piece_ms);
+
 /**
  * waitq_startup_refuse_at_ms() - how long a request waits for the configuration
  * @wait_ms: longest time that its client waits, 0 if not stated
--- a/relayd/call.c
+++ b/relayd/call.c
@@ -203,7 +203,7 @@
 void
 call_place (struct call *c)
 {
-	uint64_t now_ms = tmr_now_ms ();
+	uint64_t now_ms = tmr_now_ms (), give_up_ms;
 	struct place_result v;
 
 	choose_endpoint (c, &v, now_ms);
@@ -213,8 +213,12 @@
 		attempt_start (c, &v);
 		return;
 	}
-	if (now_ms < waitq_refuse_at_ms (&c->wait, c->route, v.reason,
-					 c->last_failure_ms)) {
+	give_up_ms =
+		c->headers_sent
+			? waitq_resume_until_ms (c->route, c->last_piece_ms)
+			: waitq_refuse_at_ms (&c->wait, c->route, v.reason,
+					      c->last_failure_ms);
+	if (now_ms < give_up_ms) {
 		enqueue_call (c);
 		return;
 	}
--- a/tests/test_waitq.c
+++ b/tests/test_waitq.c
@@ -36,6 +36,22 @@
 	CU_ASSERT (h.deadline_ms == 1000 + 700);
 }
 
+/* A stream that lost its engine three seconds after it came was cut at once
+ * where the others were busy. */
+static void
+test_stream_cut_while_engines_were_busy (void)
+{
+	struct waitq_entry h;
+	uint64_t lost_ms = 1000 + 3000, until_ms;
+
+	waitq_entry_init (&h, &quick, 0, 15000, 1000);
+	CU_ASSERT (waitq_refuse_at_ms (&h, &quick, PLACE_BUSY, lost_ms) <
+		   lost_ms);
+	until_ms = waitq_resume_until_ms (&quick, lost_ms - 50);
+	CU_ASSERT (until_ms == lost_ms - 50 + 2000);
+	CU_ASSERT (waitq_resume_until_ms (&slow, 5000) == 5000 + 8000);
+}
+
 /* A request waits briefly if there is no endpoint, and longer if the endpoints
  * are busy.  The wait starts anew when it loses its endpoint. */
 static void
@@ -153,11 +169,14 @@
 int
 main (void)
 {
-	static const struct t_case cases[] = {{"deadline", test_deadline},
-					      {"refuse at", test_refuse_at},
-					      {"burst", test_burst},
-					      {"startup", test_startup},
-					      {NULL, NULL}};
+	static const struct t_case cases[] = {
+		{"deadline", test_deadline},
+		{"refuse at", test_refuse_at},
+		{"stream cut while busy",
+		 test_stream_cut_while_engines_were_busy},
+		{"burst", test_burst},
+		{"startup", test_startup},
+		{NULL, NULL}};
 
 	return t_run ("waitq", cases);
 }
