relayd: no transport limit ends a request whose silent endpoint may go on

What callers saw: a request that may run once failed with 502 after 1,500 ms of silence of a sound endpoint, and a stream under way would be cut after two seconds (its caller may wait for eight).

Cause: TCP_USER_TIMEOUT and two keep-alive probes on every connection to an endpoint, to find one that ended without a word. They also end what could not go on anywhere else. On a kept connection the limits were those of the first exchange on it.

Change: only a request that can start anew elsewhere, and whose answer has not begun, has the limit. An endpoint that is silent under work for 1.5 s (2.5 s before its first byte) is suspect instead: no new requests, probed at once; what may run again leaves it once the probe failed and another takes it; the rest stays until its own deadline (fleet_next_stalled()). A reset, also one that answers a keep-alive probe after a restart, ends it as before.

--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -88,8 +88,9 @@
 	uint64_t suspect_since_ms;
 	uint64_t last_heard_ms; /* when bytes from it arrived last */
 	bool suspect_by_domain; /* suspect with its domain: fleet_suspect() */
-	bool probe_failed;      /* since it became suspect with its domain */
+	bool probe_failed;      /* since it became suspect */
 	bool cut_off;           /* see fleet_is_cut_off() */
+	bool stalled;           /* see fleet_next_stalled() */
 	uint64_t probe_at_ms;   /* next probe of a suspect endpoint */
 	uint32_t probe_backoff_ms;
 	bool on_trial;                /* see fleet_broke_request() */
@@ -99,6 +100,7 @@
 	uint32_t inflight;            /* requests of this relay */
 	uint64_t busy_since_ms;       /* when the first of these was sent */
 	uint32_t answering;           /* streams of this relay that began */
+	uint32_t paused;              /* of these, not read from at present */
 	double prefill_tokens;        /* their prompt tokens still to prefill */
 	uint32_t peer_running;        /* requests of the peer relays */
 	uint32_t peer_prefill_tokens; /* prompt tokens of them to prefill */
@@ -181,6 +183,7 @@
 	double slowdown;  /* measured prefill time over predicted, averaged */
 	uint64_t loss_ms; /* when an endpoint was lost last; 0: never */
 	uint64_t silence_checked_ms; /* fleet_check_silence() */
+	bool silence_check_late;     /* its last call came too late */
 	double slot_hold_ms; /* time that a stream holds a slot, averaged */
 };
 
@@ -329,8 +332,29 @@
  */
 const struct fleet_ep *fleet_check_silence (struct fleet *f, uint64_t now_ms);
 
-/** fleet_is_cut_off() - whether @ep is silent in a domain that is suspect as a
- * whole and whose probes failed: what runs there should run elsewhere */
+/**
+ * fleet_next_stalled() - suspect an endpoint that has been silent under work
+ * @now_ms: current time; fleet_check_silence() was called with it
+ *
+ * An endpoint that sends nothing for FLEET_STALL_MS although it has work may
+ * have ended, be unreachable, or go on in a moment.  It gets no new requests
+ * and is probed at once; its requests stay where they are.
+ *
+ * Return: an endpoint that became suspect now, or NULL if there is none left.
+ */
+struct fleet_ep *fleet_next_stalled (struct fleet *f, uint64_t now_ms);
+
+/** FLEET_STALL_MS - longest silence of an endpoint that is sending a stream.
+ * Sound endpoints may be silent for a second or so. */
+#define FLEET_STALL_MS 1500
+
+/** FLEET_STALL_PREFILL_MS - the same before the first byte, where it may be
+ * prefilling long prompts */
+#define FLEET_STALL_PREFILL_MS 2500
+
+/** fleet_is_cut_off() - whether @ep is silent, and either its domain is suspect
+ * as a whole and the probes there failed, or it stalled and its own probe
+ * failed: what runs there should run elsewhere if it can */
 bool fleet_is_cut_off (const struct fleet_ep *ep, uint64_t now_ms);
 
 /** fleet_probed() - record the result of a probe of a suspect endpoint: it is
--- a/lib/fleet_health.c
+++ b/lib/fleet_health.c
@@ -123,7 +123,7 @@
 	if (ep->health == FLEET_SUSPECT && !ep->suspect_by_domain)
 		return;
 	ep->health = FLEET_SUSPECT;
-	ep->suspect_by_domain = false;
+	ep->suspect_by_domain = ep->probe_failed = ep->stalled = false;
 	ep->suspect_since_ms = now_ms;
 	ep->probe_backoff_ms = PROBE_FIRST_MS;
 	ep->probe_at_ms = now_ms + ep->probe_backoff_ms;
@@ -174,6 +174,7 @@
 	bool late = now_ms > f->silence_checked_ms + SILENCE_CHECK_MAX_MS;
 
 	f->silence_checked_ms = now_ms;
+	f->silence_check_late = late;
 	for (guint i = 0; i < f->eps->len && !late; i++) {
 		const struct fleet_ep *e = g_ptr_array_index (f->eps, i);
 
@@ -187,6 +188,33 @@
 	return NULL;
 }
 
+static bool
+is_stalled (const struct fleet_ep *e, uint64_t now_ms)
+{
+	uint64_t limit_ms =
+		e->answering > 0 ? FLEET_STALL_MS : FLEET_STALL_PREFILL_MS;
+
+	return e->inflight > 0 && e->paused == 0 &&
+	       MAX (e->last_heard_ms, e->busy_since_ms) + limit_ms <= now_ms;
+}
+
+struct fleet_ep *
+fleet_next_stalled (struct fleet *f, uint64_t now_ms)
+{
+	for (guint i = 0; i < f->eps->len && !f->silence_check_late; i++) {
+		struct fleet_ep *e = g_ptr_array_index (f->eps, i);
+
+		if (e->health == FLEET_SUSPECT || !e->listed || e->leaving ||
+		    !is_stalled (e, now_ms))
+			continue;
+		fleet_suspect (f, e, now_ms);
+		e->stalled = true;
+		e->probe_at_ms = now_ms;
+		return e;
+	}
+	return NULL;
+}
+
 /* Once as many probes failed as are sent at once, no endpoint of the domain is
  * reached: a single one may have crashed. */
 static void
@@ -194,7 +222,6 @@
 {
 	uint32_t failed = 0;
 
-	ep->probe_failed = true;
 	for (guint i = 0; i < f->eps->len; i++) {
 		const struct fleet_ep *e = g_ptr_array_index (f->eps, i);
 
@@ -212,7 +239,8 @@
 bool
 fleet_is_cut_off (const struct fleet_ep *ep, uint64_t now_ms)
 {
-	return ep->cut_off && is_silent (ep, now_ms);
+	return (ep->cut_off || (ep->stalled && ep->probe_failed)) &&
+	       is_silent (ep, now_ms);
 }
 
 void
@@ -223,13 +251,14 @@
 		if (ep->on_trial && ep->trial_end_ms == 0)
 			ep->trial_end_ms = now_ms + TRIAL_MAX_MS;
 		ep->health = FLEET_HEALTHY;
-		ep->suspect_by_domain = false;
+		ep->suspect_by_domain = ep->stalled = false;
 		fleet_heard (ep, now_ms);
 		clear_domain (f, ep);
 		return;
 	}
 	ep->probe_backoff_ms = MIN (ep->probe_backoff_ms * 2, PROBE_MAX_MS);
 	ep->probe_at_ms = now_ms + ep->probe_backoff_ms;
+	ep->probe_failed = true;
 	if (ep->suspect_by_domain)
 		note_failed_probe (f, ep);
 }
--- a/lib/h1cli.c
+++ b/lib/h1cli.c
@@ -382,6 +382,7 @@
 	}
 	x->conn->call = x;
 	x->reused = true;
+	sio_set_limits (&x->conn->io, &x->limits);
 	call_send (x);
 	return x;
 }
@@ -406,6 +407,14 @@
 	return x->reused;
 }
 
+void
+h1cli_set_limits (struct h1cli *x, const struct sio_limits *limits)
+{
+	x->limits = *limits;
+	if (x->conn != NULL && x->conn->connecting == NULL)
+		sio_set_limits (&x->conn->io, limits);
+}
+
 void
 h1cli_pause (struct h1cli *x)
 {
--- a/lib/h1cli.h
+++ b/lib/h1cli.h
@@ -64,7 +64,7 @@
  * @idle_max_ms: a kept connection is used only if it was idle for less; 0
  *	always makes a new one
  * @connect_ms: limit on making a connection
- * @limits: of the connection
+ * @limits: of the connection while it carries this exchange
  */
 struct h1cli_req {
 	const char *bytes;
@@ -104,6 +104,9 @@
 /** h1cli_reused() - whether it runs on a kept connection */
 bool h1cli_reused (const struct h1cli *x);
 
+/** h1cli_set_limits() - change the limits of the connection, if it is made */
+void h1cli_set_limits (struct h1cli *x, const struct sio_limits *limits);
+
 /** h1cli_pause() - stop reading the answer; h1cli_resume() reads on */
 void h1cli_pause (struct h1cli *x);
 
--- a/lib/sio.c
+++ b/lib/sio.c
@@ -2,11 +2,12 @@
  * Stream sockets with an output queue.
  */
 #include <netinet/tcp.h>
+#include <string.h>
 #include <sys/socket.h>
 
 #include "sio.h"
 
-#define PROBES 2 /* unanswered keep-alive probes that end a connection */
+#define PROBES_DEFAULT 2
 
 static void
 on_read (h2o_socket_t *sock, const char *why)
@@ -22,18 +23,23 @@
 	s->ops->readable (s->ctx);
 }
 
-static void
-set_limits (int fd, const struct sio_limits *l)
+void
+sio_set_limits (struct sio *s, const struct sio_limits *l)
 {
-	int on = 1, probes = PROBES, probe_s = (int)l->probe_s;
+	int fd, on = l->probe_s > 0, probe_s = (int)l->probe_s;
+	int probes =
+		(int)(l->probe_count > 0 ? l->probe_count : PROBES_DEFAULT);
 	unsigned int timeout_ms = l->user_timeout_ms;
 
-	if (timeout_ms > 0)
-		setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
-			    sizeof timeout_ms);
-	if (probe_s == 0)
+	if (s->sock == NULL || memcmp (&s->limits, l, sizeof *l) == 0)
 		return;
+	s->limits = *l;
+	fd = h2o_socket_get_fd (s->sock);
+	setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+		    sizeof timeout_ms);
 	setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+	if (!on)
+		return;
 	setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &probe_s, sizeof probe_s);
 	setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &probe_s, sizeof probe_s);
 	setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
@@ -50,7 +56,7 @@
 	s->flight = g_byte_array_new ();
 	sock->data = s;
 	setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-	set_limits (fd, limits);
+	sio_set_limits (s, limits);
 	h2o_socket_read_start (sock, on_read);
 }
 
--- a/lib/sio.h
+++ b/lib/sio.h
@@ -28,31 +28,40 @@
 	void (*ended) (const char *why, void *ctx);
 };
 
-/** struct sio - on memory the caller owns */
-struct sio {
-	h2o_socket_t *sock; /* NULL once closed */
-	const struct sio_ops *ops;
-	void *ctx;
-	GByteArray *queued;
-	GByteArray *flight;
-	bool paused;
-};
-
 /**
  * struct sio_limits - how fast a silent connection is given up
  * @user_timeout_ms: TCP_USER_TIMEOUT; 0 for the kernel's default
  * @probe_s: seconds of silence before, and between, two keep-alive probes;
  *	0 for none
+ * @probe_count: unanswered probes that end the connection; 0 for the default
  */
 struct sio_limits {
 	uint32_t user_timeout_ms;
 	uint32_t probe_s;
+	uint32_t probe_count;
+};
+
+/** SIO_PROBES_MAX - the most that @probe_count can be */
+#define SIO_PROBES_MAX 127
+
+/** struct sio - on memory the caller owns */
+struct sio {
+	h2o_socket_t *sock; /* NULL once closed */
+	const struct sio_ops *ops;
+	void *ctx;
+	GByteArray *queued;
+	GByteArray *flight;
+	struct sio_limits limits;
+	bool paused;
 };
 
 /** sio_init() - take over @sock and begin to read */
 void sio_init (struct sio *s, h2o_socket_t *sock, const struct sio_ops *ops,
 	       void *ctx, const struct sio_limits *limits);
 
+/** sio_set_limits() - change the limits of an open connection */
+void sio_set_limits (struct sio *s, const struct sio_limits *limits);
+
 /** sio_is_open() - whether it was not closed here */
 bool sio_is_open (const struct sio *s);
 
--- a/relayd/attempt.c
+++ b/relayd/attempt.c
@@ -11,7 +11,8 @@
 #define CONNECT_TIMEOUT_MS 400
 
 /* An endpoint that leaves bytes or TCP keepalive probes unacknowledged for this
- * long is unreachable or terminated. */
+ * long is unreachable, terminated or silent.  Only a request that can start
+ * anew elsewhere is better off without it. */
 #define TCP_USER_TIMEOUT_MS 1500
 #define KEEPALIVE_PROBE_S 1
 
@@ -36,6 +37,18 @@
 	return c->route->kind == PLAN_IDEMPOTENT || c->route->resumable;
 }
 
+static const struct sio_limits start_anew_limits = {
+	.user_timeout_ms = TCP_USER_TIMEOUT_MS,
+	.probe_s = KEEPALIVE_PROBE_S,
+};
+
+/* A reset still ends the connection, also one that answers a probe after the
+ * endpoint's restart; silence does not. */
+static const struct sio_limits wait_limits = {
+	.probe_s = KEEPALIVE_PROBE_S,
+	.probe_count = SIO_PROBES_MAX,
+};
+
 /* Keeps the answer's headers for the client, without those about framing, which
  * the relay does itself. */
 static void
@@ -117,6 +130,8 @@
 
 	c->headers_sent = true;
 	c->first_byte_ms = tmr_now_ms ();
+	if (c->exchange != NULL)
+		h1cli_set_limits (c->exchange, &wait_limits);
 	h1srv_head (c->client, c->status, c->answer_headers->str, out);
 	g_string_append (out, "Transfer-Encoding: chunked\r\n\r\n");
 	h1srv_write (c->client, out->str, out->len);
@@ -151,6 +166,7 @@
 	h1srv_write (c->client, "\r\n", 2);
 	if (h1srv_pending (c->client) > PENDING_MAX_BYTES && !c->paused) {
 		c->paused = true;
+		c->ep->paused++;
 		h1cli_pause (c->exchange);
 	}
 }
@@ -366,7 +382,9 @@
 		.idle_max_ms = attempt_is_repeatable (c) ? REUSE_IDLE_MAX_MS
 							 : REUSE_IDLE_ONCE_MS,
 		.connect_ms = (uint32_t)MIN (CONNECT_TIMEOUT_MS, remaining_ms),
-		.limits = {TCP_USER_TIMEOUT_MS, KEEPALIVE_PROBE_S},
+		.limits = attempt_is_repeatable (c) && !c->headers_sent
+				  ? start_anew_limits
+				  : wait_limits,
 	};
 	GString *text;
 
--- a/relayd/call.c
+++ b/relayd/call.c
@@ -68,6 +68,9 @@
 			MAX (c->ep->prefill_tokens - c->prefill_tokens, 0);
 	else if (c->is_stream)
 		c->ep->answering--;
+	if (c->paused)
+		c->ep->paused--;
+	c->paused = false;
 	c->ep = NULL;
 }
 
@@ -460,6 +463,7 @@
 		} else if (c->paused &&
 			   h1srv_pending (c->client) < PENDING_MAX_BYTES / 2) {
 			c->paused = false;
+			c->ep->paused--;
 			h1cli_resume (c->exchange);
 		} else if (c->exchange != NULL &&
 			   fleet_is_cut_off (c->ep, now_ms)) {
--- a/relayd/upstream.c
+++ b/relayd/upstream.c
@@ -265,12 +265,22 @@
 {
 	const struct fleet_ep *ep = fleet_check_silence (&r->fleet, now_ms);
 
-	if (ep == NULL)
-		return;
-	r->load_changed = true; /* load reports name suspect endpoints */
-	log_event (LOG_LV_INFO, "domain-silent",
-		   "domain=%s heard_ms=%" G_GUINT64_FORMAT, ep->info.domain,
-		   now_ms - ep->last_heard_ms);
+	if (ep != NULL) {
+		r->load_changed =
+			true; /* load reports name suspect endpoints */
+		log_event (LOG_LV_INFO, "domain-silent",
+			   "domain=%s heard_ms=%" G_GUINT64_FORMAT,
+			   ep->info.domain, now_ms - ep->last_heard_ms);
+	}
+	while ((ep = fleet_next_stalled (&r->fleet, now_ms)) != NULL) {
+		r->load_changed = true;
+		log_event (LOG_LV_INFO, "endpoint",
+			   "ep=%s addr=%s suspect=1 stalled=1 inflight=%u "
+			   "answering=%u silent_ms=%" G_GUINT64_FORMAT,
+			   ep->info.id, ep->info.addr, ep->inflight,
+			   ep->answering,
+			   now_ms - MAX (ep->last_heard_ms, ep->busy_since_ms));
+	}
 }
 
 void
