--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -312,6 +312,111 @@
 	g_array_free (out, TRUE);
 }
 
+/* An entry of the list that can be used, with @id and more members. */
+#define ENTRY(id, more)                                                        \
+	"{\"service\":\"llm\",\"address\":\"10.0.0.9:8080\",\"zone\":\"n\","   \
+	"\"state\":\"ready\",\"id\":\"" id "\"" more "}"
+
+/* Reads a page with @odd between the entries "a" and "b".  Returns whether
+ * these two alone were read, @odd was skipped, and the next page is known. */
+static bool
+holds_beside (const char *odd, size_t len)
+{
+	GArray *out = g_array_new (FALSE, TRUE, sizeof (struct fleet_info));
+	GString *page = g_string_new ("{\"instances\":[" ENTRY ("a", "") ",");
+	const struct fleet_info *i = (const struct fleet_info *)out->data;
+	struct err e = {0};
+	uint32_t skipped = 0;
+	char *next = NULL;
+	bool ok;
+
+	g_string_append_len (page, odd, (gssize)len);
+	g_string_append (page, "," ENTRY ("b", "") "],\"next\":\"p-2\"}");
+	ok = d->parse_list (page->str, page->len, out, &next, &skipped, &e);
+	i = (const struct fleet_info *)out->data;
+	ok = ok && e.kind == ERR_NONE && out->len == 2 &&
+	     strcmp (i[0].id, "a") == 0 && strcmp (i[1].id, "b") == 0 &&
+	     skipped == 1 && g_strcmp0 (next, "p-2") == 0;
+	g_free (next);
+	g_string_free (page, TRUE);
+	g_array_free (out, TRUE);
+	return ok;
+}
+
+/* Another writer's entry that can't be read took the whole page with it, so
+ * that the list stood still: nested deeply, or no JSON. */
+static void
+test_list_unreadable_entry (void)
+{
+	static const char *const rows[] = {
+		"\"\\ud800\\\"",
+		"{\"id\":\"odd\",}",
+		"{\"id\":\"odd\"",
+		"{\"id\":\"odd\"]",
+		"{\"id\":\"odd,\"x\":1}",
+		"{\"id\":\"odd\",\"x\":[}",
+		"{\"id\":\"odd\"}}",
+		"{\"id\" \"odd\"}",
+		"{'id':'odd'}",
+		"\xff\xfe{\x01\"",
+		"odd",
+		"",
+		"[0," ENTRY ("inner", "") "]",
+		"{\"id\":\"odd\",\"x\":[0," ENTRY ("inner", "") "]}",
+		"]",
+		ENTRY ("odd", ",\"slots\":-"),
+		ENTRY ("odd", ",\"slots\":1e"),
+		ENTRY ("odd", ",\"slots\":nan"),
+		ENTRY ("odd", ",\"version\":\"\xff\xfe\""),
+		ENTRY ("odd", ",\"version\":\"\\x\""),
+	};
+
+	for (unsigned i = 0; i < G_N_ELEMENTS (rows); i++) {
+		if (!holds_beside (rows[i], strlen (rows[i])))
+			CU_FAIL (rows[i]);
+	}
+	for (size_t depth = 16; depth <= 1U << 20; depth *= 16) {
+		GString *odd = g_string_new (NULL);
+
+		for (size_t i = 0; i < depth; i++)
+			g_string_append (odd, i % 2 == 0 ? "{\"a\":" : "[");
+		g_string_append_c (odd, '0');
+		for (size_t i = depth; i > 0; i--)
+			g_string_append_c (odd, i % 2 == 0 ? ']' : '}');
+		CU_ASSERT (holds_beside (odd->str, odd->len));
+		g_string_insert (odd, 0, "{\"id\":\"odd\",\"deep\":");
+		g_string_append_c (odd, '}');
+		CU_ASSERT (holds_beside (odd->str, odd->len));
+		g_string_free (odd, TRUE);
+	}
+	CU_ASSERT (holds_beside ("{\"id\":\"o\0d\"}", 12));
+}
+
+/* A page that was cut short is never taken for a whole one. */
+static void
+test_list_cut (void)
+{
+	static const char page[] = " {\"instances\": [" ENTRY (
+		"a", ",\"models\":[{\"adapters\":[]"
+		     "}]") " , " ENTRY ("b", "") "],\n\"next\":null}";
+	GArray *out = g_array_new (FALSE, TRUE, sizeof (struct fleet_info));
+	uint32_t skipped = 0;
+	char *next;
+
+	for (size_t len = 0; len < strlen (page); len++) {
+		struct err e = {0};
+
+		CU_ASSERT (
+			!d->parse_list (page, len, out, &next, &skipped, &e) &&
+			e.kind == ERR_PROTOCOL && next == NULL);
+	}
+	g_array_set_size (out, 0);
+	CU_ASSERT (d->parse_list (page, strlen (page), out, &next, &skipped,
+				  NULL) &&
+		   out->len == 2 && next == NULL);
+	g_array_free (out, TRUE);
+}
+
 static void
 test_posts (void)
 {
@@ -347,6 +452,8 @@
 		{"plan", test_plan},
 		{"plan rejected", test_plan_rejected},
 		{"list", test_list},
+		{"list, unreadable entry", test_list_unreadable_entry},
+		{"list, cut", test_list_cut},
 		{"posts", test_posts},
 		{NULL, NULL}};
 
