--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -171,13 +171,13 @@
 ep_update (struct fleet_ep *ep, const struct fleet_info *info, uint64_t now_ms,
 	   uint64_t age_ms)
 {
-	uint64_t until = now_ms + info->cold_remaining_ms;
+	uint32_t cold_ms = MIN (info->cold_remaining_ms, FLEET_COLD_MAX_MS);
 
 	ep->listed = true;
 	set_entry_digest (ep, fleet_info_digest (info));
 	ep->leaving = ep->leaving || info->leaving;
-	if (info->cold_remaining_ms > age_ms)
-		set_cold (ep, until - age_ms, now_ms);
+	if (cold_ms > age_ms)
+		set_cold (ep, now_ms + cold_ms - age_ms, now_ms);
 	ep->info.slots = info->slots;
 	ep->info.reclaimable = info->reclaimable;
 	if (info->started_ms != 0)
@@ -354,7 +354,7 @@
 void
 fleet_set_cold (struct fleet_ep *ep, uint32_t cold_ms, uint64_t now_ms)
 {
-	set_cold (ep, now_ms + cold_ms, now_ms);
+	set_cold (ep, now_ms + MIN (cold_ms, FLEET_COLD_MAX_MS), now_ms);
 	fleet_forget_segments (ep);
 }
 
--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -19,6 +19,9 @@
 /* Size of the buffers for ids, names and addresses, with the final NUL. */
 #define FLEET_NAME_BYTES 64
 
+/* Longest cold start that is believed; real ones take seconds to minutes. */
+#define FLEET_COLD_MAX_MS (60U * 60 * 1000)
+
 /* Entries in one message that carries an endpoint list. */
 #define FLEET_LIST_MAX 8192
 
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -70,6 +70,27 @@
 	fleet_finish (&f);
 }
 
+/* An endpoint that says once that it stays cold for weeks, or a list of an
+ * older build that does, left it with hardly any work for as long. */
+static void
+test_cold_for_ever (void)
+{
+	struct fleet_info list[2] = {info ("a", "n"), info ("b", "n")};
+	struct fleet f;
+
+	list[0].cold_remaining_ms = UINT32_MAX;
+	fleet_init (&f, NULL, NULL);
+	fleet_set_list (&f, list, 2, 1000, 0);
+	fleet_set_cold (fleet_find (&f, "b"), UINT32_MAX, 1000);
+	for (uint32_t k = 0; k < 2; k++) {
+		const struct fleet_ep *ep = fleet_find (&f, list[k].id);
+
+		CU_ASSERT (fleet_is_cold (ep, 999 + FLEET_COLD_MAX_MS) &&
+			   !fleet_is_cold (ep, 1000 + FLEET_COLD_MAX_MS));
+	}
+	fleet_finish (&f);
+}
+
 static void
 test_drained (void)
 {
@@ -487,19 +508,21 @@
 int
 main (void)
 {
-	static const struct t_case cases[] = {{"lists", test_lists},
-					      {"restart", test_restart},
-					      {"drained", test_drained},
-					      {"suspect", test_suspect},
-					      {"cut", test_cut},
-					      {"crash", test_crash},
-					      {"silence", test_silence},
-					      {"trial", test_trial},
-					      {"no silence", test_no_silence},
-					      {"error rate", test_error_rate},
-					      {"segments", test_segments},
-					      {"deltas", test_deltas},
-					      {NULL, NULL}};
+	static const struct t_case cases[] = {
+		{"lists", test_lists},
+		{"restart", test_restart},
+		{"cold for ever", test_cold_for_ever},
+		{"drained", test_drained},
+		{"suspect", test_suspect},
+		{"cut", test_cut},
+		{"crash", test_crash},
+		{"silence", test_silence},
+		{"trial", test_trial},
+		{"no silence", test_no_silence},
+		{"error rate", test_error_rate},
+		{"segments", test_segments},
+		{"deltas", test_deltas},
+		{NULL, NULL}};
 
 	return t_run ("fleet", cases);
 }
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -392,6 +392,54 @@
 	CU_ASSERT (holds_beside ("{\"id\":\"o\0d\"}", 12));
 }
 
+/* A number out of range was cast as it was, which C leaves undefined, and an
+ * endpoint that was said to be cold for weeks got hardly any work. */
+static void
+test_list_number_out_of_range (void)
+{
+	static const char *const odd[] = {
+		ENTRY ("odd", ",\"slots\":1e400"),
+		ENTRY ("odd", ",\"slots\":1e300"),
+		ENTRY ("odd", ",\"slots\":4294967296"),
+		ENTRY ("odd", ",\"slots\":1180591620717411303424"),
+		ENTRY ("odd", ",\"slots\":-1"),
+		ENTRY ("odd", ",\"slots\":NaN"),
+		ENTRY ("odd", ",\"slots\":Infinity"),
+		ENTRY ("odd", ",\"slots\":null"),
+		ENTRY ("odd", ",\"cold_remaining_ms\":-1e400"),
+		ENTRY ("odd", ",\"cold_remaining_ms\":1e19"),
+		ENTRY ("odd", ",\"cold_remaining_ms\":2147483647"),
+		ENTRY ("odd", ",\"born\":1e400"),
+		ENTRY ("odd", ",\"born\":18446744073709551615"),
+		ENTRY ("odd", ",\"born\":-5"),
+		ENTRY ("odd", ",\"born\":1700000000000.5"),
+		ENTRY ("odd", ",\"spot\":\"no\""),
+	};
+	char *held = g_strdup_printf (
+		"{\"instances\":[%s,%s],\"next\":null}",
+		ENTRY ("a", ",\"slots\":64.0,\"cold_remaining_ms\":249.7,"
+			    "\"born\":1.7e12,\"spot\":null"),
+		ENTRY ("b", ",\"cold_remaining_ms\":-3"));
+	GArray *out = g_array_new (FALSE, TRUE, sizeof (struct fleet_info));
+	const struct fleet_info *i;
+	uint32_t skipped = 0;
+	char *next;
+
+	for (unsigned k = 0; k < G_N_ELEMENTS (odd); k++) {
+		if (!holds_beside (odd[k], strlen (odd[k])))
+			CU_FAIL (odd[k]);
+	}
+	CU_ASSERT (d->parse_list (held, strlen (held), out, &next, &skipped,
+				  NULL));
+	CU_ASSERT_FATAL (out->len == 2);
+	i = (const struct fleet_info *)out->data;
+	CU_ASSERT (i->slots == 64 && i->cold_remaining_ms == 249 &&
+		   i->started_ms == 1700000000000 && !i->reclaimable);
+	CU_ASSERT (i[1].cold_remaining_ms == 0);
+	g_array_free (out, TRUE);
+	g_free (held);
+}
+
 /* A page that was cut short is never taken for a whole one. */
 static void
 test_list_cut (void)
@@ -453,6 +501,7 @@
 		{"plan rejected", test_plan_rejected},
 		{"list", test_list},
 		{"list, unreadable entry", test_list_unreadable_entry},
+		{"list, number out of range", test_list_number_out_of_range},
 		{"list, cut", test_list_cut},
 		{"posts", test_posts},
 		{NULL, NULL}};
