platform: texts of list entries with control characters are refused

Cause: an entry's id was taken as it stood. X-Expect-Instance repeats it in each request and log lines name it, so that an id with CR and LF adds headers to requests, or another request, and lines to the log; a text with a zero byte was cut there and passed for another endpoint's id: "a\0" for "a", so that the real entry was dropped as a duplicate or its endpoint taken for restarted.

A relay that gets such an entry from a member of another build keeps it in its table, so that the digest of the list still matches and deltas apply, but retires it; the log line names it by its hash. on_ep_removed() still writes its id.

--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -51,6 +51,15 @@
 
 extern const struct msg_field fleet_info_fields[];
 
+/**
+ * fleet_info_check() - whether an entry can name an endpoint
+ * @e: receives ERR_PROTOCOL and the reason, without text of the entry
+ *
+ * Its texts go into headers and log lines, so none may have control characters,
+ * or an id spaces.
+ */
+bool fleet_info_check (const struct fleet_info *info, struct err *e);
+
 /* In a table of up to this many endpoints, a relay receives the peer load of
  * all of them.  Only changes are sent, for about a fifth of the endpoints in
  * one update and a few times a second, which makes some 2 kB/s. */
--- a/lib/fleet_list.c
+++ b/lib/fleet_list.c
@@ -1,5 +1,5 @@
 /*
- * Endpoint lists independent of a table: digests and deltas.
+ * Endpoint lists independent of a table: checks of entries, digests and deltas.
  */
 #include <string.h>
 
@@ -8,6 +8,32 @@
 #include "fleet.h"
 #include "loads.h"
 
+static bool
+is_printable (const char *text)
+{
+	if (text[0] == '\0' || !g_utf8_validate (text, -1, NULL))
+		return false;
+	for (; *text != '\0'; text = g_utf8_next_char (text)) {
+		if (g_unichar_iscntrl (g_utf8_get_char (text)))
+			return false;
+	}
+	return true;
+}
+
+bool
+fleet_info_check (const struct fleet_info *info, struct err *e)
+{
+	if (!is_printable (info->id) || strchr (info->id, ' ') != NULL)
+		return err_set (e, ERR_PROTOCOL, "id empty or not plain text");
+	if (!is_printable (info->service))
+		return err_set (e, ERR_PROTOCOL,
+				"service empty or not plain text");
+	if (!is_printable (info->domain))
+		return err_set (e, ERR_PROTOCOL,
+				"domain empty or not plain text");
+	return true;
+}
+
 uint64_t
 fleet_info_digest (const struct fleet_info *info)
 {
--- a/relayd/upstream.c
+++ b/relayd/upstream.c
@@ -38,15 +38,21 @@
 	struct sockaddr_in addr = {.sin_family = AF_INET};
 	struct err e = {0};
 
-	if (!link_addr_parse (ep->info.addr, &addr, &e)) {
-		log_event (LOG_LV_WARN, "endpoint", "ep=%s why=\"%s\"",
-			   ep->info.id, e.msg);
-		fleet_retire (ep);
-	}
 	u->r = r;
 	u->ep = ep;
-	h1cli_host_init (&u->host, r->daemon.loop, &addr, r->source_addr);
 	ep->owner_data = u;
+	/* Our own readers skip invalid entries; a member of another build may
+	 * not.  The entry is kept: the digest of the list counts it. */
+	if (!fleet_info_check (&ep->info, &e) ||
+	    !link_addr_parse (ep->info.addr, &addr, &e))
+		fleet_retire (ep);
+	h1cli_host_init (&u->host, r->daemon.loop, &addr, r->source_addr);
+	if (e.kind != ERR_NONE) {
+		log_event (LOG_LV_WARN, "endpoint",
+			   "ep_hash=%08x unusable=1 why=\"%s\"", ep->ep_hash,
+			   e.msg);
+		return;
+	}
 	log_event (LOG_LV_INFO, "endpoint",
 		   "ep=%s addr=%s service=%s domain=%s added=1 cold_ms=%u "
 		   "leaving=%d",
--- a/tests/test_platform_list.c
+++ b/tests/test_platform_list.c
@@ -179,6 +179,37 @@
 	g_free (held);
 }
 
+/* An id that ends its line would add a header of its own to requests, and lines
+ * to the log; a text with a zero byte would pass for a shorter one. */
+static void
+test_odd_text (void)
+{
+	static const char *const odd[] = {
+		ENTRY ("i\\r\\nKv-Fetch: x", ""),
+		ENTRY ("i\\n", ""),
+		ENTRY ("i 1", ""),
+		ENTRY ("i\\u0000", ""),
+		ENTRY ("a\\u0000", ""),
+		ENTRY ("i\\u007f", ""),
+		ENTRY ("i\\u0085", ""),
+		ENTRY ("i", ",\"zone\":\"n\\u0000\""),
+		ENTRY ("i", ",\"zone\":\"n\\nx\""),
+		ENTRY ("i", ",\"zone\":\"\""),
+		ENTRY ("i", ",\"service\":\"llm\\u0000\""),
+		ENTRY ("i", ",\"service\":\"llm\\u001b\""),
+		ENTRY ("i", ",\"service\":[\"llm\"]"),
+		ENTRY ("i", ",\"state\":\"ready\\u0000\""),
+		ENTRY ("0123456789012345678901234567890123456789012345678901234"
+		       "567890123",
+		       ""),
+	};
+
+	for (unsigned k = 0; k < G_N_ELEMENTS (odd); k++) {
+		if (!holds_beside (odd[k], strlen (odd[k])))
+			CU_FAIL (odd[k]);
+	}
+}
+
 /* A page that was cut short is never taken for a whole one. */
 static void
 test_cut (void)
@@ -211,6 +242,7 @@
 		{"entries", test_entries},
 		{"unreadable entry", test_unreadable_entry},
 		{"number out of range", test_number_out_of_range},
+		{"odd text", test_odd_text},
 		{"cut", test_cut},
 		{NULL, NULL}};
 
