platform: addresses at which no server can be are refused

Cause: the address of an entry was any text. Relays refused those that link_addr_parse() can't read, each with a warning, while the group counted them as listed and ordered less; port 0 and 0.0.0.0, which a connection takes to the relay's own machine, multicast and broadcast addresses were used for requests until their connections failed.

Change: fleet_info_check() requires the address and port, 1 to 65,535, of one machine. Loopback addresses stay valid: demonstrations and tests use them. link_addr_parse() is unchanged: listeners use port 0.

--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -56,7 +56,7 @@
  * @e: receives ERR_PROTOCOL and the reason, without text of the entry
  *
  * Its texts go into headers and log lines, so none may have control characters,
- * or an id spaces.
+ * or an id spaces; and its address must be one that a server can have.
  */
 bool fleet_info_check (const struct fleet_info *info, struct err *e);
 
--- a/lib/fleet_list.c
+++ b/lib/fleet_list.c
@@ -1,11 +1,13 @@
 /*
  * Endpoint lists independent of a table: checks of entries, digests and deltas.
  */
+#include <arpa/inet.h>
 #include <string.h>
 
 #include <xxhash.h>
 
 #include "fleet.h"
+#include "link.h"
 #include "loads.h"
 
 static bool
@@ -20,6 +22,19 @@
 	return true;
 }
 
+/* Whether @text is the address and port of one machine. */
+static bool
+is_server_address (const char *text)
+{
+	struct sockaddr_in addr;
+	in_addr_t ip;
+
+	if (!link_addr_parse (text, &addr, NULL) || addr.sin_port == 0)
+		return false;
+	ip = ntohl (addr.sin_addr.s_addr);
+	return ip != INADDR_ANY && ip != INADDR_BROADCAST && !IN_MULTICAST (ip);
+}
+
 bool
 fleet_info_check (const struct fleet_info *info, struct err *e)
 {
@@ -31,6 +46,9 @@
 	if (!is_printable (info->domain))
 		return err_set (e, ERR_PROTOCOL,
 				"domain empty or not plain text");
+	if (!is_server_address (info->addr))
+		return err_set (e, ERR_PROTOCOL,
+				"address not IP:port of a server");
 	return true;
 }
 
--- a/relayd/upstream.c
+++ b/relayd/upstream.c
@@ -43,9 +43,10 @@
 	ep->owner_data = u;
 	/* Our own readers skip invalid entries; a member of another build may
 	 * not.  The entry is kept: the digest of the list counts it. */
-	if (!fleet_info_check (&ep->info, &e) ||
-	    !link_addr_parse (ep->info.addr, &addr, &e))
+	if (!fleet_info_check (&ep->info, &e))
 		fleet_retire (ep);
+	else
+		link_addr_parse (ep->info.addr, &addr, NULL);
 	h1cli_host_init (&u->host, r->daemon.loop, &addr, r->source_addr);
 	if (e.kind != ERR_NONE) {
 		log_event (LOG_LV_WARN, "endpoint",
--- a/tests/test_platform_list.c
+++ b/tests/test_platform_list.c
@@ -210,6 +210,50 @@
 	}
 }
 
+/* An address at which no server can be was listed as one: relays sent requests
+ * there, at 0.0.0.0 to themselves. */
+static void
+test_odd_address (void)
+{
+	static const char *const odd[] = {
+		"",
+		"10.0.0.9",
+		"10.0.0.9:",
+		"10.0.0.9:0",
+		"10.0.0.9:00",
+		"10.0.0.9:65536",
+		"10.0.0.9:99999999999",
+		"10.0.0.9:18446744073709551696",
+		"10.0.0.9:-1",
+		"10.0.0.9:+80",
+		"10.0.0.9: 80",
+		"10.0.0.9:80 ",
+		" 10.0.0.9:80",
+		"10.0.0.9:80\\u0000",
+		"10.0.0.9:80\\r\\nx: y",
+		"10.0.0.9:0x50",
+		"10.0.0.256:80",
+		"10.9:80",
+		"host:80",
+		"[::1]:80",
+		"::1:80",
+		"0.0.0.0:80",
+		"255.255.255.255:80",
+		"224.0.0.1:80",
+		"10.0.0.9:0000000000000000000000000000000000000000000000000000"
+		"00000000000000000000080",
+	};
+
+	for (unsigned k = 0; k < G_N_ELEMENTS (odd); k++) {
+		char *entry = g_strdup_printf (
+			ENTRY ("odd", ",\"address\":\"%s\""), odd[k]);
+
+		if (!holds_beside (entry, strlen (entry)))
+			CU_FAIL (odd[k]);
+		g_free (entry);
+	}
+}
+
 /* A page that was cut short is never taken for a whole one. */
 static void
 test_cut (void)
@@ -243,6 +287,7 @@
 		{"unreadable entry", test_unreadable_entry},
 		{"number out of range", test_number_out_of_range},
 		{"odd text", test_odd_text},
+		{"odd address", test_odd_address},
 		{"cut", test_cut},
 		{NULL, NULL}};
 
