eplist: a list whose pages have no end is refused

Cause: the reader followed any token of a next page, and each page counted as progress. Where a page names itself or an earlier one, or the tokens never end, the read goes on for ever: the list stands still, the entries grow until memory ends, and the platform's rate is used up.

Ruled out: to take the entries read so far for the list, since endpoints of pages that were not reached would be removed.

--- a/lib/eplist.c
+++ b/lib/eplist.c
@@ -18,6 +18,9 @@
 /* Fits a page of 8,192 entries of 1 kB. */
 #define BODY_MAX_BYTES (8U << 20)
 
+/* The longest list that is held, in pages of 8 entries. */
+#define PAGES_MAX (FLEET_LIST_MAX / 8)
+
 static void request_page (struct eplist *l);
 
 /* Requests the page of a token; NULL is the first page. */
@@ -76,6 +79,21 @@
 	}
 }
 
+/* Whether the page of @token may be read.  A list whose pages come round or
+ * have no end is never whole. */
+static bool
+check_token (struct eplist *l, const char *token, struct err *e)
+{
+	if (!g_hash_table_add (l->tokens, g_strdup (token)))
+		return err_set (e, ERR_PROTOCOL,
+				"list of endpoints: the token of a page "
+				"repeats");
+	if (g_hash_table_size (l->tokens) >= PAGES_MAX)
+		return err_set (e, ERR_PROTOCOL,
+				"list of endpoints: over %u pages", PAGES_MAX);
+	return true;
+}
+
 static void
 on_done (struct h1cli *x, enum h1cli_end end, void *ctx)
 {
@@ -98,6 +116,8 @@
 	else
 		l->dialect->parse_list (l->body->str, l->body->len, l->entries,
 					&next, &l->skipped, &e);
+	if (next != NULL)
+		check_token (l, next, &e);
 	if (e.kind == ERR_NONE)
 		extend_cold (l, first);
 	if (e.kind != ERR_NONE) {
@@ -150,6 +170,8 @@
 	*l = (struct eplist){
 		.host = host, .dialect = dialect, .ops = ops, .ctx = ctx};
 	l->body = g_string_new (NULL);
+	l->tokens =
+		g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
 }
 
 void
@@ -166,6 +188,7 @@
 eplist_finish (struct eplist *l)
 {
 	eplist_cancel (l);
+	g_hash_table_destroy (l->tokens);
 	g_free (l->page_token);
 	g_string_free (l->body, TRUE);
 }
@@ -175,6 +198,7 @@
 {
 	l->started_ms = l->progress_ms = now_ms;
 	l->skipped = l->call_count = 0;
+	g_hash_table_remove_all (l->tokens);
 	drop_entries (l);
 	l->entries = g_array_new (FALSE, TRUE, sizeof (struct fleet_info));
 	fetch_page (l, NULL);
--- a/lib/eplist.h
+++ b/lib/eplist.h
@@ -42,6 +42,7 @@
  *	again; otherwise the read fails
  * @progress_ms: when the last page arrived, or the read started
  * @page_token: token of the requested page, NULL for the first
+ * @tokens: those of the pages of this read, as a set
  * @retry_at_ms: when a rate limited page is requested again, otherwise 0
  * @started_ms: when the current or the last read started
  */
@@ -59,6 +60,7 @@
 	bool retry_rate_limited;
 	uint64_t progress_ms;
 	char *page_token;
+	GHashTable *tokens;
 	uint64_t retry_at_ms;
 	uint64_t started_ms;
 };
--- a/tests/test_eplist.c
+++ b/tests/test_eplist.c
@@ -19,7 +19,7 @@
 static h2o_loop_t *loop;
 
 /* A page is "N" or "N NEXT": the number of entries, and the next page's
- * token.  "?" is an invalid page. */
+ * token.  "?" is an invalid page.  Entries get ids of their own. */
 static char *
 stub_path (const char *token)
 {
@@ -34,8 +34,10 @@
 	struct fleet_info info = {.slots = 1, .cold_remaining_ms = COLD_MS};
 
 	*next = space != NULL ? g_strdup (space + 1) : NULL;
-	for (long n = strtol (page, NULL, 10); n > 0; n--)
+	for (long n = strtol (page, NULL, 10); n > 0; n--) {
+		g_snprintf (info.id, sizeof info.id, "i-%u", out->len);
 		g_array_append_val (out, info);
+	}
 	*skipped += 1;
 	if (page[0] == '?')
 		err_set (e, ERR_PROTOCOL, "can't be read");
@@ -60,9 +62,17 @@
 	    const GByteArray *body, void *ctx)
 {
 	static char large[9U << 20];
+	char page[32];
 
 	(void)body;
 	(void)ctx;
+	if (h->path_len > 2 && memcmp (h->path, "/p-", 3) == 0) {
+		/* The pages have no end. */
+		g_snprintf (page, sizeof page, "0 p-%ld",
+			    strtol (h->path + 3, NULL, 10) + 1);
+		h1srv_answer (c, 200, NULL, page, strlen (page));
+		return;
+	}
 	if (h->path_len == 7 && memcmp (h->path, "/second", 7) == 0 &&
 	    rate_limited_calls > 0) {
 		rate_limited_calls--;
@@ -199,12 +209,21 @@
 	CU_ASSERT (read_list (NULL).failed);
 }
 
+/* Pages without an end were read for ever, with entries without a bound. */
+static void
+test_endless (void)
+{
+	CU_ASSERT (read_list ("2 first").failed);
+	CU_ASSERT (read_list ("2 p-1").failed);
+}
+
 int
 main (void)
 {
 	static const struct t_case cases[] = {{"pages", test_pages},
 					      {"rate limit", test_rate_limit},
 					      {"failures", test_failures},
+					      {"endless", test_endless},
 					      {NULL, NULL}};
 
 	loop = h2o_evloop_create ();
