eplist: of several entries with one id, relays too keep the first

Cause: members dropped such entries, after the read; a relay that reads the list itself, as all do where the group is lost, did not. Where the entries state two addresses, each of them then replaces the endpoint of the other at each read: what the relay knew of it, its prefix cache included, is lost every second, and its requests in flight belong to a retired endpoint.

Change: the reader drops them, for both, and counts them as skipped.

--- a/groupd/endpoint_list.c
+++ b/groupd/endpoint_list.c
@@ -11,29 +11,6 @@
  * requests after a few seconds, and each call to the platform is paid for. */
 #define READ_INTERVAL_MS 700
 
-/* Keeps the first of several entries with the same id. */
-static void
-drop_duplicates (GArray *list)
-{
-	GHashTable *seen =
-		g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-	guint kept = 0;
-
-	for (guint i = 0; i < list->len; i++) {
-		struct fleet_info info =
-			g_array_index (list, struct fleet_info, i);
-
-		if (!g_hash_table_add (seen, g_strdup (info.id)))
-			continue;
-		g_array_index (list, struct fleet_info, kept++) = info;
-	}
-	if (kept < list->len)
-		log_event (LOG_LV_WARN, "list-entries", "duplicates=%u",
-			   list->len - kept);
-	g_array_set_size (list, kept);
-	g_hash_table_destroy (seen);
-}
-
 /* Computes the delta from the list held to @list. */
 static void
 set_delta (struct endpoint_list *l, GArray *list)
@@ -78,7 +55,6 @@
 {
 	struct group *g = ctx;
 
-	drop_duplicates (list);
 	if (skipped > 0)
 		log_event (LOG_LV_WARN, "list-entries", "skipped=%u", skipped);
 	g->lists++;
--- a/lib/eplist.c
+++ b/lib/eplist.c
@@ -79,6 +79,25 @@
 	}
 }
 
+/* Drops entries from @first on whose id was read before: which of them is right
+ * can't be told, and the first one is as likely to be. */
+static void
+drop_duplicates (struct eplist *l, guint first)
+{
+	guint kept = first;
+
+	for (guint i = first; i < l->entries->len; i++) {
+		struct fleet_info info =
+			g_array_index (l->entries, struct fleet_info, i);
+
+		if (g_hash_table_add (l->ids, g_strdup (info.id)))
+			g_array_index (l->entries, struct fleet_info, kept++) =
+				info;
+	}
+	l->skipped += l->entries->len - kept;
+	g_array_set_size (l->entries, kept);
+}
+
 /* Whether the page of @token may be read.  A list whose pages come round or
  * have no end is never whole. */
 static bool
@@ -118,8 +137,10 @@
 					&next, &l->skipped, &e);
 	if (next != NULL)
 		check_token (l, next, &e);
-	if (e.kind == ERR_NONE)
+	if (e.kind == ERR_NONE) {
+		drop_duplicates (l, first);
 		extend_cold (l, first);
+	}
 	if (e.kind != ERR_NONE) {
 		drop_entries (l);
 		l->ops->failed (e.msg, l->ctx);
@@ -172,6 +193,7 @@
 	l->body = g_string_new (NULL);
 	l->tokens =
 		g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+	l->ids = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
 }
 
 void
@@ -189,6 +211,7 @@
 {
 	eplist_cancel (l);
 	g_hash_table_destroy (l->tokens);
+	g_hash_table_destroy (l->ids);
 	g_free (l->page_token);
 	g_string_free (l->body, TRUE);
 }
@@ -199,6 +222,7 @@
 	l->started_ms = l->progress_ms = now_ms;
 	l->skipped = l->call_count = 0;
 	g_hash_table_remove_all (l->tokens);
+	g_hash_table_remove_all (l->ids);
 	drop_entries (l);
 	l->entries = g_array_new (FALSE, TRUE, sizeof (struct fleet_info));
 	fetch_page (l, NULL);
--- a/lib/eplist.h
+++ b/lib/eplist.h
@@ -18,7 +18,8 @@
  * struct eplist_ops - called when a read ends
  * @done: the read succeeded.  @list is an array of struct fleet_info, whose
  *	cold_remaining_ms count from the start of the read; the callee frees it;
- *	@skipped is the number of invalid entries.
+ *	@skipped is the number of entries left out, invalid or with the id of
+ *	an earlier one.
  * @failed: the read failed; @why is the reason, for log lines
  */
 struct eplist_ops {
@@ -43,6 +44,7 @@
  * @progress_ms: when the last page arrived, or the read started
  * @page_token: token of the requested page, NULL for the first
  * @tokens: those of the pages of this read, as a set
+ * @ids: those of @entries, as a set
  * @retry_at_ms: when a rate limited page is requested again, otherwise 0
  * @started_ms: when the current or the last read started
  */
@@ -61,6 +63,7 @@
 	uint64_t progress_ms;
 	char *page_token;
 	GHashTable *tokens;
+	GHashTable *ids;
 	uint64_t retry_at_ms;
 	uint64_t started_ms;
 };
--- a/tests/test_eplist.c
+++ b/tests/test_eplist.c
@@ -20,6 +20,9 @@
 
 /* A page is "N" or "N NEXT": the number of entries, and the next page's
  * token.  "?" is an invalid page.  Entries get ids of their own. */
+/* All entries get the same id. */
+static bool same_ids;
+
 static char *
 stub_path (const char *token)
 {
@@ -35,7 +38,8 @@
 
 	*next = space != NULL ? g_strdup (space + 1) : NULL;
 	for (long n = strtol (page, NULL, 10); n > 0; n--) {
-		g_snprintf (info.id, sizeof info.id, "i-%u", out->len);
+		g_snprintf (info.id, sizeof info.id, "i-%u",
+			    same_ids ? 0 : out->len);
 		g_array_append_val (out, info);
 	}
 	*skipped += 1;
@@ -217,14 +221,30 @@
 	CU_ASSERT (read_list ("2 p-1").failed);
 }
 
+/* One id at two addresses made a relay that reads the list itself forget the
+ * endpoint at each read, since only members dropped such entries. */
+static void
+test_duplicates (void)
+{
+	struct outcome o;
+
+	same_ids = true;
+	o = read_list ("2 second");
+	CU_ASSERT (!o.failed && o.entries == 1 && o.skipped == 2 + 4);
+	same_ids = false;
+}
+
 int
 main (void)
 {
-	static const struct t_case cases[] = {{"pages", test_pages},
-					      {"rate limit", test_rate_limit},
-					      {"failures", test_failures},
-					      {"endless", test_endless},
-					      {NULL, NULL}};
+	static const struct t_case cases[] = {
+		{"pages", test_pages},
+		{"rate limit", test_rate_limit},
+		{"failures", test_failures},
+		{"endless", test_endless},
+		{"duplicates", test_duplicates},
+		{NULL, NULL},
+	};
 
 	loop = h2o_evloop_create ();
 	return t_run ("eplist", cases);
