eplist: a list is held up to the length that a message can carry

Cause: FRAME_GROUP_LIST carries FLEET_LIST_MAX (8,192) entries; a member's list had no bound. With one entry more, every relay refuses the whole frame ("message field 3: too many items") and keeps its old list, and so does each member.

Change: the reader leaves out the entries beyond that and counts them as skipped.

--- a/lib/eplist.c
+++ b/lib/eplist.c
@@ -79,10 +79,11 @@
 	}
 }
 
-/* Drops entries from @first on whose id was read before: which of them is right
- * can't be told, and the first one is as likely to be. */
+/* Drops entries from @first on that the list can't hold, and those whose id was
+ * read before: which of them is right can't be told, and the first one is as
+ * likely to be. */
 static void
-drop_duplicates (struct eplist *l, guint first)
+drop_surplus (struct eplist *l, guint first)
 {
 	guint kept = first;
 
@@ -90,7 +91,8 @@
 		struct fleet_info info =
 			g_array_index (l->entries, struct fleet_info, i);
 
-		if (g_hash_table_add (l->ids, g_strdup (info.id)))
+		if (kept < FLEET_LIST_MAX &&
+		    g_hash_table_add (l->ids, g_strdup (info.id)))
 			g_array_index (l->entries, struct fleet_info, kept++) =
 				info;
 	}
@@ -138,7 +140,7 @@
 	if (next != NULL)
 		check_token (l, next, &e);
 	if (e.kind == ERR_NONE) {
-		drop_duplicates (l, first);
+		drop_surplus (l, first);
 		extend_cold (l, first);
 	}
 	if (e.kind != ERR_NONE) {
--- a/lib/eplist.h
+++ b/lib/eplist.h
@@ -18,8 +18,8 @@
  * struct eplist_ops - called when a read ends
  * @done: the read succeeded.  @list is an array of struct fleet_info, whose
  *	cold_remaining_ms count from the start of the read; the callee frees it;
- *	@skipped is the number of entries left out, invalid or with the id of
- *	an earlier one.
+ *	@skipped is the number of entries left out: invalid, with the id of an
+ *	earlier one, or beyond FLEET_LIST_MAX.
  * @failed: the read failed; @why is the reason, for log lines
  */
 struct eplist_ops {
--- a/tests/test_eplist.c
+++ b/tests/test_eplist.c
@@ -234,6 +234,17 @@
 	same_ids = false;
 }
 
+/* A list longer than a message can carry was refused by all relays as a
+ * whole. */
+static void
+test_too_many (void)
+{
+	struct outcome o = read_list ("9000 second");
+
+	CU_ASSERT (!o.failed && o.entries == FLEET_LIST_MAX &&
+		   o.skipped == 2 + 9003 - FLEET_LIST_MAX);
+}
+
 int
 main (void)
 {
@@ -243,6 +254,7 @@
 		{"failures", test_failures},
 		{"endless", test_endless},
 		{"duplicates", test_duplicates},
+		{"too many", test_too_many},
 		{NULL, NULL},
 	};
 
