eplist: the log says which entry of the list was skipped, and why

A member wrote list-entries skipped=N at every read while an odd entry stood in the list, and a relay only a count; neither said which entry it was or what is wrong with it.

Change: the adapter describes the first skipped entry of a read: its number on its page, its id if that is plain ASCII, and the reason, with no other byte of it. The reader logs count and description for members and relays alike, once, and again when they change or the list is whole again.

Test: "reasons"; it needs the new interface, so it can't run on the old one, where nothing but the count could be asked for.

--- a/groupd/endpoint_list.c
+++ b/groupd/endpoint_list.c
@@ -55,8 +55,7 @@
 {
 	struct group *g = ctx;
 
-	if (skipped > 0)
-		log_event (LOG_LV_WARN, "list-entries", "skipped=%u", skipped);
+	(void)skipped; /* logged by the reader */
 	g->lists++;
 	replace_list (g, list, g->endpoints.reader.started_ms, "platform");
 }
--- a/lib/dialect.h
+++ b/lib/dialect.h
@@ -115,6 +115,17 @@
 	bool reclaimable;
 };
 
+/**
+ * struct dia_skipped - entries of a list that name no endpoint
+ * @count: how many
+ * @first: which was the first of them, and why; without bytes of it that are
+ *	not plain, for log lines
+ */
+struct dia_skipped {
+	uint32_t count;
+	char first[160];
+};
+
 /** enum dia_api_call - calls that we answer ourselves */
 enum dia_api_call {
 	DIA_OTHER, /* none of the calls below */
@@ -141,9 +152,9 @@
  *	for the first page.  Freed with g_free().
  * @parse_list: appends the entries of a page to @out, an array of struct
  *	fleet_info.  @next is set to the token of the following page, or to
- *	NULL, and freed with g_free().  @skipped is raised by the number of
- *	invalid entries.  Returns false with ERR_PROTOCOL where the page as a
- *	whole is invalid.
+ *	NULL, and freed with g_free().  @skipped tells the invalid entries of
+ *	this page and of those before it.  Returns false with ERR_PROTOCOL where
+ *the page as a whole is invalid.
  * @format_usage: appends the request, head and body, that reports the usage of
  *	a window.  @holder names the member that holds the lease, @fence is
  *	its fencing token.
@@ -164,7 +175,8 @@
 				    struct err *e);
 	char *(*list_path) (const char *token);
 	bool (*parse_list) (const char *text, size_t len, GArray *out,
-			    char **next, uint32_t *skipped, struct err *e);
+			    char **next, struct dia_skipped *skipped,
+			    struct err *e);
 	void (*format_usage) (const struct gstate_window *w, const char *holder,
 			      uint64_t fence, GString *out);
 	void (*format_order) (const struct dia_order *o, const char *holder,
--- a/lib/eplist.c
+++ b/lib/eplist.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "eplist.h"
+#include "log.h"
 
 /* A few round trips within one region. */
 #define CONNECT_TIMEOUT_MS 500
@@ -96,10 +97,28 @@
 			g_array_index (l->entries, struct fleet_info, kept++) =
 				info;
 	}
-	l->skipped += l->entries->len - kept;
+	l->skipped.count += l->entries->len - kept;
+	if (kept < l->entries->len && l->skipped.first[0] == '\0')
+		g_strlcpy (l->skipped.first,
+			   "an id for the second time, or list too long",
+			   sizeof l->skipped.first);
 	g_array_set_size (l->entries, kept);
 }
 
+/* Logs which entries were left out, where that differs from the last read. */
+static void
+log_skipped (struct eplist *l)
+{
+	struct dia_skipped *told = &l->skipped_told;
+
+	if (l->skipped.count == told->count &&
+	    strcmp (l->skipped.first, told->first) == 0)
+		return;
+	*told = l->skipped;
+	log_event (told->count > 0 ? LOG_LV_WARN : LOG_LV_INFO, "list-entries",
+		   "skipped=%u first=\"%s\"", told->count, told->first);
+}
+
 /* Whether the page of @token may be read.  A list whose pages come round or
  * have no end is never whole. */
 static bool
@@ -152,7 +171,8 @@
 	} else {
 		list = l->entries;
 		l->entries = NULL;
-		l->ops->done (list, l->skipped, l->ctx);
+		log_skipped (l);
+		l->ops->done (list, l->skipped.count, l->ctx);
 	}
 	g_free (next);
 }
@@ -222,7 +242,8 @@
 eplist_start (struct eplist *l, uint64_t now_ms)
 {
 	l->started_ms = l->progress_ms = now_ms;
-	l->skipped = l->call_count = 0;
+	l->skipped = (struct dia_skipped){0};
+	l->call_count = 0;
 	g_hash_table_remove_all (l->tokens);
 	g_hash_table_remove_all (l->ids);
 	drop_entries (l);
--- a/lib/eplist.h
+++ b/lib/eplist.h
@@ -36,7 +36,8 @@
  * @call: request in progress, or NULL
  * @body: response body of @call
  * @entries: of struct fleet_info, those of the pages read so far
- * @skipped: invalid entries in these pages
+ * @skipped: entries in these pages that were left out
+ * @skipped_told: what the log says of them
  * @call_count: requests of the current or the last read
  * @status: HTTP status of the last response
  * @retry_rate_limited: a page whose request was rate limited is requested
@@ -56,7 +57,8 @@
 	struct h1cli *call;
 	GString *body;
 	GArray *entries;
-	uint32_t skipped;
+	struct dia_skipped skipped;
+	struct dia_skipped skipped_told;
 	uint32_t call_count;
 	int status;
 	bool retry_rate_limited;
--- a/tests/test_eplist.c
+++ b/tests/test_eplist.c
@@ -31,7 +31,7 @@
 
 static bool
 stub_list (const char *text, size_t len, GArray *out, char **next,
-	   uint32_t *skipped, struct err *e)
+	   struct dia_skipped *skipped, struct err *e)
 {
 	char *page = g_strndup (text, len), *space = strchr (page, ' ');
 	struct fleet_info info = {.slots = 1, .cold_remaining_ms = COLD_MS};
@@ -42,7 +42,7 @@
 			    same_ids ? 0 : out->len);
 		g_array_append_val (out, info);
 	}
-	*skipped += 1;
+	skipped->count += 1;
 	if (page[0] == '?')
 		err_set (e, ERR_PROTOCOL, "can't be read");
 	g_free (page);
--- a/tests/test_platform_list.c
+++ b/tests/test_platform_list.c
@@ -27,7 +27,7 @@
 		"\"id\":\"i-5\"}],\"next\":\"p-50\"}";
 	GArray *out = g_array_new (FALSE, TRUE, sizeof (struct fleet_info));
 	struct err e = {0};
-	uint32_t skipped = 0;
+	struct dia_skipped skipped = {0};
 	char *next, *path;
 	const struct fleet_info *i;
 
@@ -39,7 +39,7 @@
 		   !i->leaving && i->cold_remaining_ms == 250 &&
 		   i->started_ms == 1700000000000);
 	CU_ASSERT (i[1].leaving && !i[1].reclaimable);
-	CU_ASSERT (skipped == 5);
+	CU_ASSERT (skipped.count == 5);
 	CU_ASSERT_STRING_EQUAL (next, "p-50");
 	path = d->list_path ("a&b");
 	CU_ASSERT_STRING_EQUAL (path, "/instances?page_token=a%26b");
@@ -65,7 +65,7 @@
 	GString *page = g_string_new ("{\"instances\":[" ENTRY ("a", "") ",");
 	const struct fleet_info *i = (const struct fleet_info *)out->data;
 	struct err e = {0};
-	uint32_t skipped = 0;
+	struct dia_skipped skipped = {0};
 	char *next = NULL;
 	bool ok;
 
@@ -75,7 +75,7 @@
 	i = (const struct fleet_info *)out->data;
 	ok = ok && e.kind == ERR_NONE && out->len == 2 &&
 	     strcmp (i[0].id, "a") == 0 && strcmp (i[1].id, "b") == 0 &&
-	     skipped == 1 && g_strcmp0 (next, "p-2") == 0;
+	     skipped.count == 1 && g_strcmp0 (next, "p-2") == 0;
 	g_free (next);
 	g_string_free (page, TRUE);
 	g_array_free (out, TRUE);
@@ -161,7 +161,7 @@
 		ENTRY ("b", ",\"cold_remaining_ms\":-3"));
 	GArray *out = g_array_new (FALSE, TRUE, sizeof (struct fleet_info));
 	const struct fleet_info *i;
-	uint32_t skipped = 0;
+	struct dia_skipped skipped = {0};
 	char *next;
 
 	for (unsigned k = 0; k < G_N_ELEMENTS (odd); k++) {
@@ -254,6 +254,48 @@
 	}
 }
 
+/* The log told only that entries were skipped; it says which and why, and takes
+ * no bytes of them that would break its lines. */
+static void
+test_reasons (void)
+{
+	static const struct {
+		const char *odd, *why;
+	} rows[] = {
+		{"{", "entry 1 of its page: brackets or quotes odd"},
+		{"5", "entry 1 of its page: not an object"},
+		{"{\"id\":5}", "entry 1 of its page: id missing or not text"},
+		{ENTRY ("i-9", ",\"slots\":-1"),
+		 "entry 1 of its page, id i-9: slots out of range"},
+		{ENTRY ("i-9", ",\"state\":\"x\\n\""),
+		 "entry 1 of its page, id i-9: state unknown"},
+		{ENTRY ("i\\n9", ",\"born\":[]"),
+		 "entry 1 of its page: born not a number"},
+		{ENTRY ("i\\\"9", ",\"spot\":5"),
+		 "entry 1 of its page: spot not a boolean"},
+		{ENTRY ("i-9", ",\"address\":\"\\u001b:80\""),
+		 "entry 1 of its page, id i-9: address not IP:port of a "
+		 "server"},
+	};
+
+	for (unsigned k = 0; k < G_N_ELEMENTS (rows); k++) {
+		GArray *out =
+			g_array_new (FALSE, TRUE, sizeof (struct fleet_info));
+		char *page = g_strdup_printf (
+			"{\"instances\":[%s,%s],\"next\":null}", rows[k].odd,
+			rows[k].odd);
+		struct dia_skipped skipped = {0};
+		char *next;
+
+		CU_ASSERT (d->parse_list (page, strlen (page), out, &next,
+					  &skipped, NULL) &&
+			   skipped.count > 0);
+		CU_ASSERT_STRING_EQUAL (skipped.first, rows[k].why);
+		g_array_free (out, TRUE);
+		g_free (page);
+	}
+}
+
 /* A page that was cut short is never taken for a whole one. */
 static void
 test_cut (void)
@@ -262,7 +304,7 @@
 		"a", ",\"models\":[{\"adapters\":[]"
 		     "}]") " , " ENTRY ("b", "") "],\n\"next\":null}";
 	GArray *out = g_array_new (FALSE, TRUE, sizeof (struct fleet_info));
-	uint32_t skipped = 0;
+	struct dia_skipped skipped = {0};
 	char *next;
 
 	for (size_t len = 0; len < strlen (page); len++) {
@@ -288,6 +330,7 @@
 		{"number out of range", test_number_out_of_range},
 		{"odd text", test_odd_text},
 		{"odd address", test_odd_address},
+		{"reasons", test_reasons},
 		{"cut", test_cut},
 		{NULL, NULL}};
 
