platform: numbers of a configuration are checked before they are converted

Cause: json-c gives 2^64 - 1 for a larger integer and reads 1e400, NaN and Infinity, strictly too. A version of 2^63 or more was stored as 2^63 - 1, so that no later configuration was ever taken; times in seconds were cast to 32 bits as they were, which is undefined for the large, the negative and NaN and differs between machines; negative and infinite prices, rates and sizes went into decisions; a priority of 2^32 - 1 made plan_check() count no tiers, so that plan_tier() put every account first.

Change: a version that 63 bits don't hold and a number that is infinite or none are refused with 400; other numbers are clamped, as most were: times to 32 bits of ms, quantities to 2^53, tiers to 65,535. Prices that are text count as not stated, like other members of another type.

Ruled out: deep nesting. 32 levels are parsed and the rest refused, up to a million levels ("plan, nested", which passed before).

Before: 6 of 11 odd numbers accepted (2^64, 2^63, 1e400, NaN, -Infinity and Infinity), three conversions wrong. After: none. -4 s of boot time was 0 before as well, by what arm64 makes of the cast.

--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -270,6 +270,90 @@
 	}
 }
 
+/* The plan of plan_text with @from replaced by @to; NULL if it is rejected. */
+static struct plan *
+changed_plan (const char *from, const char *to)
+{
+	char **halves = g_strsplit (plan_text, from, 2);
+	struct err e = {0};
+	struct plan *p;
+	char *text;
+
+	CU_ASSERT_FATAL (g_strv_length (halves) == 2);
+	text = g_strconcat (halves[0], to, halves[1], NULL);
+	p = d->parse_plan (text, strlen (text), &e);
+	CU_ASSERT ((p == NULL) == (e.kind != ERR_NONE));
+	g_free (text);
+	g_strfreev (halves);
+	return p;
+}
+
+/* Numbers that no configuration means.  A version of 2^64 was stored as one
+ * that no later version exceeds. */
+static void
+test_plan_odd_numbers (void)
+{
+	static const struct {
+		const char *from, *to;
+	} rejected[] = {
+		{"\"version\":7", "\"version\":18446744073709551616"},
+		{"\"version\":7", "\"version\":9223372036854775808"},
+		{"\"version\":7", "\"version\":-7"},
+		{"\"version\":7", "\"version\":7.5"},
+		{"\"version\":7", "\"version\":1e400"},
+		{"\"cold_start_s\":3.0", "\"cold_start_s\":1e400"},
+		{"\"cold_start_s\":3.0", "\"cold_start_s\":NaN"},
+		{"\"cold_per_s\":6.3", "\"cold_per_s\":-Infinity"},
+		{"\"timeout_ms\":800", "\"timeout_ms\":NaN"},
+		{"\"timeout_ms\":800", "\"timeout_ms\":-1"},
+		{"\"n\":1.0", "\"n\":Infinity"},
+	};
+	struct plan *p;
+
+	for (unsigned i = 0; i < G_N_ELEMENTS (rejected); i++) {
+		p = changed_plan (rejected[i].from, rejected[i].to);
+		if (p != NULL)
+			CU_FAIL (rejected[i].to);
+		plan_unref (p);
+	}
+	p = changed_plan ("\"cold_start_s\":3.0,\"cold_per_s\":6.3",
+			  "\"cold_start_s\":1e300,\"cold_per_s\":-1e300");
+	CU_ASSERT_FATAL (p != NULL);
+	CU_ASSERT (plan_service (p, "llm")->cold_ms == UINT32_MAX &&
+		   plan_service (p, "llm")->cold_requests_per_s == 0);
+	plan_unref (p);
+	p = changed_plan ("\"boot_s\":4.0", "\"boot_s\":-4.0");
+	CU_ASSERT_FATAL (p != NULL);
+	CU_ASSERT (plan_service (p, "llm")->boot_ms == 0);
+	plan_unref (p);
+	p = changed_plan ("\"n\":1.0", "\"n\":\"nan\"");
+	CU_ASSERT_FATAL (p != NULL);
+	CU_ASSERT (plan_service (p, "llm")->prices[0].price == 0);
+	plan_unref (p);
+	/* Far less urgent, and never wrapped round to the most urgent. */
+	p = changed_plan ("\"priority\":1", "\"priority\":4294967295");
+	CU_ASSERT_FATAL (p != NULL);
+	CU_ASSERT (p->tier_count > 1);
+	plan_unref (p);
+}
+
+/* Nesting without end is refused, and ends no process. */
+static void
+test_plan_nested (void)
+{
+	for (size_t depth = 32; depth <= 1U << 20; depth *= 32) {
+		GString *deep = g_string_new ("\"version\":7,\"x\":");
+
+		for (size_t i = 0; i < depth; i++)
+			g_string_append (deep, "[");
+		CU_ASSERT (changed_plan ("\"version\":7", deep->str) == NULL);
+		for (size_t i = 0; i < depth; i++)
+			g_string_append (deep, "]");
+		CU_ASSERT (changed_plan ("\"version\":7", deep->str) == NULL);
+		g_string_free (deep, TRUE);
+	}
+}
+
 static void
 test_posts (void)
 {
@@ -304,6 +388,8 @@
 		{"response", test_response},
 		{"plan", test_plan},
 		{"plan rejected", test_plan_rejected},
+		{"plan, odd numbers", test_plan_odd_numbers},
+		{"plan, nested", test_plan_nested},
 		{"posts", test_posts},
 		{NULL, NULL}};
 
