platform: texts of a configuration with control characters are refused

Cause: names, paths and keys were taken as C strings. An account's name goes into X-Tenant and a health path into the request line of checks, so that CR and LF in them add headers and requests; a text with a zero byte was cut there, and a key "k\0x" became the key "k". The empty key is the one that requests without a key have: it opened the account to anyone.

--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -337,6 +337,37 @@
 	plan_unref (p);
 }
 
+/* Texts that go into headers, and keys that no request can present: the empty
+ * one is that of requests without a key. */
+static void
+test_plan_odd_texts (void)
+{
+	static const struct {
+		const char *from, *to;
+	} rejected[] = {
+		{"\"name\":\"t\"", "\"name\":\"t\\r\\nX-Hold: 1\""},
+		{"\"name\":\"t\"", "\"name\":\"t\\u0000\""},
+		{"\"name\":\"t\"", "\"name\":\"\""},
+		{"\"name\":\"app\"", "\"name\":\"app\\u0000\""},
+		{"\"/health\"", "\"/health HTTP/1.1\\r\\nX: y\\r\\n\\r\\n\""},
+		{"\"/health\"", "\"/a b\""},
+		{"\"/health\"", "\"/\\u0000\""},
+		{"\"/b/\"", "\"/b/\\u0000/\""},
+		{"\"k2\"", "\"\""},
+		{"\"k2\"", "\"k2\\u0000\""},
+		{"\"k2\"", "\"k2\\n\""},
+	};
+
+	for (unsigned i = 0; i < G_N_ELEMENTS (rejected); i++) {
+		struct plan *p =
+			changed_plan (rejected[i].from, rejected[i].to);
+
+		if (p != NULL)
+			CU_FAIL (rejected[i].to);
+		plan_unref (p);
+	}
+}
+
 /* Nesting without end is refused, and ends no process. */
 static void
 test_plan_nested (void)
@@ -389,6 +420,7 @@
 		{"plan", test_plan},
 		{"plan rejected", test_plan_rejected},
 		{"plan, odd numbers", test_plan_odd_numbers},
+		{"plan, odd texts", test_plan_odd_texts},
 		{"plan, nested", test_plan_nested},
 		{"posts", test_posts},
 		{NULL, NULL}};
