--- a/lib/eplist.c
+++ b/lib/eplist.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "eplist.h"
+#include "log.h"
 
 /* A few round trips within one region. */
 #define CONNECT_TIMEOUT_MS 500
@@ -18,6 +19,9 @@
 /* Fits a page of 8,192 entries of 1 kB. */
 #define BODY_MAX_BYTES (8U << 20)
 
+/* The longest list that is held, in pages of 8 entries. */
+#define PAGES_MAX (FLEET_LIST_MAX / 8)
+
 static void request_page (struct eplist *l);
 
 /* Requests the page of a token; NULL is the first page. */
@@ -76,6 +80,60 @@
 	}
 }
 
+/* Drops entries from @first on that the list can't hold, and those whose id was
+ * read before: which of them is right can't be told, and the first one is as
+ * likely to be. */
+static void
+drop_surplus (struct eplist *l, guint first)
+{
+	guint kept = first;
+
+	for (guint i = first; i < l->entries->len; i++) {
+		struct fleet_info info =
+			g_array_index (l->entries, struct fleet_info, i);
+
+		if (kept < FLEET_LIST_MAX &&
+		    g_hash_table_add (l->ids, g_strdup (info.id)))
+			g_array_index (l->entries, struct fleet_info, kept++) =
+				info;
+	}
+	l->skipped.count += l->entries->len - kept;
+	if (kept < l->entries->len && l->skipped.first[0] == '\0')
+		g_strlcpy (l->skipped.first,
+			   "an id for the second time, or list too long",
+			   sizeof l->skipped.first);
+	g_array_set_size (l->entries, kept);
+}
+
+/* Logs which entries were left out, where that differs from the last read. */
+static void
+log_skipped (struct eplist *l)
+{
+	struct dia_skipped *told = &l->skipped_told;
+
+	if (l->skipped.count == told->count &&
+	    strcmp (l->skipped.first, told->first) == 0)
+		return;
+	*told = l->skipped;
+	log_event (told->count > 0 ? LOG_LV_WARN : LOG_LV_INFO, "list-entries",
+		   "skipped=%u first=\"%s\"", told->count, told->first);
+}
+
+/* Whether the page of @token may be read.  A list whose pages come round or
+ * have no end is never whole. */
+static bool
+check_token (struct eplist *l, const char *token, struct err *e)
+{
+	if (!g_hash_table_add (l->tokens, g_strdup (token)))
+		return err_set (e, ERR_PROTOCOL,
+				"list of endpoints: the token of a page "
+				"repeats");
+	if (g_hash_table_size (l->tokens) >= PAGES_MAX)
+		return err_set (e, ERR_PROTOCOL,
+				"list of endpoints: over %u pages", PAGES_MAX);
+	return true;
+}
+
 static void
 on_done (struct h1cli *x, enum h1cli_end end, void *ctx)
 {
@@ -98,8 +156,12 @@
 	else
 		l->dialect->parse_list (l->body->str, l->body->len, l->entries,
 					&next, &l->skipped, &e);
-	if (e.kind == ERR_NONE)
+	if (next != NULL)
+		check_token (l, next, &e);
+	if (e.kind == ERR_NONE) {
+		drop_surplus (l, first);
 		extend_cold (l, first);
+	}
 	if (e.kind != ERR_NONE) {
 		drop_entries (l);
 		l->ops->failed (e.msg, l->ctx);
@@ -109,7 +171,8 @@
 	} else {
 		list = l->entries;
 		l->entries = NULL;
-		l->ops->done (list, l->skipped, l->ctx);
+		log_skipped (l);
+		l->ops->done (list, l->skipped.count, l->ctx);
 	}
 	g_free (next);
 }
@@ -150,6 +213,9 @@
 	*l = (struct eplist){
 		.host = host, .dialect = dialect, .ops = ops, .ctx = ctx};
 	l->body = g_string_new (NULL);
+	l->tokens =
+		g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+	l->ids = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
 }
 
 void
@@ -166,6 +232,8 @@
 eplist_finish (struct eplist *l)
 {
 	eplist_cancel (l);
+	g_hash_table_destroy (l->tokens);
+	g_hash_table_destroy (l->ids);
 	g_free (l->page_token);
 	g_string_free (l->body, TRUE);
 }
@@ -174,7 +242,10 @@
 eplist_start (struct eplist *l, uint64_t now_ms)
 {
 	l->started_ms = l->progress_ms = now_ms;
-	l->skipped = l->call_count = 0;
+	l->skipped = (struct dia_skipped){0};
+	l->call_count = 0;
+	g_hash_table_remove_all (l->tokens);
+	g_hash_table_remove_all (l->ids);
 	drop_entries (l);
 	l->entries = g_array_new (FALSE, TRUE, sizeof (struct fleet_info));
 	fetch_page (l, NULL);
--- a/lib/eplist.h
+++ b/lib/eplist.h
@@ -18,7 +18,8 @@
  * struct eplist_ops - called when a read ends
  * @done: the read succeeded.  @list is an array of struct fleet_info, whose
  *	cold_remaining_ms count from the start of the read; the callee frees it;
- *	@skipped is the number of invalid entries.
+ *	@skipped is the number of entries left out: invalid, with the id of an
+ *	earlier one, or beyond FLEET_LIST_MAX.
  * @failed: the read failed; @why is the reason, for log lines
  */
 struct eplist_ops {
@@ -35,13 +36,16 @@
  * @call: request in progress, or NULL
  * @body: response body of @call
  * @entries: of struct fleet_info, those of the pages read so far
- * @skipped: invalid entries in these pages
+ * @skipped: entries in these pages that were left out
+ * @skipped_told: what the log says of them
  * @call_count: requests of the current or the last read
  * @status: HTTP status of the last response
  * @retry_rate_limited: a page whose request was rate limited is requested
  *	again; otherwise the read fails
  * @progress_ms: when the last page arrived, or the read started
  * @page_token: token of the requested page, NULL for the first
+ * @tokens: those of the pages of this read, as a set
+ * @ids: those of @entries, as a set
  * @retry_at_ms: when a rate limited page is requested again, otherwise 0
  * @started_ms: when the current or the last read started
  */
@@ -53,12 +57,15 @@
 	struct h1cli *call;
 	GString *body;
 	GArray *entries;
-	uint32_t skipped;
+	struct dia_skipped skipped;
+	struct dia_skipped skipped_told;
 	uint32_t call_count;
 	int status;
 	bool retry_rate_limited;
 	uint64_t progress_ms;
 	char *page_token;
+	GHashTable *tokens;
+	GHashTable *ids;
 	uint64_t retry_at_ms;
 	uint64_t started_ms;
 };
