h1cli: an answer without the request's id is believed on a new connection only

Callers saw "not run, try again" for requests that ran: a server wrote an earlier refusal once more on a kept connection, without an id. Cause: call_head() compared the echoed id only where the answer had one, so any head without it passed for ours. A head that broke off inside a header's value, followed by our own answer, was read as one head: the refusal's status with our id. Of two ids only the first was looked at. Ruled out: skipping what has no id, as answers with another id are skipped: a server that leaves the id out of our own refusal would keep the caller waiting for its deadline. Change: the head is ours by its id; without one only on a connection that never carried anything else, which is then not kept. Two different ids, or a header that holds a status line, end the exchange as H1CLI_BAD: it was sent and may have run. Each is logged (unknown-answer). Conclusion: holds for requests with an id; calls without one (health checks, which open a connection each, and the platform's own interface) have nothing to compare.

--- a/lib/h1cli.c
+++ b/lib/h1cli.c
@@ -160,14 +160,70 @@
 	.ended = on_ended,
 };
 
+/* Whether @x holds a status line, as where a head broke off in the middle
+ * of a header and another head followed. */
+static bool
+holds_status_line (const struct h1_header *x)
+{
+	static const char name[] = "HTTP/1.";
+	const char *at = memmem (x->value, x->value_len, name, sizeof name - 1);
+	size_t left;
+
+	if (at == NULL)
+		return false;
+	at += sizeof name - 1;
+	left = x->value_len - (size_t)(at - x->value);
+	return left >= 5 && g_ascii_isdigit (at[0]) && at[1] == ' ' &&
+	       g_ascii_isdigit (at[2]) && g_ascii_isdigit (at[3]) &&
+	       g_ascii_isdigit (at[4]);
+}
+
+/* enum answer_of - whose request a head answers */
+enum answer_of {
+	OF_OURS,
+	OF_ANOTHER,
+	OF_UNKNOWN,
+};
+
+/*
+ * A server may send an earlier answer once more where ours is due.  Without
+ * the request's id only the answer on a connection that never carried anything
+ * else is known to be ours.
+ */
+static enum answer_of
+answer_of (const struct h1cli *x, const struct h1_head *h, bool *echoed)
+{
+	enum answer_of of = x->reused ? OF_UNKNOWN : OF_OURS;
+
+	*echoed = false;
+	if (x->echo_name == NULL)
+		return OF_OURS;
+	for (size_t i = 0; i < h->count; i++) {
+		const struct h1_header *e = &h->headers[i];
+		bool ours;
+
+		if (holds_status_line (e))
+			return OF_UNKNOWN;
+		if (!h1_is (e, x->echo_name))
+			continue;
+		ours = e->value_len == strlen (x->echo_value) &&
+		       memcmp (e->value, x->echo_value, e->value_len) == 0;
+		if (*echoed && ours != (of == OF_OURS))
+			return OF_UNKNOWN;
+		of = ours ? OF_OURS : OF_ANOTHER;
+		*echoed = true;
+	}
+	return of;
+}
+
 /* Return: whether to read on. */
 static bool
 call_head (struct h1cli_conn *c, struct h1cli *x)
 {
 	size_t len, used;
 	const char *in = sio_input (&c->io, &len);
-	const struct h1_header *echo = NULL;
 	struct h1_head h;
+	bool echoed;
 
 	switch (h1_response (in, len, x->to_head, &h, &used)) {
 	case H1_MORE:
@@ -184,24 +240,31 @@
 		sio_consume (&c->io, used);
 		return true;
 	}
-	if (x->echo_name != NULL)
-		echo = h1_find (&h, x->echo_name);
 	h1_body_init (&x->body, &h);
 	x->close = h.close || h.framing == H1_UNTIL_CLOSE;
 	x->keep_s = h.keep_s;
-	if (echo != NULL &&
-	    (echo->value_len != strlen (x->echo_value) ||
-	     memcmp (echo->value, x->echo_value, echo->value_len) != 0)) {
+	switch (answer_of (x, &h, &echoed)) {
+	case OF_OURS:
+		break;
+	case OF_ANOTHER:
 		x->phase = CALL_SKIP;
 		sio_consume (&c->io, used);
 		if (++x->skipped <= SKIPPED_MAX && !x->close)
 			return true;
 		call_end (x, H1CLI_BAD, false);
 		return false;
+	case OF_UNKNOWN:
+		log_event (LOG_LV_WARN, "unknown-answer",
+			   "port=%u status=%d reused=%d",
+			   ntohs (c->host->addr.sin_port), h.status, x->reused);
+		call_end (x, H1CLI_BAD, false);
+		return false;
 	}
+	if (x->echo_name != NULL && !echoed)
+		x->close = true;
 	x->phase = CALL_BODY;
 	/* The head points into the input, so that is consumed afterwards. */
-	x->ops->head (x, &h, echo != NULL, x->ctx);
+	x->ops->head (x, &h, echoed, x->ctx);
 	if (c->dead || c->call != x)
 		return false;
 	sio_consume (&c->io, used);
