h1cli: a kept connection with unread bytes, or its end, is not used

Callers saw a request lost or refused by an answer that was there before it: bytes that came on an idle connection since the loop last ran were still in the kernel when the connection was taken, so the request went out behind them and met them as its answer. Where the server had closed the connection, a request that may run once was sent into it and counted as one that may have run. Ruled out: running the loop once before a connection is taken: it would call back into the caller. Change: conn_take() peeks; a connection with bytes or an end is closed and the next one is taken, or a new one made. Nothing has been sent then, so nothing is lost. Conclusion: one system call for each use of a kept connection. What arrives between the peek and the write is met by the check of the id.

--- a/lib/h1cli.c
+++ b/lib/h1cli.c
@@ -1,7 +1,9 @@
 /*
  * The client side of HTTP/1.1.
  */
+#include <errno.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "h1cli.h"
 #include "link.h"
@@ -399,6 +401,18 @@
 	tmr_start (&x->tmr, connect_ms);
 }
 
+/* Whether nothing has come on an idle connection, neither bytes nor its end,
+ * that the loop has not read yet. */
+static bool
+conn_is_quiet (const struct h1cli_conn *c)
+{
+	char byte;
+
+	return recv (h2o_socket_get_fd (c->io.sock), &byte, 1,
+		     MSG_PEEK | MSG_DONTWAIT) < 0 &&
+	       (errno == EAGAIN || errno == EINTR);
+}
+
 /* The connection used last, if it is still likely to stand. */
 static struct h1cli_conn *
 conn_take (struct h1cli_host *h, uint32_t idle_max_ms)
@@ -408,6 +422,10 @@
 	while (h->idle.head != NULL) {
 		struct h1cli_conn *c = h->idle.head->data;
 
+		if (!conn_is_quiet (c)) {
+			conn_close (c);
+			continue;
+		}
 		if (now_ms - c->idle_since_ms < MIN (idle_max_ms, c->keep_ms)) {
 			g_queue_delete_link (&h->idle, c->link);
 			c->link = NULL;
--- a/tests/test_h1kept.c
+++ b/tests/test_h1kept.c
@@ -260,6 +260,37 @@
 	}
 }
 
+/* It comes before the request, and waits in the kernel: nothing is sent. */
+static void
+test_waits_in_the_kernel (void)
+{
+	static const char *const texts[] = {
+		FULL_R1, FULL "Content-Length: 0\r\n\r\n",
+		"HTTP/1.1 503 Full\r\nX-Not-Exec", "HTTP/1.1 100 C\r\n\r\n",
+		FULL_R1 FULL_R1 FULL_R1 FULL_R1 FULL_R1};
+
+	for (unsigned i = 0; i < 2 * G_N_ELEMENTS (texts) + 1; i++) {
+		struct outcome o;
+		struct server s;
+
+		first_exchange (&s, "GET", FULL_R1);
+		if (i / 2 < G_N_ELEMENTS (texts))
+			reply (&s, texts[i / 2]);
+		else
+			shutdown (s.fd, SHUT_WR);
+		ask (&s, &o, "POST", i & 1 ? "r2" : NULL, 0);
+		CU_ASSERT (receive (&s));
+		CU_ASSERT (s.host.opened == 2);
+		reply (&s, OWN);
+		CU_ASSERT (finished (&o));
+		CU_ASSERT (o.end == H1CLI_WHOLE && o.status == 200 &&
+			   !o.reused);
+		CU_ASSERT (s.host.idle.length == 1 && s.host.conns == 1);
+		g_string_free (o.body, TRUE);
+		server_finish (&s);
+	}
+}
+
 /* It comes while the request is being written. */
 static void
 test_while_it_is_written (void)
@@ -313,6 +344,7 @@
 {
 	static const struct t_case cases[] = {
 		{"refusal once more", test_refusal_once_more},
+		{"waits in the kernel", test_waits_in_the_kernel},
 		{"while it is written", test_while_it_is_written},
 		{"new connection", test_new_connection},
 		{NULL, NULL}};
