h1cli: a request is not sent twice on one connection

Callers could be told "not run" of a request that ran: refused, and sent once more to the same server on the same connection, it has the id of its first sending, so the refusal written once more passes for the answer to the second. Ruled out: not keeping a connection after a refusal: full servers refuse much, and each new connection takes a place there. Before and after: test_h1kept (same request again), 406 assertions: 2 failed, none fails; test_h1io 169, none fails.

--- a/lib/h1cli.c
+++ b/lib/h1cli.c
@@ -14,6 +14,9 @@
 
 /* Where a server states no timeout; most keep connections for 5 s or more. */
 #define KEEP_DEFAULT_MS 4000
+/* Requests whose ids a connection remembers; a repeat comes soon or never. */
+#define SENT_IDS 16
+
 /* A server's own clock may be ahead of ours by the time on the way. */
 #define KEEP_MARGIN_MS 500
 
@@ -31,7 +34,9 @@
 	struct h1cli *call; /* NULL while idle */
 	uint64_t idle_since_ms;
 	uint32_t keep_ms;
-	GList *link; /* in host->idle */
+	GList *link;                 /* in host->idle */
+	uint32_t sent_ids[SENT_IDS]; /* hashes, 0: unused */
+	uint32_t sent_count;
 	bool reading;
 	bool dead;
 };
@@ -339,9 +344,36 @@
 	c->reading = false;
 }
 
+static uint32_t
+id_hash (const char *id)
+{
+	return MAX (g_str_hash (id), 1U);
+}
+
+/*
+ * Whether an answer on @c to the request called @id could be an earlier one:
+ * where it was sent there before, and where it has no id to compare.
+ */
+static bool
+conn_had_id (const struct h1cli_conn *c, const char *id)
+{
+	uint32_t hash = id != NULL ? id_hash (id) : 0;
+
+	for (uint32_t i = 0; id != NULL && i < SENT_IDS; i++) {
+		if (c->sent_ids[i] == hash)
+			return true;
+	}
+	return id != NULL && id[0] == '\0';
+}
+
 static void
 call_send (struct h1cli *x)
 {
+	struct h1cli_conn *c = x->conn;
+
+	if (x->echo_value != NULL)
+		c->sent_ids[c->sent_count++ % SENT_IDS] =
+			id_hash (x->echo_value);
 	x->phase = CALL_HEAD;
 	x->sent = true;
 	sio_write (&x->conn->io, x->out->data, x->out->len);
@@ -415,25 +447,26 @@
 
 /* The connection used last, if it is still likely to stand. */
 static struct h1cli_conn *
-conn_take (struct h1cli_host *h, uint32_t idle_max_ms)
+conn_take (struct h1cli_host *h, uint32_t idle_max_ms, const char *id)
 {
 	uint64_t now_ms = tmr_now_ms ();
 
-	while (h->idle.head != NULL) {
-		struct h1cli_conn *c = h->idle.head->data;
+	for (GList *at = h->idle.head, *next; at != NULL; at = next) {
+		struct h1cli_conn *c = at->data;
+		uint64_t idle_ms = now_ms - c->idle_since_ms;
 
-		if (!conn_is_quiet (c)) {
+		next = at->next;
+		if (idle_ms < c->keep_ms && idle_ms >= idle_max_ms)
+			return NULL;
+		if (idle_ms >= c->keep_ms || !conn_is_quiet (c)) {
 			conn_close (c);
 			continue;
 		}
-		if (now_ms - c->idle_since_ms < MIN (idle_max_ms, c->keep_ms)) {
-			g_queue_delete_link (&h->idle, c->link);
-			c->link = NULL;
-			return c;
-		}
-		if (now_ms - c->idle_since_ms < c->keep_ms)
-			return NULL;
-		conn_close (c);
+		if (conn_had_id (c, id))
+			continue;
+		g_queue_delete_link (&h->idle, c->link);
+		c->link = NULL;
+		return c;
 	}
 	return NULL;
 }
@@ -456,7 +489,7 @@
 			     (guint)req->len);
 	tmr_init (&x->tmr, h->loop, on_timer, x);
 	g_ptr_array_add (h->calls, x);
-	x->conn = conn_take (h, req->idle_max_ms);
+	x->conn = conn_take (h, req->idle_max_ms, x->echo_value);
 	if (x->conn == NULL) {
 		call_connect (x, req->connect_ms);
 		return x;
--- a/tests/test_h1kept.c
+++ b/tests/test_h1kept.c
@@ -291,6 +291,30 @@
 	}
 }
 
+/* The same request again: the id does not tell the two answers apart. */
+static void
+test_same_request_again (void)
+{
+	struct outcome o;
+	struct server s;
+
+	first_exchange (&s, "POST", FULL_R1);
+	ask (&s, &o, "POST", "r2", 0);
+	CU_ASSERT (receive (&s));
+	reply (&s, OWN);
+	CU_ASSERT (finished (&o));
+	CU_ASSERT (o.reused && s.host.opened == 1);
+	g_string_free (o.body, TRUE);
+	ask (&s, &o, "POST", "r1", 0);
+	CU_ASSERT (receive (&s));
+	CU_ASSERT (s.host.opened == 2);
+	reply (&s, "HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 0\r\n\r\n");
+	CU_ASSERT (finished (&o));
+	CU_ASSERT (o.end == H1CLI_WHOLE && o.status == 200 && !o.reused);
+	g_string_free (o.body, TRUE);
+	server_finish (&s);
+}
+
 /* It comes while the request is being written. */
 static void
 test_while_it_is_written (void)
@@ -345,6 +369,7 @@
 	static const struct t_case cases[] = {
 		{"refusal once more", test_refusal_once_more},
 		{"waits in the kernel", test_waits_in_the_kernel},
+		{"same request again", test_same_request_again},
 		{"while it is written", test_while_it_is_written},
 		{"new connection", test_new_connection},
 		{NULL, NULL}};
