h1cli: a connection that brought another request's answer is not kept

What callers could get: a server that writes answers once more goes on doing so, and the connection was kept after our answer had come behind such a one, for the next request to meet more of them. Whether a skipped answer has a body depends on the method of its request: beside a HEAD request the bytes after its head were taken for a head, or the head of our answer for a body. Ruled out: remembering the method of each request: which of them an extra answer belongs to is not known where its id was forgotten.

--- a/lib/h1cli.c
+++ b/lib/h1cli.c
@@ -37,6 +37,7 @@
 	GList *link;                 /* in host->idle */
 	uint32_t sent_ids[SENT_IDS]; /* hashes, 0: unused */
 	uint32_t sent_count;
+	bool had_head_request;
 	bool reading;
 	bool dead;
 };
@@ -256,7 +257,9 @@
 	case OF_ANOTHER:
 		x->phase = CALL_SKIP;
 		sio_consume (&c->io, used);
-		if (++x->skipped <= SKIPPED_MAX && !x->close)
+		/* The length of its body depends on its request's method. */
+		if (++x->skipped <= SKIPPED_MAX && !x->close &&
+		    !c->had_head_request)
 			return true;
 		call_end (x, H1CLI_BAD, false);
 		return false;
@@ -267,7 +270,7 @@
 		call_end (x, H1CLI_BAD, false);
 		return false;
 	}
-	if (x->echo_name != NULL && !echoed)
+	if (x->skipped > 0 || (x->echo_name != NULL && !echoed))
 		x->close = true;
 	x->phase = CALL_BODY;
 	/* The head points into the input, so that is consumed afterwards. */
@@ -374,6 +377,7 @@
 	if (x->echo_value != NULL)
 		c->sent_ids[c->sent_count++ % SENT_IDS] =
 			id_hash (x->echo_value);
+	c->had_head_request |= x->to_head;
 	x->phase = CALL_HEAD;
 	x->sent = true;
 	sio_write (&x->conn->io, x->out->data, x->out->len);
--- a/lib/h1cli.h
+++ b/lib/h1cli.h
@@ -16,7 +16,9 @@
  * An HTTP/1.1 client on h2o's loop.  A struct h1cli_host is one server and
  * its kept connections; a struct h1cli is one exchange.  Bytes on an idle
  * connection, and answers to other requests, belong to nobody: the first
- * close the connection, the second are skipped.
+ * close the connection; the second are skipped, and the connection is closed
+ * after our answer.  Where it can't be told whose answer it is, the exchange
+ * ends as H1CLI_BAD, and the request may have run.
  */
 
 struct h1cli;
@@ -60,7 +62,8 @@
  * struct h1cli_req - a request; all of it is copied
  * @bytes: head and body
  * @to_head: its method is HEAD
- * @echo_name: header of the answer that repeats @echo_value, or NULL
+ * @echo_name: header of the answer that repeats @echo_value, or NULL; without
+ *	it, an answer to another request can't be told from ours
  * @idle_max_ms: a kept connection is used only if it was idle for less; 0
  *	always makes a new one
  * @connect_ms: limit on making a connection
