relayd: on a stream's route only an event stream is passed on as one

Callers found the text of an error in the middle of their stream, which then ended as if it were complete: the stream had broken off, and the next server answered it with a sealed 200 of another type whose text ended in an empty line, so that it was taken for an event. A first answer that was no stream was cut where it had no empty line at its end, and a HEAD request was answered with a chunk. Ruled out, by the new test: answers of 3xx, 4xx, 5xx, 202, 204 and 206, without a seal, without the id or with another id; none of them reached the client before. Change: is_stream needs the type text/event-stream, or none, and a method other than HEAD. Any other first answer is passed on whole, as it is. The test runs the relay's files but main.c between plain sockets (test_relay_stream).

--- a/relayd/attempt.c
+++ b/relayd/attempt.c
@@ -84,6 +84,21 @@
 				(c->prefill_ms + TTFT_OVERHEAD_MS));
 }
 
+/* Whether the body is a stream of events: what a server says by another type,
+ * such as the text of an error, holds none.  A server may leave the type out.
+ */
+static bool
+is_event_stream (const struct h1_head *h)
+{
+	static const char type[] = "text/event-stream";
+	const struct h1_header *x = h1_find (h, "content-type");
+	size_t len = sizeof type - 1;
+
+	return h->status == 200 &&
+	       (x == NULL || (x->value_len >= len &&
+			      g_ascii_strncasecmp (x->value, type, len) == 0));
+}
+
 static void
 on_answer_head (struct h1cli *x, const struct h1_head *h, bool echoed,
 		void *ctx)
@@ -105,7 +120,8 @@
 	}
 	if (!c->headers_sent)
 		store_answer_headers (c, h);
-	c->is_stream = c->route->kind == PLAN_STREAM && h->status == 200;
+	c->is_stream = c->route->kind == PLAN_STREAM && !c->is_head &&
+		       is_event_stream (h);
 	if (!c->answer.not_executed && !c->is_stream)
 		record_first_byte (c);
 }
