evstream: a resumed stream goes on with the next event or not at all

What callers saw: a stream that had broken off ended as if it were complete, lacked an event in its middle, or held another server's error as an event. Seen here where the next server's answer was a sealed event stream that had no event, only known ones, ids that left one out, or events without ids: all of these were passed on. Ruled out: judging an empty one by what the first server sent: nothing in a stream says which event is its last. Change: after evstream_restart() the first event that is no comment must have the id after the last one. Ids count as consecutive until one server's own stream leaves numbers out. Without ids, or behind an event that had none, nothing follows. Until such an event came the stream may not end. What doesn't fit ends the exchange at once, so that the request goes to another server or the answer is cut; before, the rest was read to its end. Events that came in one piece before the wrong one are passed on: they were dropped and still counted as passed on, so a retry left them out. Conclusion: a stream all of whose events came, and only its end was lost, is cut now, as one that lacks events can't be told from it.

--- a/lib/evstream.c
+++ b/lib/evstream.c
@@ -55,29 +55,73 @@
 	return -1;
 }
 
+/* Whether an event consists of comments, and so has no place in the order. */
+static bool
+is_comment (const char *text, size_t len)
+{
+	const char *at = text, *end = text + len;
+
+	while (at < end) {
+		const char *stop = memchr (at, '\n', (size_t)(end - at));
+
+		if (*at != ':' && *at != '\n' && *at != '\r')
+			return false;
+		if (stop == NULL)
+			break;
+		at = stop + 1;
+	}
+	return true;
+}
+
+/*
+ * Whether an event continues a stream whose last event came from another
+ * endpoint.  Without ids nobody can tell, and an endpoint's error is such an
+ * event.  Ids are taken to be consecutive until a stream has shown gaps.
+ */
+static bool
+follows (const struct evstream *s, int64_t id)
+{
+	if (id < 0 || s->unnumbered)
+		return false;
+	return s->last_id < 0 || s->has_gaps || id == s->last_id + 1;
+}
+
 bool
 evstream_feed (struct evstream *s, const char *data, size_t len, GString *out)
 {
 	size_t n, used = 0;
+	bool valid = true;
 
 	g_string_append_len (s->partial, data, (gssize)len);
 	while ((n = event_len (s->partial->str + used,
 			       s->partial->len - used)) > 0) {
 		const char *event = s->partial->str + used;
 		int64_t id = event_id (event, n);
+		bool comment = id < 0 && is_comment (event, n);
 
 		used += n;
 		if (id >= 0 && id <= s->last_id) {
 			s->repeated++;
 			continue;
 		}
+		if (s->resuming && !comment && !follows (s, id)) {
+			valid = false;
+			break;
+		}
+		if (!s->resuming && s->events > 0 && s->last_id >= 0 &&
+		    id > s->last_id + 1)
+			s->has_gaps = true;
 		if (id >= 0)
 			s->last_id = id;
+		if (!comment) {
+			s->unnumbered = id < 0;
+			s->resuming = false;
+		}
 		s->events++;
 		g_string_append_len (out, event, (gssize)n);
 	}
 	g_string_erase (s->partial, 0, (gssize)used);
-	return s->partial->len <= EVSTREAM_EVENT_MAX_BYTES;
+	return valid && s->partial->len <= EVSTREAM_EVENT_MAX_BYTES;
 }
 
 bool
@@ -86,8 +130,15 @@
 	return s->partial->len > 0;
 }
 
+bool
+evstream_is_whole (const struct evstream *s)
+{
+	return !evstream_is_partial (s) && !s->resuming;
+}
+
 void
 evstream_restart (struct evstream *s)
 {
+	s->resuming = s->events > 0;
 	g_string_truncate (s->partial, 0);
 }
--- a/lib/evstream.h
+++ b/lib/evstream.h
@@ -11,7 +11,7 @@
  * Splits a stream of server-sent events with opaque contents into whole events
  * and tracks the id of the last one.  With it, a stream can be resumed at
  * another endpoint while the client gets no event in part, twice, or out of
- * order.
+ * order, and none is left out where the streams meet.
  */
 
 /* Longest event that is buffered, in bytes. */
@@ -23,6 +23,9 @@
 	int64_t last_id;  /* highest id of a whole event; -1 before the first */
 	uint64_t events;  /* whole events passed on */
 	uint64_t repeated; /* dropped, since their id was not higher */
+	bool resuming;   /* no event of the resumed stream was passed on yet */
+	bool has_gaps;   /* ids of one endpoint left out numbers */
+	bool unnumbered; /* the last event passed on had no id */
 };
 
 /** evstream_init() - start a stream that resumes after @last_id; -1 for a new
@@ -36,7 +39,8 @@
  * evstream_feed() - process bytes that arrived
  * @out: whole events are appended unchanged, except those already passed on
  *
- * Return: false when an event is longer than EVSTREAM_EVENT_MAX_BYTES.
+ * Return: false when an event is longer than EVSTREAM_EVENT_MAX_BYTES, or does
+ * not follow what another endpoint sent before; @out has the events before it.
  */
 bool evstream_feed (struct evstream *s, const char *data, size_t len,
 		    GString *out);
@@ -44,6 +48,10 @@
 /** evstream_is_partial() - whether an event has begun and not ended */
 bool evstream_is_partial (const struct evstream *s);
 
+/** evstream_is_whole() - whether the stream may end here: not within an event,
+ * and not before an event followed where it was resumed */
+bool evstream_is_whole (const struct evstream *s);
+
 /** evstream_restart() - drop a partial event, since another endpoint resumes
  * the stream after last_id */
 void evstream_restart (struct evstream *s);
--- a/relayd/attempt.c
+++ b/relayd/attempt.c
@@ -171,12 +171,14 @@
 	}
 }
 
+static void on_attempt_end (struct h1cli *x, enum h1cli_end end, void *ctx);
+
 static void
 on_answer_data (struct h1cli *x, const char *data, size_t len, void *ctx)
 {
 	struct call *c = ctx;
+	bool valid;
 
-	(void)x;
 	if (c->status == 0)
 		return;
 	if (!c->is_stream) {
@@ -189,10 +191,13 @@
 	fleet_heard (c->ep, tmr_now_ms ());
 	record_first_byte (c);
 	g_string_truncate (c->answer_body, 0);
-	if (!evstream_feed (&c->evstream, data, len, c->answer_body))
-		c->status = 0;
-	else
-		write_chunk (c, c->answer_body->str, c->answer_body->len);
+	valid = evstream_feed (&c->evstream, data, len, c->answer_body);
+	write_chunk (c, c->answer_body->str, c->answer_body->len);
+	if (valid)
+		return;
+	/* Nothing that follows is of use. */
+	on_attempt_end (x, H1CLI_BAD, c);
+	h1cli_cancel (x);
 }
 
 static bool
@@ -201,7 +206,7 @@
 	if (end != H1CLI_WHOLE || c->status == 0 ||
 	    (c->headers_sent && !c->is_stream))
 		return false;
-	return !c->is_stream || !evstream_is_partial (&c->evstream);
+	return !c->is_stream || evstream_is_whole (&c->evstream);
 }
 
 static void
--- a/tests/test_evstream.c
+++ b/tests/test_evstream.c
@@ -60,6 +60,76 @@
 	g_string_free (out, TRUE);
 }
 
+/* What follows where a stream is resumed at another endpoint. */
+static void
+test_left_out (void)
+{
+	static const struct {
+		const char *what, *first, *second, *passed;
+		bool valid, whole;
+	} rows[] = {
+		{"next", "id: 6\n\nid: 7\n\nid: 8\nda", "id: 8\n\n",
+		 "id: 8\n\n", true, true},
+		{"one left out", "id: 6\n\nid: 7\n\n", "id: 9\n\n", "", false,
+		 false},
+		{"one left out after one event", "id: 7\n\n", "id: 9\n\n", "",
+		 false, false},
+		{"one left out after known ones", "id: 6\n\nid: 7\n\n",
+		 "id: 6\n\nid: 7\n\nid: 9\n\n", "", false, false},
+		{"gaps are usual", "id: 4\n\nid: 7\n\n", "id: 9\n\n",
+		 "id: 9\n\n", true, true},
+		{"a gap behind the first", "id: 7\n\n", "id: 8\n\nid: 11\n\n",
+		 "id: 8\n\nid: 11\n\n", true, true},
+		{"nothing", "id: 7\n\n", "", "", true, false},
+		{"known ones only", "id: 7\n\n", "id: 6\n\nid: 7\n\n", "", true,
+		 false},
+		{"a comment only", "id: 7\n\n", ": c\n\n", ": c\n\n", true,
+		 false},
+		{"a comment, then the next", "id: 7\n\n",
+		 ": c\r\n\r\nid: 8\n\n", ": c\r\n\r\nid: 8\n\n", true, true},
+		{"no id", "id: 7\n\n", "data: x\n\n", "", false, false},
+		{"an error", "id: 7\n\n", "event: error\ndata: full\n\n", "",
+		 false, false},
+		{"no id behind the next", "id: 7\n\n", "id: 8\n\ndata: x\n\n",
+		 "id: 8\n\ndata: x\n\n", true, true},
+		{"no ids at all", "data: a\n\n", "data: a\n\n", "", false,
+		 false},
+		{"ids only in the second", "data: a\n\n", "id: 0\n\n", "",
+		 false, false},
+		{"an event without an id was last", "id: 7\n\ndata: x\n\n",
+		 "id: 8\n\n", "", false, false},
+		{"an event without an id was between",
+		 "id: 6\n\ndata: x\n\nid: 7\n\n", "id: 8\n\n", "id: 8\n\n",
+		 true, true},
+		{"broken off before the first event", "id: 0\nda", "id: 3\n\n",
+		 "id: 3\n\n", true, true},
+	};
+
+	for (unsigned i = 0; i < G_N_ELEMENTS (rows); i++) {
+		GString *out = g_string_new (NULL);
+		struct evstream s;
+		bool valid;
+
+		evstream_init (&s, -1);
+		CU_ASSERT (evstream_feed (&s, rows[i].first,
+					  strlen (rows[i].first), out));
+		evstream_restart (&s);
+		g_string_truncate (out, 0);
+		valid = evstream_feed (&s, rows[i].second,
+				       strlen (rows[i].second), out);
+		if (valid != rows[i].valid ||
+		    strcmp (out->str, rows[i].passed) != 0 ||
+		    evstream_is_whole (&s) != rows[i].whole)
+			g_print ("%s: valid %d whole %d \"%s\"\n", rows[i].what,
+				 valid, evstream_is_whole (&s), out->str);
+		CU_ASSERT (valid == rows[i].valid);
+		CU_ASSERT (evstream_is_whole (&s) == rows[i].whole);
+		CU_ASSERT_STRING_EQUAL (out->str, rows[i].passed);
+		evstream_finish (&s);
+		g_string_free (out, TRUE);
+	}
+}
+
 static void
 test_too_long (void)
 {
@@ -82,6 +152,7 @@
 		{"pieces", test_pieces},
 		{"resume", test_resume},
 		{"client resumes", test_client_resumes},
+		{"left out", test_left_out},
 		{"too long", test_too_long},
 		{NULL, NULL}};
 
--- a/tests/test_relay_stream.c
+++ b/tests/test_relay_stream.c
@@ -396,6 +396,18 @@
 	 OK_HEAD "Content-Type: text/plain\r\n"
 		 "Content-Length: 14\r\n\r\nout of order\n\n",
 	 KEEP, E0 E1 E2, false},
+	{"no events", TO_THE_END, FIN, E0 E1 E2, false},
+	{"no events, by chunks",
+	 STREAM "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", KEEP, E0 E1 E2,
+	 false},
+	{"only what was there", TO_THE_END E0 E1, FIN, E0 E1 E2, false},
+	{"events with one left out", TO_THE_END E4, FIN, E0 E1 E2, false},
+	{"events without ids", TO_THE_END "data: d\n\ndata: e\n\n", FIN,
+	 E0 E1 E2, false},
+	{"the text of an error as an event",
+	 TO_THE_END "event: error\ndata: full\n\n", FIN, E0 E1 E2, false},
+	{"an event with an empty id", TO_THE_END "id:\ndata: d\n\n", FIN,
+	 E0 E1 E2, false},
 	{"nonsense", "\x01\x02\r\n\r\n", KEEP, E0 E1 E2, false},
 };
 
