evstream: an id that is no number counts as none

What callers could see: an event missing from a stream. An empty id, or one with other characters, was read by strtoll(), which passes over the end of the line: it counted as 0, or as the number on the next line, and the event was dropped as known. Change: digits only, to the end of the line; anything else is an event without an id.

--- a/lib/evstream.c
+++ b/lib/evstream.c
@@ -1,7 +1,6 @@
 /*
  * Splitting of server-sent event streams.
  */
-#include <stdlib.h>
 #include <string.h>
 
 #include "evstream.h"
@@ -37,6 +36,26 @@
 	return 0;
 }
 
+/* The number that a field's value holds, or -1. */
+static int64_t
+number (const char *at, const char *end)
+{
+	int64_t n = 0;
+
+	while (at < end && *at == ' ')
+		at++;
+	while (end > at && (end[-1] == '\r' || end[-1] == ' '))
+		end--;
+	if (at == end)
+		return -1;
+	for (; at < end; at++) {
+		if (!g_ascii_isdigit (*at) || n > INT64_MAX / 16)
+			return -1;
+		n = n * 10 + (*at - '0');
+	}
+	return n;
+}
+
 /* The id that an event carries, or -1. */
 static int64_t
 event_id (const char *text, size_t len)
@@ -47,7 +66,7 @@
 		const char *stop = memchr (at, '\n', (size_t)(end - at));
 
 		if (end - at > 3 && memcmp (at, "id:", 3) == 0)
-			return strtoll (at + 3, NULL, 10);
+			return number (at + 3, stop != NULL ? stop : end);
 		if (stop == NULL)
 			break;
 		at = stop + 1;
--- a/tests/test_evstream.c
+++ b/tests/test_evstream.c
@@ -130,6 +130,40 @@
 	}
 }
 
+/* An id that is no number is none: nothing is dropped for it. */
+static void
+test_ids_that_are_no_numbers (void)
+{
+	static const char *const texts[] = {"id:\ndata: x\n\n",
+					    "id:\n3\ndata: x\n\n",
+					    "id: \ndata: x\n\n",
+					    "id: a3\ndata: x\n\n",
+					    "id: 3a\ndata: x\n\n",
+					    "id: -3\n\n",
+					    "id: 99999999999999999999\n\n",
+					    "ids: 3\n\n",
+					    "data: id: 3\n\n"};
+	GString *out = g_string_new (NULL);
+	struct evstream s;
+
+	for (unsigned i = 0; i < G_N_ELEMENTS (texts); i++) {
+		evstream_init (&s, -1);
+		evstream_feed (&s, "id: 7\n\n", 7, out);
+		g_string_truncate (out, 0);
+		CU_ASSERT (
+			evstream_feed (&s, texts[i], strlen (texts[i]), out));
+		CU_ASSERT_STRING_EQUAL (out->str, texts[i]);
+		CU_ASSERT (s.last_id == 7);
+		evstream_finish (&s);
+	}
+	evstream_init (&s, -1);
+	evstream_feed (&s, "id:5\r\n\r\nid: 06 \n\nevent: e\nid: 7\n\n", 40,
+		       out);
+	CU_ASSERT (s.last_id == 7 && s.events == 3);
+	evstream_finish (&s);
+	g_string_free (out, TRUE);
+}
+
 static void
 test_too_long (void)
 {
@@ -153,6 +187,7 @@
 		{"resume", test_resume},
 		{"client resumes", test_client_resumes},
 		{"left out", test_left_out},
+		{"ids that are no numbers", test_ids_that_are_no_numbers},
 		{"too long", test_too_long},
 		{NULL, NULL}};
 
