relayd: a 408, 429 or 503 that doesn't say "not run" is not passed on as one

Callers could be told "not run, try again" of a request that ran: these statuses are a promise to them, and an endpoint's own, without X-Not-Executed, states nothing of the kind; it was passed on as it came. Ruled out: passing it on for requests that may run again: their clients repeat them after any failure, and with 429 and 408 another endpoint was not tried before. Change: such a status counts as an answer that can't be used: the request may have run, and goes to another endpoint or ends with 502.

--- a/relayd/attempt.c
+++ b/relayd/attempt.c
@@ -99,6 +99,13 @@
 			      g_ascii_strncasecmp (x->value, type, len) == 0));
 }
 
+/* Whether clients take a status for a promise that the request never runs. */
+static bool
+promises_no_run (int status)
+{
+	return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 static void
 on_answer_head (struct h1cli *x, const struct h1_head *h, bool echoed,
 		void *ctx)
@@ -113,8 +120,10 @@
 	if (c->answer.cold_ms > 0)
 		fleet_set_cold (c->ep, c->answer.cold_ms, now_ms);
 	c->status = h->status;
-	if (h->status / 100 == 2 && (!echoed || !c->answer.sealed)) {
-		/* It can't be verified that this answers our request. */
+	if ((h->status / 100 == 2 && (!echoed || !c->answer.sealed)) ||
+	    (promises_no_run (h->status) && !c->answer.not_executed)) {
+		/* It can't be verified that this answers our request, or the
+		 * endpoint doesn't vouch for what the status says. */
 		c->status = 0;
 		return;
 	}
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -154,6 +154,11 @@
 		 false, 0},
 		{"HTTP/1.1 503 Own\r\nX-Response-Seal: a\r\n\r\n", false, false,
 		 true, 0},
+		{"HTTP/1.1 200 OK\r\nX-Response-Seal: a\r\n"
+		 "X-Not-Executed: 1\r\n\r\n",
+		 false, false, false, 0},
+		{"HTTP/1.1 400 Bad\r\nX-Not-Executed: 1\r\n\r\n", true, false,
+		 false, 0},
 		{"HTTP/1.1 200 OK\r\nX-Cold-Ms: 1500\r\n\r\n", false, false,
 		 false, 1500},
 	};
