relayd: only a refused connection shows that a stream's engine has ended

What callers could see: a stream that may not run again, joined from two runs, or run at two engines at once. It goes on from its copy once a new connection to its engine fails; any failure counted, also one here (no local address, no free descriptor, no route) and an unreachable machine, whose engine may still run. Ruled out: the time limit of 60 ms, which cut the stream before and does so still. Change: the client asks the kernel for the error itself, as h2o reads it and tells only that there was one; h1cli_refused() is true for ECONNREFUSED alone. Conclusion: the first such case (no local address) is shown; that an unreachable machine ends so too is by the same error and was not brought about.

--- a/lib/h1cli.c
+++ b/lib/h1cli.c
@@ -58,6 +58,7 @@
 	bool close;
 	bool sent;
 	bool reused;
+	bool refused;
 	uint32_t keep_s;
 	uint32_t skipped;
 };
@@ -389,9 +390,15 @@
 {
 	struct h1cli_conn *c = sock->data;
 	struct h1cli *x = c->call;
+	int error = 0;
+	socklen_t size = sizeof error;
 
 	tmr_stop (&x->tmr);
-	if (why != NULL) {
+	if (getsockopt (h2o_socket_get_fd (sock), SOL_SOCKET, SO_ERROR, &error,
+			&size) != 0)
+		error = errno;
+	if (why != NULL || error != 0) {
+		x->refused = error == ECONNREFUSED;
 		call_end (x, H1CLI_UNSENT, false);
 		return;
 	}
@@ -427,8 +434,9 @@
 	c = g_new0 (struct h1cli_conn, 1);
 	c->host = x->host;
 	c->call = x;
-	c->connecting = h2o_evloop_socket_create (
-		x->host->loop, fd, H2O_SOCKET_FLAG_IS_CONNECTING);
+	/* Not marked as connecting, since h2o would read the error and not tell
+	 * which one it was. */
+	c->connecting = h2o_evloop_socket_create (x->host->loop, fd, 0);
 	c->connecting->data = c;
 	h2o_socket_notify_write (c->connecting, on_connect);
 	x->conn = c;
@@ -518,6 +526,12 @@
 	return x->sent;
 }
 
+bool
+h1cli_refused (const struct h1cli *x)
+{
+	return x->refused;
+}
+
 bool
 h1cli_reused (const struct h1cli *x)
 {
--- a/lib/h1cli.h
+++ b/lib/h1cli.h
@@ -104,6 +104,10 @@
 /** h1cli_sent() - whether a byte of the request may have left */
 bool h1cli_sent (const struct h1cli *x);
 
+/** h1cli_refused() - in done(), whether the server's machine refused the
+ * connection; any other H1CLI_UNSENT says nothing of the server */
+bool h1cli_refused (const struct h1cli *x);
+
 /** h1cli_reused() - whether it runs on a kept connection */
 bool h1cli_reused (const struct h1cli *x);
 
--- a/relayd/continue.c
+++ b/relayd/continue.c
@@ -63,12 +63,13 @@
 {
 	struct call *c = ctx;
 
-	(void)x;
 	c->exchange = NULL;
 	c->confirm_until_ms = 0;
 	call_release_ep (c);
-	if (end == H1CLI_UNSENT)
+	if (h1cli_refused (x))
 		continue_at_copy (c);
+	else if (end == H1CLI_UNSENT)
+		cut (c, "the engine can't be reached");
 	else
 		cut (c, "the engine still runs");
 }
--- a/tests/test_relay_stream.c
+++ b/tests/test_relay_stream.c
@@ -67,7 +67,8 @@
 struct answer {
 	const char *text;
 	enum after after;
-	bool closes; /* the endpoint takes no more connections */
+	bool closes;     /* the endpoint takes no more connections */
+	bool no_address; /* the relay can open no more connections to it */
 };
 
 struct world {
@@ -200,6 +201,16 @@
 		close (w->listeners[ep]);
 		w->listeners[ep] = -1;
 	}
+	if (a->no_address) {
+		char id[16];
+		struct fleet_ep *e;
+
+		g_snprintf (id, sizeof id, "i-%d", ep);
+		e = fleet_find (&w->r.fleet, id);
+		/* An address for documentation, which no machine has. */
+		((struct upstream *)e->owner_data)->host.from.s_addr =
+			htonl (0xcb007101);
+	}
 	if (a->after == KEEP)
 		return;
 	/* What was sent arrives before the reset does. */
@@ -432,8 +443,8 @@
 {
 	for (unsigned i = 0; i < G_N_ELEMENTS (rows); i++) {
 		const struct answer answers[ANSWERS_MAX] = {
-			{FIRST, RST, false},
-			{rows[i].second, rows[i].after, false}};
+			{FIRST, RST, false, false},
+			{rows[i].second, rows[i].after, false, false}};
 		struct world w;
 
 		world_init (&w, "app", ENDPOINTS);
@@ -468,7 +479,7 @@
 
 	for (unsigned i = 0; i < G_N_ELEMENTS (answers); i++) {
 		const struct answer script[ANSWERS_MAX] = {
-			{answers[i].text, KEEP, false}};
+			{answers[i].text, KEEP, false, false}};
 		struct world w;
 		char *body;
 
@@ -539,9 +550,9 @@
 
 	for (unsigned i = 0; i < 2 * G_N_ELEMENTS (answers); i++) {
 		const struct answer first[ANSWERS_MAX] = {
-			{answers[i / 2].first, KEEP, false}};
+			{answers[i / 2].first, KEEP, false, false}};
 		const struct answer script[ANSWERS_MAX] = {
-			{answers[i / 2].text, KEEP, false}};
+			{answers[i / 2].text, KEEP, false, false}};
 		struct world w;
 
 		world_init (&w, "app", 1);
@@ -559,6 +570,54 @@
 	}
 }
 
+/* A stream that may not run again goes on from its copy only where the engine
+ * itself refuses a connection, and with the next event. */
+static void
+test_copy_while_the_engine_may_run (void)
+{
+	static const struct {
+		const char *what;
+		bool closes, no_address;
+		const char *second, *body;
+		bool whole;
+	} cases[] = {
+		{"the engine ended", true, false, TO_THE_END E3 E4,
+		 E0 E1 E2 E3 E4, true},
+		{"it takes connections", false, false, TO_THE_END E3 E4,
+		 E0 E1 E2, false},
+		{"no connection can be made here", false, true,
+		 TO_THE_END E3 E4, E0 E1 E2, false},
+		{"the copy leaves an event out", true, false, TO_THE_END E4,
+		 E0 E1 E2, false},
+		{"the copy has no events", true, false, TO_THE_END, E0 E1 E2,
+		 false},
+		{"there is no copy", true, false,
+		 FULL "X-Request-Id: r1\r\nContent-Length: 0\r\n\r\n", E0 E1 E2,
+		 false},
+		{"the copy's engine answers an error", true, false,
+		 "HTTP/1.1 500 Failed\r\nX-Request-Id: r1\r\n"
+		 "Content-Type: text/event-stream\r\n\r\n" E3,
+		 E0 E1 E2, false},
+	};
+
+	for (unsigned i = 0; i < G_N_ELEMENTS (cases); i++) {
+		const struct answer script[ANSWERS_MAX] = {
+			{FIRST, RST, cases[i].closes, cases[i].no_address},
+			{cases[i].second, FIN, false, false}};
+		struct world w;
+
+		world_init (&w, "llm", ENDPOINTS);
+		w.r.fleet.loss_ms = tmr_now_ms ();
+		ask (&w, "POST", "/k/a", "r1", script);
+		check_stream (&w, cases[i].what, cases[i].body, cases[i].whole);
+		CU_ASSERT (strstr (w.requests->str, "X-Kv-Backup: 127.") !=
+			   NULL);
+		CU_ASSERT ((strstr (w.requests->str, "Kv-From: 127.") !=
+			    NULL) == cases[i].closes);
+		world_finish (&w);
+	}
+}
+
 int
 main (void)
 {
@@ -566,6 +625,8 @@
 		{"error in a resumed stream", test_error_in_a_resumed_stream},
 		{"answer that is no stream", test_answer_that_is_no_stream},
 		{"refused though it runs", test_refused_though_it_runs},
+		{"copy while the engine may run",
+		 test_copy_while_the_engine_may_run},
 		{NULL, NULL}};
 
 	return t_run ("relay_stream", cases);
