--- a/lib/h1cli.c
+++ b/lib/h1cli.c
@@ -1,7 +1,9 @@
 /*
  * The client side of HTTP/1.1.
  */
+#include <errno.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "h1cli.h"
 #include "link.h"
@@ -12,6 +14,9 @@
 
 /* Where a server states no timeout; most keep connections for 5 s or more. */
 #define KEEP_DEFAULT_MS 4000
+/* Requests whose ids a connection remembers; a repeat comes soon or never. */
+#define SENT_IDS 16
+
 /* A server's own clock may be ahead of ours by the time on the way. */
 #define KEEP_MARGIN_MS 500
 
@@ -29,7 +34,10 @@
 	struct h1cli *call; /* NULL while idle */
 	uint64_t idle_since_ms;
 	uint32_t keep_ms;
-	GList *link; /* in host->idle */
+	GList *link;                 /* in host->idle */
+	uint32_t sent_ids[SENT_IDS]; /* hashes, 0: unused */
+	uint32_t sent_count;
+	bool had_head_request;
 	bool reading;
 	bool dead;
 };
@@ -50,6 +58,7 @@
 	bool close;
 	bool sent;
 	bool reused;
+	bool refused;
 	uint32_t keep_s;
 	uint32_t skipped;
 };
@@ -160,14 +169,70 @@
 	.ended = on_ended,
 };
 
+/* Whether @x holds a status line, as where a head broke off in the middle
+ * of a header and another head followed. */
+static bool
+holds_status_line (const struct h1_header *x)
+{
+	static const char name[] = "HTTP/1.";
+	const char *at = memmem (x->value, x->value_len, name, sizeof name - 1);
+	size_t left;
+
+	if (at == NULL)
+		return false;
+	at += sizeof name - 1;
+	left = x->value_len - (size_t)(at - x->value);
+	return left >= 5 && g_ascii_isdigit (at[0]) && at[1] == ' ' &&
+	       g_ascii_isdigit (at[2]) && g_ascii_isdigit (at[3]) &&
+	       g_ascii_isdigit (at[4]);
+}
+
+/* enum answer_of - whose request a head answers */
+enum answer_of {
+	OF_OURS,
+	OF_ANOTHER,
+	OF_UNKNOWN,
+};
+
+/*
+ * A server may send an earlier answer once more where ours is due.  Without
+ * the request's id only the answer on a connection that never carried anything
+ * else is known to be ours.
+ */
+static enum answer_of
+answer_of (const struct h1cli *x, const struct h1_head *h, bool *echoed)
+{
+	enum answer_of of = x->reused ? OF_UNKNOWN : OF_OURS;
+
+	*echoed = false;
+	if (x->echo_name == NULL)
+		return OF_OURS;
+	for (size_t i = 0; i < h->count; i++) {
+		const struct h1_header *e = &h->headers[i];
+		bool ours;
+
+		if (holds_status_line (e))
+			return OF_UNKNOWN;
+		if (!h1_is (e, x->echo_name))
+			continue;
+		ours = e->value_len == strlen (x->echo_value) &&
+		       memcmp (e->value, x->echo_value, e->value_len) == 0;
+		if (*echoed && ours != (of == OF_OURS))
+			return OF_UNKNOWN;
+		of = ours ? OF_OURS : OF_ANOTHER;
+		*echoed = true;
+	}
+	return of;
+}
+
 /* Return: whether to read on. */
 static bool
 call_head (struct h1cli_conn *c, struct h1cli *x)
 {
 	size_t len, used;
 	const char *in = sio_input (&c->io, &len);
-	const struct h1_header *echo = NULL;
 	struct h1_head h;
+	bool echoed;
 
 	switch (h1_response (in, len, x->to_head, &h, &used)) {
 	case H1_MORE:
@@ -184,24 +249,33 @@
 		sio_consume (&c->io, used);
 		return true;
 	}
-	if (x->echo_name != NULL)
-		echo = h1_find (&h, x->echo_name);
 	h1_body_init (&x->body, &h);
 	x->close = h.close || h.framing == H1_UNTIL_CLOSE;
 	x->keep_s = h.keep_s;
-	if (echo != NULL &&
-	    (echo->value_len != strlen (x->echo_value) ||
-	     memcmp (echo->value, x->echo_value, echo->value_len) != 0)) {
+	switch (answer_of (x, &h, &echoed)) {
+	case OF_OURS:
+		break;
+	case OF_ANOTHER:
 		x->phase = CALL_SKIP;
 		sio_consume (&c->io, used);
-		if (++x->skipped <= SKIPPED_MAX && !x->close)
+		/* The length of its body depends on its request's method. */
+		if (++x->skipped <= SKIPPED_MAX && !x->close &&
+		    !c->had_head_request)
 			return true;
 		call_end (x, H1CLI_BAD, false);
 		return false;
+	case OF_UNKNOWN:
+		log_event (LOG_LV_WARN, "unknown-answer",
+			   "port=%u status=%d reused=%d",
+			   ntohs (c->host->addr.sin_port), h.status, x->reused);
+		call_end (x, H1CLI_BAD, false);
+		return false;
 	}
+	if (x->skipped > 0 || (x->echo_name != NULL && !echoed))
+		x->close = true;
 	x->phase = CALL_BODY;
 	/* The head points into the input, so that is consumed afterwards. */
-	x->ops->head (x, &h, echo != NULL, x->ctx);
+	x->ops->head (x, &h, echoed, x->ctx);
 	if (c->dead || c->call != x)
 		return false;
 	sio_consume (&c->io, used);
@@ -274,9 +348,37 @@
 	c->reading = false;
 }
 
+static uint32_t
+id_hash (const char *id)
+{
+	return MAX (g_str_hash (id), 1U);
+}
+
+/*
+ * Whether an answer on @c to the request called @id could be an earlier one:
+ * where it was sent there before, and where it has no id to compare.
+ */
+static bool
+conn_had_id (const struct h1cli_conn *c, const char *id)
+{
+	uint32_t hash = id != NULL ? id_hash (id) : 0;
+
+	for (uint32_t i = 0; id != NULL && i < SENT_IDS; i++) {
+		if (c->sent_ids[i] == hash)
+			return true;
+	}
+	return id != NULL && id[0] == '\0';
+}
+
 static void
 call_send (struct h1cli *x)
 {
+	struct h1cli_conn *c = x->conn;
+
+	if (x->echo_value != NULL)
+		c->sent_ids[c->sent_count++ % SENT_IDS] =
+			id_hash (x->echo_value);
+	c->had_head_request |= x->to_head;
 	x->phase = CALL_HEAD;
 	x->sent = true;
 	sio_write (&x->conn->io, x->out->data, x->out->len);
@@ -288,9 +390,15 @@
 {
 	struct h1cli_conn *c = sock->data;
 	struct h1cli *x = c->call;
+	int error = 0;
+	socklen_t size = sizeof error;
 
 	tmr_stop (&x->tmr);
-	if (why != NULL) {
+	if (getsockopt (h2o_socket_get_fd (sock), SOL_SOCKET, SO_ERROR, &error,
+			&size) != 0)
+		error = errno;
+	if (why != NULL || error != 0) {
+		x->refused = error == ECONNREFUSED;
 		call_end (x, H1CLI_UNSENT, false);
 		return;
 	}
@@ -326,8 +434,9 @@
 	c = g_new0 (struct h1cli_conn, 1);
 	c->host = x->host;
 	c->call = x;
-	c->connecting = h2o_evloop_socket_create (
-		x->host->loop, fd, H2O_SOCKET_FLAG_IS_CONNECTING);
+	/* Not marked as connecting, since h2o would read the error and not tell
+	 * which one it was. */
+	c->connecting = h2o_evloop_socket_create (x->host->loop, fd, 0);
 	c->connecting->data = c;
 	h2o_socket_notify_write (c->connecting, on_connect);
 	x->conn = c;
@@ -336,23 +445,40 @@
 	tmr_start (&x->tmr, connect_ms);
 }
 
+/* Whether nothing has come on an idle connection, neither bytes nor its end,
+ * that the loop has not read yet. */
+static bool
+conn_is_quiet (const struct h1cli_conn *c)
+{
+	char byte;
+
+	return recv (h2o_socket_get_fd (c->io.sock), &byte, 1,
+		     MSG_PEEK | MSG_DONTWAIT) < 0 &&
+	       (errno == EAGAIN || errno == EINTR);
+}
+
 /* The connection used last, if it is still likely to stand. */
 static struct h1cli_conn *
-conn_take (struct h1cli_host *h, uint32_t idle_max_ms)
+conn_take (struct h1cli_host *h, uint32_t idle_max_ms, const char *id)
 {
 	uint64_t now_ms = tmr_now_ms ();
 
-	while (h->idle.head != NULL) {
-		struct h1cli_conn *c = h->idle.head->data;
+	for (GList *at = h->idle.head, *next; at != NULL; at = next) {
+		struct h1cli_conn *c = at->data;
+		uint64_t idle_ms = now_ms - c->idle_since_ms;
 
-		if (now_ms - c->idle_since_ms < MIN (idle_max_ms, c->keep_ms)) {
-			g_queue_delete_link (&h->idle, c->link);
-			c->link = NULL;
-			return c;
-		}
-		if (now_ms - c->idle_since_ms < c->keep_ms)
+		next = at->next;
+		if (idle_ms < c->keep_ms && idle_ms >= idle_max_ms)
 			return NULL;
-		conn_close (c);
+		if (idle_ms >= c->keep_ms || !conn_is_quiet (c)) {
+			conn_close (c);
+			continue;
+		}
+		if (conn_had_id (c, id))
+			continue;
+		g_queue_delete_link (&h->idle, c->link);
+		c->link = NULL;
+		return c;
 	}
 	return NULL;
 }
@@ -375,7 +501,7 @@
 			     (guint)req->len);
 	tmr_init (&x->tmr, h->loop, on_timer, x);
 	g_ptr_array_add (h->calls, x);
-	x->conn = conn_take (h, req->idle_max_ms);
+	x->conn = conn_take (h, req->idle_max_ms, x->echo_value);
 	if (x->conn == NULL) {
 		call_connect (x, req->connect_ms);
 		return x;
@@ -401,6 +527,12 @@
 	return x->sent;
 }
 
+bool
+h1cli_refused (const struct h1cli *x)
+{
+	return x->refused;
+}
+
 bool
 h1cli_reused (const struct h1cli *x)
 {
--- a/relayd/attempt.c
+++ b/relayd/attempt.c
@@ -97,6 +97,28 @@
 				(c->prefill_ms + TTFT_OVERHEAD_MS));
 }
 
+/* Whether the body is a stream of events: what a server says by another type,
+ * such as the text of an error, holds none.  A server may leave the type out.
+ */
+static bool
+is_event_stream (const struct h1_head *h)
+{
+	static const char type[] = "text/event-stream";
+	const struct h1_header *x = h1_find (h, "content-type");
+	size_t len = sizeof type - 1;
+
+	return h->status == 200 &&
+	       (x == NULL || (x->value_len >= len &&
+			      g_ascii_strncasecmp (x->value, type, len) == 0));
+}
+
+/* Whether clients take a status for a promise that the request never runs. */
+static bool
+promises_no_run (int status)
+{
+	return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 static void
 on_answer_head (struct h1cli *x, const struct h1_head *h, bool echoed,
 		void *ctx)
@@ -111,14 +133,17 @@
 	if (c->answer.cold_ms > 0)
 		fleet_set_cold (c->ep, c->answer.cold_ms, now_ms);
 	c->status = h->status;
-	if (h->status / 100 == 2 && (!echoed || !c->answer.sealed)) {
-		/* It can't be verified that this answers our request. */
+	if ((h->status / 100 == 2 && (!echoed || !c->answer.sealed)) ||
+	    (promises_no_run (h->status) && !c->answer.not_executed)) {
+		/* It can't be verified that this answers our request, or the
+		 * endpoint doesn't vouch for what the status says. */
 		c->status = 0;
 		return;
 	}
 	if (!c->headers_sent)
 		store_answer_headers (c, h);
-	c->is_stream = c->route->kind == PLAN_STREAM && h->status == 200;
+	c->is_stream = c->route->kind == PLAN_STREAM && !c->is_head &&
+		       is_event_stream (h);
 	if (!c->answer.not_executed && !c->is_stream)
 		record_first_byte (c);
 }
@@ -171,12 +196,14 @@
 	}
 }
 
+static void on_attempt_end (struct h1cli *x, enum h1cli_end end, void *ctx);
+
 static void
 on_answer_data (struct h1cli *x, const char *data, size_t len, void *ctx)
 {
 	struct call *c = ctx;
+	bool valid;
 
-	(void)x;
 	if (c->status == 0)
 		return;
 	if (!c->is_stream) {
@@ -189,10 +216,13 @@
 	fleet_heard (c->ep, tmr_now_ms ());
 	record_first_byte (c);
 	g_string_truncate (c->answer_body, 0);
-	if (!evstream_feed (&c->evstream, data, len, c->answer_body))
-		c->status = 0;
-	else
-		write_chunk (c, c->answer_body->str, c->answer_body->len);
+	valid = evstream_feed (&c->evstream, data, len, c->answer_body);
+	write_chunk (c, c->answer_body->str, c->answer_body->len);
+	if (valid)
+		return;
+	/* Nothing that follows is of use. */
+	on_attempt_end (x, H1CLI_BAD, c);
+	h1cli_cancel (x);
 }
 
 static bool
@@ -201,7 +231,7 @@
 	if (end != H1CLI_WHOLE || c->status == 0 ||
 	    (c->headers_sent && !c->is_stream))
 		return false;
-	return !c->is_stream || !evstream_is_partial (&c->evstream);
+	return !c->is_stream || evstream_is_whole (&c->evstream);
 }
 
 static void
