--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -84,6 +84,8 @@
 
 	if (end == H1CLI_WHOLE) {
 		r->k->quiet.errors += r->status / 100 == 5 && r->status != 503;
+		r->k->quiet.refused += r->status == 503;
+		r->k->quiet.reused += r->rested_ms >= 1000;
 		return;
 	}
 	/* A relay answers a little before the time limit. */
@@ -194,7 +196,7 @@
 			       .begun_ms = tmr_now_ms ()};
 	r->heard_ms = r->begun_ms;
 	g_snprintf (r->id, sizeof r->id, "q%u-%u", k->seed, ++k->number);
-	r->first_segment = (uint32_t)g_rand_int_range (k->rand, 1, 20);
+	r->first_segment = (uint32_t)g_rand_int_range (k->traffic, 1, 20);
 	r->body = g_string_new (NULL);
 	g_hash_table_insert (k->reqs, r->id, r);
 	return r;
@@ -203,6 +205,8 @@
 char *
 callers_text (struct soak_req *r)
 {
+	static const uint32_t tokens[] = {400, 3000, 9000};
+	uint32_t shared = tokens[r->first_segment % G_N_ELEMENTS (tokens)];
 	bool get = r->kind == SOAK_REPEATABLE;
 	char path[32];
 
@@ -214,11 +218,12 @@
 		"%s %s%u HTTP/1.1\r\nHost: soak.example\r\n"
 		"X-Request-Id: %s\r\nX-Deadline-Ms: %u\r\n"
 		"Authorization: Token key-%u\r\nX-Tenant: forged\r\n"
-		"X-Model: m\r\nX-Token-Usage: 600,50\r\n"
-		"X-Prefix-Hash: %x:400,%x:200\r\n%s\r\n%s",
+		"X-Model: m\r\nX-Token-Usage: %u,50\r\n"
+		"X-Prefix-Hash: %x:%u,%x:200\r\n%s\r\n%s",
 		get ? "GET" : "POST", path, r->k->number, r->id, r->patience_ms,
-		r->account, r->first_segment, g_rand_int (r->k->rand),
-		get ? "" : "Content-Length: 4\r\n", get ? "" : "body");
+		r->account, shared + 200, r->first_segment, shared,
+		g_rand_int (r->k->traffic), get ? "" : "Content-Length: 4\r\n",
+		get ? "" : "body");
 }
 
 void
@@ -249,25 +254,25 @@
 static uint32_t
 draw_relay (struct soak *k)
 {
-	return (uint32_t)g_rand_int_range (k->rand, 0, SOAK_RELAYS);
+	return (uint32_t)g_rand_int_range (k->traffic, 0, SOAK_RELAYS);
 }
 
 static void
 start_some (struct soak *k)
 {
-	uint32_t account = g_rand_int_range (k->rand, 0, 20) == 0
+	uint32_t account = g_rand_int_range (k->traffic, 0, 20) == 0
 				   ? WITHDRAWN
-				   : (uint32_t)g_rand_int_range (k->rand, 0,
+				   : (uint32_t)g_rand_int_range (k->traffic, 0,
 								 SOAK_ACCOUNTS);
 	enum soak_kind kind =
-		(enum soak_kind)g_rand_int_range (k->rand, 0, SOAK_KINDS);
+		(enum soak_kind)g_rand_int_range (k->traffic, 0, SOAK_KINDS);
 	struct soak_req *r;
 
 	callers_start (callers_new (k, draw_relay (k), kind, account));
-	if (g_rand_int_range (k->rand, 0, 8) > 0)
+	if (g_rand_int_range (k->traffic, 0, 8) > 0)
 		return;
 	r = callers_new (k, draw_relay (k), SOAK_REPEATABLE, 0);
-	r->extra = g_rand_int_range (k->rand, 0, SOAK_EXTRAS);
+	r->extra = g_rand_int_range (k->traffic, 0, SOAK_EXTRAS);
 	callers_start (r);
 }
 
@@ -290,7 +295,7 @@
 	operator_tick (k, now_ms);
 	while (now_ms >= k->next_req_ms) {
 		k->next_req_ms =
-			now_ms + (uint64_t)g_rand_int_range (k->rand, 2, 15);
+			now_ms + (uint64_t)g_rand_int_range (k->traffic, 2, 15);
 		start_some (k);
 	}
 	g_hash_table_iter_init (&it, k->reqs);
--- a/tests/soak/kept.c
+++ b/tests/soak/kept.c
@@ -12,6 +12,7 @@
 
 #define KEPT_CALLERS 96
 #define SHORT_REST_MS 300
+#define LONGEST_REST_MS 6400 /* four fifths of the longest limit */
 #define CONNECT_AGAIN_MS 200
 
 struct kept {
@@ -40,25 +41,23 @@
 	c->open = false;
 }
 
-/* How long it rests: shortly, for any time allowed, or until about when a
- * relay would close it by an older limit. */
+/* How long it rests: shortly, for any time that a later limit may allow, or
+ * until about when a relay would close it by the limit of now. */
 static uint64_t
 draw_rest (struct kept *c)
 {
 	struct soak *k = c->k;
-	uint32_t most_ms = operator_idle_ms (k) * 4 / 5, ms;
 
-	switch (g_rand_int_range (k->rand, 0, 3)) {
+	switch (g_rand_int_range (k->traffic, 0, 3)) {
 	case 0:
-		return (uint64_t)g_rand_int_range (k->rand, 0, SHORT_REST_MS);
+		return (uint64_t)g_rand_int_range (k->traffic, 0,
+						   SHORT_REST_MS);
 	case 1:
-		ms = operator_old_idle_ms (k) +
-		     (uint32_t)g_rand_int_range (k->rand, 0, 4) - 2;
-		if (ms <= most_ms)
-			return ms;
-		/* fallthrough */
+		return operator_idle_ms (k) +
+		       (uint64_t)g_rand_int_range (k->traffic, 0, 4) - 2;
 	default:
-		return (uint64_t)g_rand_int_range (k->rand, 0, (gint32)most_ms);
+		return (uint64_t)g_rand_int_range (k->traffic, 0,
+						   LONGEST_REST_MS);
 	}
 }
 
@@ -155,9 +154,12 @@
 {
 	struct kept *c = ctx;
 
-	if (c->r == NULL)
+	if (c->r == NULL) {
+		c->k->quiet.closed += c->k->quiet.on &&
+				      tmr_now_ms () - c->rested_since_ms <
+					      operator_idle_ms (c->k) * 4 / 5;
 		drop (c);
-	else if (why == NULL && c->head && c->body.framing == H1_UNTIL_CLOSE)
+	} else if (why == NULL && c->head && c->body.framing == H1_UNTIL_CLOSE)
 		finish (c, H1CLI_WHOLE);
 	else
 		finish (c, H1CLI_BROKEN);
@@ -171,8 +173,8 @@
 	uint64_t now_ms = tmr_now_ms ();
 	struct soak_req *r = callers_new (
 		c->k, c->relay,
-		(enum soak_kind)g_rand_int_range (c->k->rand, 0, SOAK_KINDS),
-		(uint32_t)g_rand_int_range (c->k->rand, 0, SOAK_ACCOUNTS));
+		(enum soak_kind)g_rand_int_range (c->k->traffic, 0, SOAK_KINDS),
+		(uint32_t)g_rand_int_range (c->k->traffic, 0, SOAK_ACCOUNTS));
 	char *text = callers_text (r);
 
 	r->reused = reused;
@@ -209,7 +211,7 @@
 				 .sin_port = htons (c->k->front)};
 
 	drop (c);
-	c->relay = (uint32_t)g_rand_int_range (c->k->rand, 0, SOAK_RELAYS);
+	c->relay = (uint32_t)g_rand_int_range (c->k->traffic, 0, SOAK_RELAYS);
 	inet_pton (AF_INET, c->k->procs[c->relay + SOAK_MEMBERS].ip,
 		   &at.sin_addr);
 	c->connecting = h2o_socket_connect (c->k->loop, (struct sockaddr *)&at,
@@ -254,7 +256,7 @@
 		c->k = k;
 		tmr_init (&c->tmr, k->loop, on_timer, c);
 		tmr_start (&c->tmr,
-			   (uint64_t)g_rand_int_range (k->rand, 0, 3000));
+			   (uint64_t)g_rand_int_range (k->traffic, 0, 3000));
 		g_ptr_array_add (k->kept, c);
 	}
 }
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -13,8 +13,11 @@
 
 #define START_MS 15000 /* for the first configuration to be acknowledged */
 #define HEAL_MS 12000  /* for all to be in order again after the last fault */
+#define TURN_MS 1      /* the endpoints' loops run between two of these */
 #define JUDGE_MS 3000
 #define ERRORS_MS 6000
+#define WARM_MS 1500
+#define USED_MS JUDGE_MS  /* for endpoints that were silent to be used */
 #define RESTART_MS 4000   /* a leader is elected in half of it */
 #define SERVED_SHARE 0.95 /* of the requests in the end */
 
@@ -41,6 +44,8 @@
 
 	tmr_start (&k->tick, SOAK_TICK_MS);
 	procs_tick (k, now_ms);
+	if (k->next_silence_ms != 0)
+		quiet_tick (k, now_ms);
 	cut_tick (k, now_ms);
 	callers_tick (k, now_ms);
 	if (k->next_fault_ms != 0 && now_ms >= k->next_fault_ms) {
@@ -50,13 +55,15 @@
 	}
 }
 
-static void
-run_for (struct soak *k, uint64_t ms, bool until_acked)
+void
+soak_run_for (struct soak *k, uint64_t ms, bool until_acked)
 {
 	uint64_t end_ms = tmr_now_ms () + ms;
 
-	while (tmr_now_ms () < end_ms && !(until_acked && k->acked > 0))
-		h2o_evloop_run (k->loop, 20);
+	while (tmr_now_ms () < end_ms && !(until_acked && k->acked > 0)) {
+		h2o_evloop_run (k->loop, TURN_MS);
+		world_run (k);
+	}
 }
 
 /* In the end all is in order: what was acknowledged is in force, and requests
@@ -67,7 +74,7 @@
 	uint32_t served = k->served, refused = k->refused, failed = k->failed;
 	double share;
 
-	run_for (k, JUDGE_MS, false);
+	soak_run_for (k, JUDGE_MS, false);
 	served = k->served - served;
 	refused = k->refused - refused;
 	failed = k->failed - failed;
@@ -88,7 +95,7 @@
 	uint32_t served = k->served, refused = k->refused;
 
 	procs_kill_all (k, tmr_now_ms ());
-	run_for (k, RESTART_MS, false);
+	soak_run_for (k, RESTART_MS, false);
 	if (k->served - served < 10 || k->refused > refused)
 		soak_wrong (k, "after a restart %u served, %u refused",
 			    k->served - served, k->refused - refused);
@@ -100,43 +107,76 @@
 play_errors (struct soak *k)
 {
 	k->eps[0].mode = k->eps[SOAK_EPS - 1].mode = SOAK_FAILS;
-	run_for (k, ERRORS_MS, false);
+	soak_run_for (k, ERRORS_MS, false);
 	k->eps[0].mode = k->eps[SOAK_EPS - 1].mode = SOAK_WELL;
 }
 
+/* Sound endpoints fall silent and go on, and configurations change; while the
+ * end is judged, all that were used before are used again. */
+static void
+play_quiet (struct soak *k, uint64_t ms)
+{
+	uint64_t healed_ms;
+
+	soak_run_for (k, USED_MS - WARM_MS, false);
+	quiet_note_used (k);
+	k->quiet.on = true;
+	k->quiet.begun_wall_ms = tmr_wall_ms ();
+	k->next_silence_ms = tmr_now_ms ();
+	soak_run_for (k, ms, false);
+	k->next_silence_ms = 0;
+	healed_ms = tmr_now_ms ();
+	for (int i = 0; i < SOAK_EPS; i++)
+		healed_ms = MAX (healed_ms, k->eps[i].silent_until_ms);
+	while (tmr_now_ms () < healed_ms)
+		soak_run_for (k, 10, false);
+	for (int i = 0; i < SOAK_EPS; i++)
+		memset (k->eps[i].ran, 0, sizeof k->eps[i].ran);
+}
+
 static void
-play (struct soak *k, uint64_t fault_ms, bool restart, bool errors)
+play (struct soak *k, uint64_t fault_ms, const char *what)
 {
+	bool faults = fault_ms > 0 && strchr (what, 'q') == NULL;
+
 	k->loop = h2o_evloop_create ();
 	k->rand = g_rand_new_with_seed (k->seed);
+	k->traffic = g_rand_new_with_seed (k->seed);
 	world_init (k);
 	procs_init (k);
 	callers_init (k);
 	explain_init (k);
 	tmr_init (&k->tick, k->loop, on_tick, k);
 	tmr_start (&k->tick, 1);
-	run_for (k, START_MS, true);
+	soak_run_for (k, START_MS, true);
 	if (k->acked == 0)
 		soak_wrong (k, "no configuration was acknowledged");
-	run_for (k, 1500, false);
-	if (restart)
+	quiet_note_used (k);
+	soak_run_for (k, WARM_MS, false);
+	if (strchr (what, 'r') != NULL)
 		play_restart (k);
-	if (errors)
+	if (strchr (what, 'e') != NULL)
 		play_errors (k);
-	k->next_fault_ms = fault_ms > 0 ? tmr_now_ms () : 0;
-	run_for (k, fault_ms, false);
+	if (strchr (what, 'q') != NULL)
+		play_quiet (k, fault_ms);
+	k->next_fault_ms = faults ? tmr_now_ms () : 0;
+	soak_run_for (k, faults ? fault_ms : 0, false);
 	k->next_fault_ms = 0;
 	procs_heal (k);
-	run_for (k, fault_ms > 0 ? HEAL_MS : 500, false);
+	soak_run_for (k, faults ? HEAL_MS : what[0] == 0 ? 500 : 0, false);
 	k->calm = true;
 	judge (k);
+	if (strchr (what, 'q') != NULL)
+		quiet_check_used (k);
 	tmr_finish (&k->tick);
 	procs_finish (k);
 	cut_finish (k);
 	callers_finish (k);
 	explain_check (k);
+	quiet_check_logs (k);
 	world_finish (k);
 	g_rand_free (k->rand);
+	g_rand_free (k->traffic);
 }
 
 int
@@ -144,20 +184,18 @@
 {
 	struct soak k = {.seed = 1, .bin = (char *)"build/bin"};
 	uint64_t fault_ms = 8000;
-	bool restart = false, errors = false;
+	char what[8] = "";
 	int c;
 
-	while ((c = getopt (argc, argv, "s:t:b:pre")) != -1) {
+	while ((c = getopt (argc, argv, "s:t:b:preq")) != -1) {
 		if (c == 's')
 			k.seed = (uint32_t)strtoul (optarg, NULL, 10);
 		else if (c == 't')
 			fault_ms = strtoul (optarg, NULL, 10);
 		else if (c == 'b')
 			k.bin = optarg;
-		else if (c == 'r')
-			restart = true;
-		else if (c == 'e')
-			errors = true;
+		else if (strchr ("req", c) != NULL)
+			what[strlen (what) % 7] = (char)c;
 		else if (c == 'p')
 			return printf ("%u\n", procs_free_port ()) < 0;
 		else
@@ -166,12 +204,21 @@
 	signal (SIGPIPE, SIG_IGN);
 	log_init ("soak", "", LOG_LV_ERROR);
 	k.dir = g_dir_make_tmp ("soak-XXXXXX", NULL);
-	play (&k, fault_ms, restart, errors);
+	play (&k, fault_ms, what);
 	printf ("seed %u: %s: %u served, %u refused, %u failed, %u faults, "
 		"version %" G_GUINT64_FORMAT "%s%s\n",
 		k.seed, k.wrong == 0 ? "passed" : "FAILED", k.served, k.refused,
 		k.failed, k.faults, k.acked, k.wrong == 0 ? "" : "; logs in ",
 		k.wrong == 0 ? "" : k.dir);
+	if (k.quiet.begun_wall_ms != 0)
+		printf ("seed %u: %u silences; relays sent %u again, endpoints "
+			"ran %u again; %u refused, %u errors; %u used again "
+			"after a second's rest or more, %u closed before four "
+			"fifths of the limit%s\n",
+			k.seed, k.quiet.silences, k.quiet.resends,
+			k.quiet.reruns, k.quiet.refused, k.quiet.errors,
+			k.quiet.reused, k.quiet.closed,
+			k.quiet.left_out ? "; logs left lines out" : "");
 	if (k.wrong == 0)
 		procs_clean (&k);
 	return k.wrong == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
--- a/tests/soak/operator.c
+++ b/tests/soak/operator.c
@@ -24,24 +24,24 @@
 					  k->versions->len - 1)
 			: NULL;
 
-	v->idle_ms = (uint32_t)g_rand_int_range (k->rand, 1500, 8001);
-	v->header_ms = (uint32_t)g_rand_int_range (k->rand, 1000, 4001);
+	v->idle_ms = (uint32_t)g_rand_int_range (k->traffic, 1500, 8001);
+	v->header_ms = (uint32_t)g_rand_int_range (k->traffic, 1000, 4001);
 	v->extras = last != NULL ? last->extras : 0;
 	for (uint32_t i = 0; i < SOAK_EXTRAS; i++) {
-		if (g_rand_int_range (k->rand, 0, EXTRA_SHARE) == 0)
+		if (g_rand_int_range (k->traffic, 0, EXTRA_SHARE) == 0)
 			v->extras ^= 1U << i;
 	}
-	v->more_keys = (uint32_t)g_rand_int_range (k->rand, 0, 8);
+	v->more_keys = (uint32_t)g_rand_int_range (k->traffic, 0, 8);
 	for (uint32_t i = 0; i < SOAK_KINDS; i++) {
 		v->timeout_ms[i] =
-			(uint32_t)g_rand_int_range (k->rand, 2500, 6001);
+			(uint32_t)g_rand_int_range (k->traffic, 2500, 6001);
 		v->app_share[i] = i >= SOAK_STREAM ? 0 : 100;
 	}
 	/* Where all of the route moves it is a service, else a split. */
 	v->app_share[SOAK_REPEATABLE] =
-		(uint32_t)g_rand_int_range (k->rand, 0, 5) * 25;
+		(uint32_t)g_rand_int_range (k->traffic, 0, 5) * 25;
 	v->app_share[SOAK_ONCE] =
-		(uint32_t)g_rand_int_range (k->rand, 2, 5) * 25;
+		(uint32_t)g_rand_int_range (k->traffic, 2, 5) * 25;
 }
 
 static struct soak_version *
@@ -81,19 +81,6 @@
 	return ms;
 }
 
-uint32_t
-operator_old_idle_ms (struct soak *k)
-{
-	guint n = MIN (k->versions->len, 8);
-
-	if (n == 0)
-		return 1500;
-	return version_at (k, k->versions->len - 1 -
-				      (guint)g_rand_int_range (k->rand, 0,
-							       (gint32)n))
-		->idle_ms;
-}
-
 uint32_t
 operator_timeout_ms (struct soak *k, enum soak_kind kind, uint64_t begun_ms)
 {
@@ -247,8 +234,8 @@
 	if (end != H1CLI_WHOLE || k->put_status != 200) {
 		if (end == H1CLI_WHOLE && k->put_status / 100 == 4)
 			soak_wrong (k, "a valid call gets %d", k->put_status);
-		k->put_to =
-			(uint32_t)g_rand_int_range (k->rand, 0, SOAK_MEMBERS);
+		k->put_to = (uint32_t)g_rand_int_range (k->traffic, 0,
+							SOAK_MEMBERS);
 		return;
 	}
 	if (k->reading) {
@@ -280,11 +267,12 @@
 	}
 	if (k->put != NULL || now_ms < k->next_put_ms)
 		return;
-	k->next_put_ms = now_ms + (uint64_t)g_rand_int_range (k->rand, 50, 400);
+	k->next_put_ms =
+		now_ms + (uint64_t)g_rand_int_range (k->traffic, 50, 400);
 	if (!k->reading && k->acked == k->offered) {
 		struct soak_version v = {0};
 
-		k->offered += (uint64_t)g_rand_int_range (k->rand, 1, 5);
+		k->offered += (uint64_t)g_rand_int_range (k->traffic, 1, 5);
 		v.version = k->offered;
 		draw_version (k, &v);
 		g_array_append_val (k->versions, v);
--- a/tests/soak/procs.c
+++ b/tests/soak/procs.c
@@ -283,7 +283,7 @@
 static void
 ep_fault (struct soak *k, struct soak_ep *e, uint64_t now_ms)
 {
-	switch (g_rand_int_range (k->rand, 0, 4)) {
+	switch (g_rand_int_range (k->rand, 0, 5)) {
 	case 0:
 		if (e->up)
 			world_ep_down (e);
@@ -294,6 +294,11 @@
 		e->leaving = true;
 		e->leaving_ms = now_ms;
 		break;
+	case 2:
+		world_ep_silence (
+			e, (uint32_t)g_rand_int_range (k->rand, 800, 1801),
+			g_rand_boolean (k->rand));
+		break;
 	default:
 		e->mode = (enum soak_mode)g_rand_int_range (k->rand, 0,
 							    SOAK_MODES);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -19,10 +19,13 @@
 
 #define SOAK_MEMBERS 3
 #define SOAK_RELAYS 3
+/* Client accounts are named by this and their number. */
+#define ACCOUNT_PREFIX "acct-"
 #define SOAK_ACCOUNTS 3 /* whose keys are in force */
 #define SOAK_USAGE_WINDOW_MS 2000
 #define SOAK_EPS 8
 #define SOAK_ENGINES 5 /* the first of them; the others are servers */
+#define SOAK_DOMAINS 2
 #define SOAK_ID_BYTES 32
 #define SOAK_EXTRAS 6 /* routes that come and go */
 
@@ -84,6 +87,17 @@
 	uint64_t leaving_ms;
 	enum soak_mode mode;
 	GPtrArray *jobs;
+	h2o_loop_t *loop;
+	uint64_t silent_until_ms;  /* it writes nothing before, then goes on */
+	bool reads;                /* meanwhile */
+	uint32_t ran[SOAK_RELAYS]; /* of each relay, since they were reset */
+};
+
+/** struct soak_silence - a time in which a sound endpoint wrote nothing */
+struct soak_silence {
+	char id[SOAK_ID_BYTES];
+	uint32_t ms;
+	uint64_t begun_wall_ms;
 };
 
 /** struct soak_proc - a daemon */
@@ -126,7 +140,8 @@
 /** struct soak - all of it */
 struct soak {
 	h2o_loop_t *loop;
-	GRand *rand;
+	GRand *rand;    /* what faults are drawn from */
+	GRand *traffic; /* and what is sent */
 	uint32_t seed;
 	char *dir, *bin;
 	uint16_t front, ready, peer, api;
@@ -134,9 +149,11 @@
 	struct soak_path paths[SOAK_MEMBERS + SOAK_RELAYS]
 			      [SOAK_MEMBERS + SOAK_RELAYS];
 	struct soak_door doors[SOAK_MEMBERS];
+	GArray *silences; /* of struct soak_silence */
 	GArray *unserved; /* of struct failed, see explain.c */
 	GPtrArray *pipes; /* of struct pipe *, see cut.c */
 	struct soak_ep eps[SOAK_EPS];
+	uint32_t used[SOAK_EPS][SOAK_RELAYS]; /* requests before silences */
 	struct h1srv platform;
 	bool platform_up;
 	struct h1cli_host fronts[SOAK_RELAYS], apis[SOAK_MEMBERS];
@@ -148,7 +165,15 @@
 	GPtrArray *kept;         /* of struct kept *, see kept.c */
 	struct {
 		bool on;
-		uint32_t errors;
+		uint64_t begun_wall_ms;
+		bool left_out; /* lines of relays' logs */
+		uint32_t silences;
+		uint32_t errors; /* 5xx but 503 */
+		uint32_t refused;
+		uint32_t reused;  /* connections that rested a second or more */
+		uint32_t closed;  /* while they might rest on */
+		uint32_t resends; /* by relays */
+		uint32_t reruns;  /* seen by endpoints */
 	} quiet; /* silences and configurations, and nothing else */
 	struct h1cli *put;
 	GString *get_text;
@@ -156,7 +181,7 @@
 	int put_status;
 	uint64_t put_ms, read_version;
 	bool reading, calm;
-	uint64_t next_req_ms, next_fault_ms, next_put_ms;
+	uint64_t next_req_ms, next_fault_ms, next_put_ms, next_silence_ms;
 	struct soak_proc *wiped; /* whose disk was lost last */
 	long wiped_at;           /* in its log */
 	uint32_t number, served, failed, refused, faults, wrong;
@@ -165,26 +190,43 @@
 	bool over;
 };
 
+/** soak_run_for() - go on for so long, or until a version is acknowledged */
+void soak_run_for (struct soak *k, uint64_t ms, bool until_acked);
+
 /** soak_wrong() - a promise is broken */
 void soak_wrong (struct soak *k, const char *fmt, ...)
 	__attribute__ ((format (printf, 2, 3)));
 
-/* world.c: endpoints and the platform */
-void world_init (struct soak *k);
-void world_finish (struct soak *k);
+/* endpoints.c */
 void world_ep_up (struct soak_ep *e);
 void world_ep_down (struct soak_ep *e);
+/** world_ep_silence() - write nothing for a while; @reads: but read on */
+void world_ep_silence (struct soak_ep *e, uint32_t ms, bool reads);
+/** world_run() - a turn of each endpoint that is awake */
+void world_run (struct soak *k);
+
+/* world.c: the platform, and what it learns */
+struct sockaddr_in world_addr (uint16_t port);
+void world_init (struct soak *k);
+void world_finish (struct soak *k);
 void world_platform (struct soak *k, bool up);
 /** world_check_usage() - compare what accounts are billed with what ran */
 void world_check_usage (struct soak *k);
 
+/* quiet.c: silences and configurations, and nothing else */
+void quiet_tick (struct soak *k, uint64_t now_ms);
+/** quiet_check_used() - whether relays use again what they used before */
+void quiet_check_used (struct soak *k);
+/** quiet_note_used() - remember what is used, and begin to count anew */
+void quiet_note_used (struct soak *k);
+/** quiet_check_logs() - what relays sent again, once they have ended */
+void quiet_check_logs (struct soak *k);
+
 /* operator.c: the operator, and the versions that may be in force */
 void operator_init (struct soak *k);
 void operator_tick (struct soak *k, uint64_t now_ms);
 /** operator_idle_ms() - the idle limit that callers go by */
 uint32_t operator_idle_ms (struct soak *k);
-/** operator_old_idle_ms() - one of the last versions' */
-uint32_t operator_old_idle_ms (struct soak *k);
 /** operator_timeout_ms() - the shortest that may hold for a request */
 uint32_t operator_timeout_ms (struct soak *k, enum soak_kind kind,
 			      uint64_t begun_ms);
--- a/tests/soak/world.c
+++ b/tests/soak/world.c
@@ -1,5 +1,5 @@
 /*
- * Endpoints and the platform, as far as the daemons can tell.
+ * The platform, as far as the daemons can tell.
  */
 #include <arpa/inet.h>
 #include <stdlib.h>
@@ -9,235 +9,8 @@
 
 #include "soak.h"
 
-#define EVENT_MS 15
-#define WORK_MS 10
-#define DRAIN_MS 3000
-
-/* Client accounts are named by this and their number. */
-#define ACCOUNT_PREFIX "acct-"
-
-/* A request at an endpoint. */
-struct job {
-	struct soak_ep *e;
-	struct h1srv_conn *conn;
-	struct soak_req *r;
-	struct tmr tmr;
-	uint32_t next, last; /* events */
-	uint32_t cut_at;     /* breaks off before this event; 0: never */
-	bool streams;
-	bool head_sent;
-};
-
-/* What the answer to @id holds, and how many events its stream has. */
-char *
-soak_answer (const char *id)
-{
-	GString *s = g_string_new (NULL);
-
-	for (int i = 0; i < 20; i++)
-		g_string_append_printf (s, "%s-%d;", id, i);
-	return g_string_free (s, FALSE);
-}
-
-uint32_t
-soak_events (const char *id)
-{
-	return 3 + g_str_hash (id) % 20;
-}
-
-static void
-job_free (struct job *j)
-{
-	tmr_finish (&j->tmr);
-	g_ptr_array_remove_fast (j->e->jobs, j);
-	g_free (j);
-}
-
-static char *
-answer_headers (const struct job *j)
-{
-	return g_strdup_printf ("X-Request-Id: %s\r\n"
-				"X-Response-Seal: %s\r\n",
-				j->r->id, j->e->id);
-}
-
-static void
-job_cut (struct job *j)
-{
-	struct h1srv_conn *c = j->conn;
-
-	h1srv_set_data (c, NULL);
-	job_free (j);
-	h1srv_end (c, false);
-}
-
-static void
-job_plain (struct job *j)
-{
-	char *headers = answer_headers (j), *body = soak_answer (j->r->id);
-	struct h1srv_conn *c = j->conn;
-	struct soak_ep *e = j->e;
-	GString *text;
-
-	h1srv_set_data (c, NULL);
-	job_free (j);
-	if (e->mode == SOAK_FAILS) {
-		h1srv_answer (c, 500, headers, "failed", 6);
-	} else if (e->mode == SOAK_DOUBLES) {
-		text = g_string_new (NULL);
-		h1srv_head (c, 200, headers, text);
-		g_string_append_printf (text, "Content-Length: %zu\r\n\r\n%s",
-					strlen (body), body);
-		h1srv_write (c, text->str, text->len);
-		h1srv_write (c, text->str, text->len);
-		h1srv_end (c, true);
-		g_string_free (text, TRUE);
-	} else {
-		h1srv_answer (c, 200, headers, body, strlen (body));
-	}
-	g_free (headers);
-	g_free (body);
-}
-
-static void
-job_event (struct job *j)
-{
-	GString *out = g_string_new (NULL);
-	struct h1srv_conn *c = j->conn;
-	char *headers = answer_headers (j), event[128];
-	int n;
-
-	if (!j->head_sent) {
-		h1srv_head (c, 200, headers, out);
-		g_string_append (out, "Content-Type: text/event-stream\r\n"
-				      "Transfer-Encoding: chunked\r\n\r\n");
-		j->head_sent = true;
-	}
-	g_free (headers);
-	n = g_snprintf (event, sizeof event, "id: %u\ndata: %s %u\n\n", j->next,
-			j->r->id, j->next);
-	/* Broken off in the middle of an event. */
-	if (j->next == j->cut_at)
-		n /= 2;
-	g_string_append_printf (out, "%x\r\n%.*s\r\n", (unsigned)n, n, event);
-	if (j->next == j->last && j->cut_at == 0)
-		g_string_append (out, "0\r\n\r\n");
-	h1srv_write (c, out->str, out->len);
-	g_string_free (out, TRUE);
-	if (j->next == j->cut_at) {
-		job_cut (j);
-	} else if (j->next++ == j->last) {
-		h1srv_set_data (c, NULL);
-		job_free (j);
-		h1srv_end (c, true);
-	} else {
-		tmr_start (&j->tmr, EVENT_MS);
-	}
-}
-
-static void
-on_job (void *ctx)
-{
-	struct job *j = ctx;
-
-	if (j->e->mode == SOAK_MUTE)
-		return;
-	if (j->e->mode == SOAK_CUTS && !j->streams)
-		job_cut (j);
-	else if (!j->streams || j->e->mode == SOAK_FAILS)
-		job_plain (j);
-	else
-		job_event (j);
-}
-
-/* What an endpoint must never see, and what may run only once. */
-static void
-check_run (struct soak_ep *e, const struct h1_head *h, struct soak_req *r)
-{
-	char *tenant = h1_copy (h1_find (h, "X-Tenant"));
-	char want[16];
-
-	g_snprintf (want, sizeof want, ACCOUNT_PREFIX "%u", r->account);
-	if (h1_find (h, "Authorization") != NULL)
-		soak_wrong (e->k, "an endpoint sees the key of %s", r->id);
-	if (g_strcmp0 (tenant, want) != 0)
-		soak_wrong (e->k, "%s runs for %s, not %s", r->id, tenant,
-			    want);
-	if (r->refused)
-		soak_wrong (e->k, "%s runs after a refusal", r->id);
-	if (!operator_allows (e->k, r->kind, e->number >= SOAK_ENGINES,
-			      r->begun_ms) &&
-	    r->extra < 0 && (r->strict || e->k->calm))
-		soak_wrong (e->k, "%s runs at %s, which is not its service",
-			    r->id, e->id);
-	if (r->runs++ == 0)
-		r->run_wall_ms = tmr_wall_ms ();
-	if (r->runs > 1 && (r->kind == SOAK_ONCE || r->kind == SOAK_STREAM))
-		soak_wrong (e->k, "%s runs %u times", r->id, r->runs);
-	if (e->leaving && e->k->calm && r->begun_ms > e->leaving_ms + DRAIN_MS)
-		soak_wrong (e->k, "%s reaches %s, which left long ago", r->id,
-			    e->id);
-	g_free (tenant);
-}
-
-static void
-on_request (struct h1srv_conn *c, const struct h1_head *h,
-	    const GByteArray *body, void *ctx)
-{
-	struct soak_ep *e = ctx;
-	char *id = h1_copy (h1_find (h, "X-Request-Id"));
-	char *expect = h1_copy (h1_find (h, "X-Expect-Instance"));
-	char *last = h1_copy (h1_find (h, "Last-Event-Id")), *headers;
-	struct soak_req *r =
-		id != NULL ? g_hash_table_lookup (e->k->reqs, id) : NULL;
-	struct job *j;
-
-	(void)body;
-	headers = g_strdup_printf ("X-Instance-Id: %s\r\n", e->id);
-	if (h->path_len == 7 && memcmp (h->path, "/health", 7) == 0) {
-		h1srv_answer (c, 200, headers, "", 0);
-	} else if (expect != NULL && strcmp (expect, e->id) != 0) {
-		h1srv_answer (c, 421, headers, "", 0);
-	} else if (r == NULL) {
-		soak_wrong (e->k, "nobody sent %s", id);
-		h1srv_answer (c, 400, "X-Not-Executed: 1\r\n", "", 0);
-	} else if (e->mode == SOAK_REFUSES) {
-		h1srv_answer (c, 503, "X-Not-Executed: 1\r\n", "", 0);
-	} else {
-		check_run (e, h, r);
-		j = g_new0 (struct job, 1);
-		*j = (struct job){.e = e, .conn = c, .r = r};
-		j->streams = r->kind >= SOAK_STREAM;
-		j->next = last != NULL ? (uint32_t)atoi (last) + 1 : 1;
-		j->last = soak_events (r->id);
-		if (e->mode == SOAK_CUTS && j->streams)
-			j->cut_at = j->next + 1;
-		tmr_init (&j->tmr, e->k->loop, on_job, j);
-		tmr_start (&j->tmr, WORK_MS);
-		g_ptr_array_add (e->jobs, j);
-		h1srv_set_data (c, j);
-	}
-	g_free (headers);
-	g_free (id);
-	g_free (expect);
-	g_free (last);
-}
-
-static void
-on_gone (struct h1srv_conn *c, void *ctx)
-{
-	struct job *j = h1srv_data (c);
-
-	(void)ctx;
-	if (j != NULL)
-		job_free (j);
-}
-
-static const struct h1srv_ops ep_ops = {on_request, on_gone};
-static const struct h1srv_limits limits = {16384, 1 << 20, 5000, 8000};
-
-static struct sockaddr_in
-local (uint16_t port)
+struct sockaddr_in
+world_addr (uint16_t port)
 {
 	struct sockaddr_in a = {.sin_family = AF_INET,
 				.sin_port = htons (port)};
@@ -246,30 +19,6 @@
 	return a;
 }
 
-void
-world_ep_up (struct soak_ep *e)
-{
-	struct sockaddr_in at = local (e->port);
-
-	if (e->up)
-		return;
-	g_snprintf (e->id, sizeof e->id, "ep-%u-%u", e->number, ++e->start);
-	e->leaving = false;
-	e->mode = SOAK_WELL;
-	e->up = h1srv_init (&e->srv, e->k->loop, &at, &limits, &ep_ops, e,
-			    NULL);
-	if (e->up)
-		e->port = e->srv.port;
-}
-
-void
-world_ep_down (struct soak_ep *e)
-{
-	if (e->up)
-		h1srv_finish (&e->srv);
-	e->up = false;
-}
-
 static char *
 list_text (struct soak *k)
 {
@@ -283,7 +32,8 @@
 			"\"127.0.0.1:%u\",\"zone\":\"z%u\",\"slots\":64,"
 			"\"state\":\"%s\",\"cold_remaining_ms\":0}",
 			i > 0 ? "," : "", k->eps[i].id,
-			i < SOAK_ENGINES ? "llm" : "app", k->eps[i].port, i % 2,
+			i < SOAK_ENGINES ? "llm" : "app", k->eps[i].port,
+			i % SOAK_DOMAINS,
 			k->eps[i].leaving ? "draining" : "ready");
 	g_string_append (s, "],\"next\":null}");
 	return g_string_free (s, FALSE);
@@ -387,6 +137,8 @@
 	h1srv_answer (c, 200, NULL, "{}", 2);
 }
 
+static const struct h1srv_limits limits = {16384, 1 << 20, 5000, 8000};
+
 static void
 nobody (struct h1srv_conn *c, void *ctx)
 {
@@ -399,7 +151,7 @@
 void
 world_platform (struct soak *k, bool up)
 {
-	struct sockaddr_in at = local (k->platform.port);
+	struct sockaddr_in at = world_addr (k->platform.port);
 
 	if (up == k->platform_up)
 		return;
@@ -416,6 +168,7 @@
 {
 	k->windows =
 		g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+	k->silences = g_array_new (FALSE, FALSE, sizeof (struct soak_silence));
 	world_platform (k, true);
 	for (uint32_t i = 0; i < SOAK_EPS; i++) {
 		k->eps[i] = (struct soak_ep){.k = k, .number = i};
@@ -429,8 +182,10 @@
 {
 	for (uint32_t i = 0; i < SOAK_EPS; i++) {
 		world_ep_down (&k->eps[i]);
+		h2o_evloop_run (k->eps[i].loop, 0);
 		g_ptr_array_free (k->eps[i].jobs, TRUE);
 	}
 	world_platform (k, false);
 	g_hash_table_destroy (k->windows);
+	g_array_free (k->silences, TRUE);
 }
