--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -137,6 +137,10 @@
 			check_success (r);
 	} else if (r->account == WITHDRAWN && r->status == 401) {
 		k->denied++;
+	} else if (r->crashes) {
+		if (r->ok)
+			soak_wrong (k, "%s is served, which crashes endpoints",
+				    r->id);
 	} else if (r->ok) {
 		check_success (r);
 		k->served++;
@@ -196,6 +200,8 @@
 			       .begun_ms = tmr_now_ms ()};
 	r->heard_ms = r->begun_ms;
 	g_snprintf (r->id, sizeof r->id, "q%u-%u", k->seed, ++k->number);
+	r->path_number = k->number;
+	r->last_segment = g_rand_int (k->traffic);
 	r->first_segment = (uint32_t)g_rand_int_range (k->traffic, 1, 20);
 	r->body = g_string_new (NULL);
 	g_hash_table_insert (k->reqs, r->id, r);
@@ -208,7 +214,11 @@
 	static const uint32_t tokens[] = {400, 3000, 9000};
 	uint32_t shared = tokens[r->first_segment % G_N_ELEMENTS (tokens)];
 	bool get = r->kind == SOAK_REPEATABLE;
-	char path[32];
+	char path[32], middle[32] = "";
+
+	if (r->middle_segment != 0)
+		g_snprintf (middle, sizeof middle, "%x:150,",
+			    r->middle_segment);
 
 	if (r->extra >= 0)
 		g_snprintf (path, sizeof path, "/x%d/", r->extra);
@@ -219,11 +229,12 @@
 		"X-Request-Id: %s\r\nX-Deadline-Ms: %u\r\n"
 		"Authorization: Token key-%u\r\nX-Tenant: forged\r\n"
 		"X-Model: m\r\nX-Token-Usage: %u,50\r\n"
-		"X-Prefix-Hash: %x:%u,%x:200\r\n%s\r\n%s",
-		get ? "GET" : "POST", path, r->k->number, r->id, r->patience_ms,
-		r->account, shared + 200, r->first_segment, shared,
-		g_rand_int (r->k->traffic), get ? "" : "Content-Length: 4\r\n",
-		get ? "" : "body");
+		"X-Prefix-Hash: %x:%u,%s%x:200\r\n%s\r\n%s",
+		get ? "GET" : "POST", path, r->path_number, r->id,
+		r->patience_ms, r->account,
+		shared + (r->middle_segment != 0 ? 350 : 200), r->first_segment,
+		shared, middle, r->last_segment,
+		get ? "" : "Content-Length: 4\r\n", get ? "" : "body");
 }
 
 void
--- /dev/null
+++ b/tests/soak/crash.c
@@ -0,0 +1,172 @@
+/*
+ * Requests that crash the endpoints that begin to answer them: those with one
+ * segment in their prompt, no two of them alike otherwise, or one request that
+ * comes again and again.  Sound ones share their account and their first
+ * segment.
+ */
+#include <string.h>
+
+#include "soak.h"
+
+/* Where the rules say contact_ms. */
+#define CONTACT_MS 3000
+
+/* Crashes after which the cause is to be known, for a segment and a request. */
+#define SEGMENT_CRASHES 5
+#define REQUEST_CRASHES 3
+
+#define LATE_MAX 3 /* requests that still reach endpoints then */
+
+#define UP_AGAIN_MS 2000
+#define RATE_MS 2000      /* in which sound ones are counted */
+#define PATIENCE_MS 20000 /* for the crashes */
+
+#define ACCOUNT 0
+#define FIRST_SEGMENT 7
+#define BAD_SEGMENT 0xbad00U
+
+static void
+start_bad (struct soak *k)
+{
+	enum soak_kind kind = (enum soak_kind)g_rand_int_range (
+		k->rand, SOAK_STREAM, SOAK_KINDS);
+	struct soak_req *r;
+
+	if (k->crash.what == SOAK_CRASH_REQUEST)
+		kind = k->crash.kind;
+	r = callers_new (k,
+			 (uint32_t)g_rand_int_range (k->rand, 0, SOAK_RELAYS),
+			 kind, ACCOUNT);
+	r->crashes = true;
+	r->first_segment = FIRST_SEGMENT;
+	r->middle_segment = BAD_SEGMENT + k->seed;
+	if (k->crash.what == SOAK_CRASH_REQUEST) {
+		r->path_number = 0;
+		r->last_segment = k->seed;
+	}
+	callers_start (r);
+}
+
+static void
+start_sound (struct soak *k)
+{
+	struct soak_req *r = callers_new (
+		k, (uint32_t)g_rand_int_range (k->rand, 0, SOAK_RELAYS),
+		(enum soak_kind)g_rand_int_range (k->rand, SOAK_STREAM,
+						  SOAK_KINDS),
+		ACCOUNT);
+
+	r->sound = true;
+	r->first_segment = FIRST_SEGMENT;
+	r->middle_segment = (uint32_t)g_rand_int_range (k->rand, 30, 34);
+	callers_start (r);
+}
+
+void
+crash_tick (struct soak *k, uint64_t now_ms)
+{
+	if (now_ms >= k->crash.next_sound_ms) {
+		k->crash.next_sound_ms = now_ms + 25;
+		start_sound (k);
+	}
+	if (k->crash.next_bad_ms != 0 && now_ms >= k->crash.next_bad_ms) {
+		k->crash.next_bad_ms =
+			now_ms + (uint64_t)g_rand_int_range (k->rand, 200, 500);
+		start_bad (k);
+	}
+	for (int i = 0; i < SOAK_EPS; i++) {
+		struct soak_ep *e = &k->eps[i];
+
+		if (!e->up && now_ms >= e->up_at_ms)
+			world_ep_up (e);
+	}
+}
+
+/* All its connections are reset, its listener closes, and it comes back under
+ * another id. */
+void
+crash_ep (struct soak_ep *e)
+{
+	struct soak *k = e->k;
+	uint64_t now_ms = tmr_now_ms ();
+
+	e->crashing = false;
+	e->up_at_ms = now_ms + UP_AGAIN_MS;
+	world_ep_down (e);
+	if (++k->crash.crashes == (k->crash.what == SOAK_CRASH_SEGMENT
+					   ? SEGMENT_CRASHES
+					   : REQUEST_CRASHES))
+		k->crash.known_ms = now_ms;
+}
+
+void
+crash_reached (struct soak_ep *e, struct soak_req *r)
+{
+	struct soak *k = e->k;
+
+	if (!r->crashes)
+		return;
+	k->crash.reached++;
+	if (k->crash.known_ms == 0 ||
+	    tmr_now_ms () < k->crash.known_ms + CONTACT_MS ||
+	    (r->late && k->crash.what == SOAK_CRASH_SEGMENT))
+		return;
+	r->late = true;
+	k->crash.late++;
+}
+
+/* Sound requests that are served, of those that begin in a while. */
+static uint32_t
+count_sound (struct soak *k)
+{
+	uint64_t from_ms = tmr_now_ms (), to_ms = from_ms + RATE_MS;
+	uint32_t served = 0;
+	GHashTableIter it;
+	void *value;
+
+	/* The last of them need some time. */
+	soak_run_for (k, RATE_MS + 500, false);
+	g_hash_table_iter_init (&it, k->reqs);
+	while (g_hash_table_iter_next (&it, NULL, &value)) {
+		const struct soak_req *r = value;
+
+		served += r->sound && r->ok && r->begun_ms >= from_ms &&
+			  r->begun_ms < to_ms;
+	}
+	return served;
+}
+
+void
+crash_play (struct soak *k)
+{
+	uint64_t end_ms;
+
+	k->crash.on = true;
+	k->crash.kind = (enum soak_kind[]){SOAK_STREAM, SOAK_RESUMABLE,
+					   SOAK_REPEATABLE}[k->seed / 2 % 3];
+	k->crash.head = k->seed % 2 == 0;
+	k->crash.usual = count_sound (k);
+	k->crash.next_bad_ms = tmr_now_ms ();
+	end_ms = tmr_now_ms () + PATIENCE_MS;
+	while (k->crash.known_ms == 0 && tmr_now_ms () < end_ms)
+		soak_run_for (k, 10, false);
+	end_ms = tmr_now_ms () + 2 * CONTACT_MS;
+	while (tmr_now_ms () < end_ms)
+		soak_run_for (k, 10, false);
+	k->crash.after = count_sound (k);
+	if (k->crash.crashes == 0)
+		soak_wrong (k, "no endpoint crashed");
+	if (k->crash.late > LATE_MAX)
+		soak_wrong (k,
+			    "%u requests that crash endpoints reach them later "
+			    "than %d ms after crash %d",
+			    k->crash.late, CONTACT_MS,
+			    k->crash.what == SOAK_CRASH_SEGMENT
+				    ? SEGMENT_CRASHES
+				    : REQUEST_CRASHES);
+	if (k->crash.after * 2 < k->crash.usual)
+		soak_wrong (k,
+			    "%u sound requests are served in %d ms, %u before "
+			    "the crashes",
+			    k->crash.after, RATE_MS, k->crash.usual);
+}
--- a/tests/soak/endpoints.c
+++ b/tests/soak/endpoints.c
@@ -218,6 +218,22 @@
 	g_free (headers);
 }
 
+/* The endpoint goes down once its loop's turn is over. */
+static void
+job_crash (struct job *j)
+{
+	GString *out = g_string_new (NULL);
+
+	if (j->e->k->crash.head && j->streams && !j->head_sent) {
+		event_head (j, out);
+		h1srv_write (j->conn, out->str, out->len);
+		tmr_start (&j->tmr, WORK_MS);
+	} else {
+		j->e->crashing = true;
+	}
+	g_string_free (out, TRUE);
+}
+
 static void
 on_job (void *ctx)
 {
@@ -230,6 +246,8 @@
 		job_unrun (j);
 	else if (j->e->mode == SOAK_MUTE)
 		return;
+	else if (j->r->crashes)
+		job_crash (j);
 	else if (!j->streams && j->head_sent)
 		job_cut (j);
 	else if (j->e->mode == SOAK_CUTS && !j->streams)
@@ -314,6 +332,8 @@
 	int status = 0;
 
 	(void)body;
+	if (r != NULL)
+		crash_reached (e, r);
 	if (h->path_len == 7 && memcmp (h->path, "/health", 7) == 0) {
 		status = 200;
 	} else if (expect != NULL && strcmp (expect, e->id) != 0) {
@@ -400,5 +420,7 @@
 
 		if (e->reads || !e->up || now_ms >= e->silent_until_ms)
 			h2o_evloop_run (e->loop, 0);
+		if (e->crashing)
+			crash_ep (e);
 	}
 }
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -44,6 +44,8 @@
 
 	tmr_start (&k->tick, SOAK_TICK_MS);
 	procs_tick (k, now_ms);
+	if (k->crash.on)
+		crash_tick (k, now_ms);
 	if (k->next_silence_ms != 0)
 		quiet_tick (k, now_ms);
 	cut_tick (k, now_ms);
@@ -137,7 +139,8 @@
 static void
 play (struct soak *k, uint64_t fault_ms, const char *what)
 {
-	bool faults = fault_ms > 0 && strchr (what, 'q') == NULL;
+	bool faults = fault_ms > 0 && strchr (what, 'q') == NULL &&
+		      k->crash.what == SOAK_CRASH_NONE;
 
 	k->loop = h2o_evloop_create ();
 	k->rand = g_rand_new_with_seed (k->seed);
@@ -159,13 +162,16 @@
 		play_errors (k);
 	if (strchr (what, 'q') != NULL)
 		play_quiet (k, fault_ms);
+	if (k->crash.what != SOAK_CRASH_NONE)
+		crash_play (k);
 	k->next_fault_ms = faults ? tmr_now_ms () : 0;
 	soak_run_for (k, faults ? fault_ms : 0, false);
 	k->next_fault_ms = 0;
 	procs_heal (k);
 	soak_run_for (k, faults ? HEAL_MS : what[0] == 0 ? 500 : 0, false);
 	k->calm = true;
-	judge (k);
+	if (k->crash.what == SOAK_CRASH_NONE)
+		judge (k);
 	if (strchr (what, 'q') != NULL)
 		quiet_check_used (k);
 	tmr_finish (&k->tick);
@@ -187,7 +193,7 @@
 	char what[8] = "";
 	int c;
 
-	while ((c = getopt (argc, argv, "s:t:b:preq")) != -1) {
+	while ((c = getopt (argc, argv, "s:t:b:preqx:")) != -1) {
 		if (c == 's')
 			k.seed = (uint32_t)strtoul (optarg, NULL, 10);
 		else if (c == 't')
@@ -196,6 +202,10 @@
 			k.bin = optarg;
 		else if (strchr ("req", c) != NULL)
 			what[strlen (what) % 7] = (char)c;
+		else if (c == 'x' && strcmp (optarg, "segment") == 0)
+			k.crash.what = SOAK_CRASH_SEGMENT;
+		else if (c == 'x' && strcmp (optarg, "request") == 0)
+			k.crash.what = SOAK_CRASH_REQUEST;
 		else if (c == 'p')
 			return printf ("%u\n", procs_free_port ()) < 0;
 		else
@@ -210,6 +220,12 @@
 		k.seed, k.wrong == 0 ? "passed" : "FAILED", k.served, k.refused,
 		k.failed, k.faults, k.acked, k.wrong == 0 ? "" : "; logs in ",
 		k.wrong == 0 ? "" : k.dir);
+	if (k.crash.on)
+		printf ("seed %u: %u crashes; %u requests that crash reached "
+			"endpoints, %u of them late; sound ones served %u, "
+			"before %u\n",
+			k.seed, k.crash.crashes, k.crash.reached, k.crash.late,
+			k.crash.after, k.crash.usual);
 	if (k.quiet.begun_wall_ms != 0)
 		printf ("seed %u: %u silences; relays sent %u again, endpoints "
 			"ran %u again; %u refused, %u errors; %u used again "
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -51,6 +51,13 @@
 	SOAK_MODES,
 };
 
+/** enum soak_crash - what crashes endpoints */
+enum soak_crash {
+	SOAK_CRASH_NONE,
+	SOAK_CRASH_SEGMENT, /* each request with a segment */
+	SOAK_CRASH_REQUEST, /* one request that comes again */
+};
+
 /** struct soak_req - a request, as its caller and the endpoints saw it */
 struct soak_req {
 	struct soak *k;
@@ -67,7 +74,11 @@
 	int extra;   /* the route that comes and goes; -1: none */
 	bool reused; /* its connection was kept */
 	uint32_t rested_ms, idle_limit_ms;
-	uint32_t patience_ms, first_segment;
+	uint32_t patience_ms;
+	uint32_t path_number, first_segment, middle_segment, last_segment;
+	bool crashes; /* who begins to answer it */
+	bool sound;   /* it looks much like one that does */
+	bool late;    /* it reached an endpoint when it should not */
 	int status;
 	uint64_t heard_ms;
 	GString *body;
@@ -88,6 +99,8 @@
 	enum soak_mode mode;
 	GPtrArray *jobs;
 	h2o_loop_t *loop;
+	bool crashing;
+	uint64_t up_at_ms;
 	uint64_t silent_until_ms;  /* it writes nothing before, then goes on */
 	bool reads;                /* meanwhile */
 	uint32_t ran[SOAK_RELAYS]; /* of each relay, since they were reset */
@@ -175,6 +188,16 @@
 		uint32_t resends; /* by relays */
 		uint32_t reruns;  /* seen by endpoints */
 	} quiet; /* silences and configurations, and nothing else */
+	struct {
+		bool on;
+		enum soak_crash what;
+		enum soak_kind kind; /* of the one request */
+		bool head;           /* is sent before the crash */
+		uint32_t crashes, reached, late;
+		uint64_t known_ms; /* what crashes them is to be known */
+		uint64_t next_sound_ms, next_bad_ms;
+		uint32_t usual, after; /* sound requests served */
+	} crash;
 	struct h1cli *put;
 	GString *get_text;
 	uint32_t put_to;
@@ -222,6 +245,13 @@
 /** quiet_check_logs() - what relays sent again, once they have ended */
 void quiet_check_logs (struct soak *k);
 
+/* crash.c: requests that crash endpoints */
+void crash_tick (struct soak *k, uint64_t now_ms);
+void crash_ep (struct soak_ep *e);
+/** crash_reached() - an endpoint got a request */
+void crash_reached (struct soak_ep *e, struct soak_req *r);
+void crash_play (struct soak *k);
+
 /* operator.c: the operator, and the versions that may be in force */
 void operator_init (struct soak *k);
 void operator_tick (struct soak *k, uint64_t now_ms);
