fleet: a domain whose endpoints accept connections is not cut off

Cause: a probe that connects and is not answered within 700 ms counted as one that reaches nothing, and two of them as a cut.

Change: only probes without a connection do. A stalled endpoint is still left after 1.5 s of silence and a failed probe of either kind. A domain of which no packet comes back is left as before.

--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -101,6 +101,7 @@
 	uint64_t last_heard_ms; /* when bytes from it arrived last */
 	bool suspect_by_domain; /* suspect with its domain: fleet_suspect() */
 	bool probe_failed;      /* since it became suspect */
+	bool probe_unreached;   /* the same, and no connection was made */
 	bool cut_off;           /* see fleet_is_cut_off() */
 	bool stalled;           /* see fleet_next_stalled() */
 	uint64_t probe_at_ms;   /* next probe of a suspect endpoint */
@@ -369,10 +370,22 @@
  * failed: what runs there should run elsewhere if it can */
 bool fleet_is_cut_off (const struct fleet_ep *ep, uint64_t now_ms);
 
-/** fleet_probed() - record the result of a probe of a suspect endpoint: it is
- * healthy again, or is probed again after a longer pause */
-void fleet_probed (struct fleet *f, struct fleet_ep *ep, bool success,
-		   uint64_t now_ms);
+/** enum fleet_probe - result of a probe */
+enum fleet_probe {
+	FLEET_PROBE_UNREACHED, /* no connection was made */
+	FLEET_PROBE_HEALTHY,
+	FLEET_PROBE_UNHEALTHY, /* connected, but no answer or a bad one */
+};
+
+/**
+ * fleet_probed() - record the result of a probe of a suspect endpoint
+ *
+ * It is healthy again, or is probed again after a longer pause.  Only probes
+ * that reach nothing show that the link to a domain is cut: an endpoint that
+ * accepts connections may be silent for a moment and go on.
+ */
+void fleet_probed (struct fleet *f, struct fleet_ep *ep,
+		   enum fleet_probe result, uint64_t now_ms);
 
 /** fleet_heard() - record that bytes of an answer arrived from @ep */
 void fleet_heard (struct fleet_ep *ep, uint64_t now_ms);
--- a/lib/fleet_health.c
+++ b/lib/fleet_health.c
@@ -89,7 +89,7 @@
 			continue;
 		e->health = FLEET_SUSPECT;
 		e->suspect_by_domain = true;
-		e->probe_failed = false;
+		e->probe_failed = e->probe_unreached = false;
 		e->suspect_since_ms = now_ms;
 		e->probe_backoff_ms = PROBE_FIRST_MS;
 		e->probe_at_ms = now_ms;
@@ -123,7 +123,8 @@
 	if (ep->health == FLEET_SUSPECT && !ep->suspect_by_domain)
 		return;
 	ep->health = FLEET_SUSPECT;
-	ep->suspect_by_domain = ep->probe_failed = ep->stalled = false;
+	ep->suspect_by_domain = ep->stalled = false;
+	ep->probe_failed = ep->probe_unreached = false;
 	ep->suspect_since_ms = now_ms;
 	ep->probe_backoff_ms = PROBE_FIRST_MS;
 	ep->probe_at_ms = now_ms + ep->probe_backoff_ms;
@@ -222,10 +223,11 @@
 {
 	uint32_t failed = 0;
 
+	ep->probe_unreached = true;
 	for (guint i = 0; i < f->eps->len; i++) {
 		const struct fleet_ep *e = g_ptr_array_index (f->eps, i);
 
-		failed += e->suspect_by_domain && e->probe_failed &&
+		failed += e->suspect_by_domain && e->probe_unreached &&
 			  same_domain (e, ep);
 	}
 	for (guint i = 0; i < f->eps->len && failed >= CUT_PROBES; i++) {
@@ -244,10 +246,10 @@
 }
 
 void
-fleet_probed (struct fleet *f, struct fleet_ep *ep, bool success,
+fleet_probed (struct fleet *f, struct fleet_ep *ep, enum fleet_probe result,
 	      uint64_t now_ms)
 {
-	if (success) {
+	if (result == FLEET_PROBE_HEALTHY) {
 		if (ep->on_trial && ep->trial_end_ms == 0)
 			ep->trial_end_ms = now_ms + TRIAL_MAX_MS;
 		ep->health = FLEET_HEALTHY;
@@ -259,7 +261,7 @@
 	ep->probe_backoff_ms = MIN (ep->probe_backoff_ms * 2, PROBE_MAX_MS);
 	ep->probe_at_ms = now_ms + ep->probe_backoff_ms;
 	ep->probe_failed = true;
-	if (ep->suspect_by_domain)
+	if (ep->suspect_by_domain && result == FLEET_PROBE_UNREACHED)
 		note_failed_probe (f, ep);
 }
 
--- a/relayd/upstream.c
+++ b/relayd/upstream.c
@@ -118,7 +118,11 @@
 		fleet_retire (u->ep);
 	if (healthy && u->probe_answer.cold_ms > 0)
 		fleet_set_cold (u->ep, u->probe_answer.cold_ms, now_ms);
-	fleet_probed (&u->r->fleet, u->ep, healthy, now_ms);
+	fleet_probed (&u->r->fleet, u->ep,
+		      healthy               ? FLEET_PROBE_HEALTHY
+		      : end == H1CLI_UNSENT ? FLEET_PROBE_UNREACHED
+					    : FLEET_PROBE_UNHEALTHY,
+		      now_ms);
 	u->r->load_changed = true; /* load reports name suspect endpoints */
 }
 
@@ -155,9 +159,14 @@
 
 	if (u->probe != NULL &&
 	    now_ms - u->probe_started_ms > PROBE_TIMEOUT_MS) {
+		bool reached = h1cli_sent (u->probe);
+
 		h1cli_cancel (u->probe);
 		u->probe = NULL;
-		fleet_probed (&u->r->fleet, u->ep, false, now_ms);
+		fleet_probed (&u->r->fleet, u->ep,
+			      reached ? FLEET_PROBE_UNHEALTHY
+				      : FLEET_PROBE_UNREACHED,
+			      now_ms);
 	}
 	if (u->probe != NULL || u->ep->health == FLEET_HEALTHY ||
 	    !u->ep->listed || u->ep->leaving || now_ms < u->ep->probe_at_ms ||
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -126,12 +126,12 @@
 	CU_ASSERT (!fleet_usable (&f, ep, 1000));
 	first_ms = ep->probe_at_ms;
 	CU_ASSERT (first_ms > 1000 && first_ms < 1500);
-	fleet_probed (&f, ep, false, first_ms);
+	fleet_probed (&f, ep, FLEET_PROBE_UNREACHED, first_ms);
 	CU_ASSERT (ep->probe_at_ms - first_ms > first_ms - 1000);
 	for (int k = 0; k < 20; k++)
-		fleet_probed (&f, ep, false, 5000);
+		fleet_probed (&f, ep, FLEET_PROBE_UNREACHED, 5000);
 	CU_ASSERT (ep->probe_at_ms <= 7000);
-	fleet_probed (&f, ep, true, 7000);
+	fleet_probed (&f, ep, FLEET_PROBE_HEALTHY, 7000);
 	CU_ASSERT (fleet_usable (&f, ep, 7000));
 	fleet_finish (&f);
 }
@@ -366,9 +366,9 @@
 	CU_ASSERT (fleet_ready_count (&f, 2450) == 6);
 	CU_ASSERT (probes_due (&f, 2450) == 2);
 	/* An endpoint that fails its probe stays suspect. */
-	fleet_probed (&f, fleet_find (&f, "n3"), false, 2750);
+	fleet_probed (&f, fleet_find (&f, "n3"), FLEET_PROBE_UNREACHED, 2750);
 	CU_ASSERT (fleet_ready_count (&f, 2750) == 6);
-	fleet_probed (&f, fleet_find (&f, "n0"), true, 5000);
+	fleet_probed (&f, fleet_find (&f, "n0"), FLEET_PROBE_HEALTHY, 5000);
 	CU_ASSERT (fleet_ready_count (&f, 5000) == 10);
 	fleet_finish (&f);
 }
@@ -391,7 +391,7 @@
 	fleet_suspect (&f, fleet_find (&f, "s1"), 3000);
 	fleet_suspect (&f, fleet_find (&f, "s2"), 3000);
 	CU_ASSERT (fleet_ready_count (&f, 3000) == 3);
-	fleet_probed (&f, fleet_find (&f, "s3"), true, 3003);
+	fleet_probed (&f, fleet_find (&f, "s3"), FLEET_PROBE_HEALTHY, 3003);
 	CU_ASSERT (fleet_ready_count (&f, 3003) == 6);
 	/* Failures far apart in time are not a cut. */
 	fleet_suspect (&f, fleet_find (&f, "s3"), 9000);
@@ -439,15 +439,17 @@
 	CU_ASSERT (probes_due (&f, suspect_ms) == 2);
 	now_ms = suspect_ms + probe_ms;
 	/* One failed probe may be a crash, two are a cut. */
-	fleet_probed (&f, fleet_find (&f, "n0"), false, suspect_ms + 10);
+	fleet_probed (&f, fleet_find (&f, "n0"), FLEET_PROBE_UNREACHED,
+		      suspect_ms + 10);
 	CU_ASSERT (!fleet_is_cut_off (fleet_find (&f, "n5"), now_ms));
-	fleet_probed (&f, fleet_find (&f, "n1"), false, suspect_ms + probe_ms);
+	fleet_probed (&f, fleet_find (&f, "n1"), FLEET_PROBE_UNREACHED,
+		      suspect_ms + probe_ms);
 	CU_ASSERT (fleet_is_cut_off (fleet_find (&f, "n5"), now_ms) &&
 		   !fleet_is_cut_off (fleet_find (&f, "s5"), now_ms));
 	/* An endpoint that still sends is not left. */
 	fleet_heard (fleet_find (&f, "n4"), now_ms - 10);
 	CU_ASSERT (!fleet_is_cut_off (fleet_find (&f, "n4"), now_ms));
-	fleet_probed (&f, fleet_find (&f, "n1"), true, 7000);
+	fleet_probed (&f, fleet_find (&f, "n1"), FLEET_PROBE_HEALTHY, 7000);
 	CU_ASSERT (!fleet_is_cut_off (fleet_find (&f, "n5"), now_ms) &&
 		   fleet_ready_count (&f, 7000) == 12);
 	fleet_finish (&f);
@@ -490,17 +492,17 @@
 	pause_ms = ep->probe_backoff_ms;
 	CU_ASSERT (!fleet_usable (&f, ep, 2000) &&
 		   fleet_is_reported (ep, 2000));
-	fleet_probed (&f, ep, true, 2250);
+	fleet_probed (&f, ep, FLEET_PROBE_HEALTHY, 2250);
 	CU_ASSERT (fleet_usable (&f, ep, 2250) && fleet_on_trial (ep, 2250) &&
 		   fleet_is_reported (ep, 2250));
 	fleet_broke_request (&f, ep, 2300);
 	CU_ASSERT (ep->probe_backoff_ms == 2 * pause_ms &&
 		   ep->probe_at_ms == 2300 + 2 * pause_ms);
-	fleet_probed (&f, ep, true, 2800);
+	fleet_probed (&f, ep, FLEET_PROBE_HEALTHY, 2800);
 	fleet_answered (ep);
 	CU_ASSERT (!fleet_on_trial (ep, 2810) && !fleet_is_reported (ep, 2810));
 	fleet_broke_request (&f, ep, 3000);
-	fleet_probed (&f, ep, true, 3250);
+	fleet_probed (&f, ep, FLEET_PROBE_HEALTHY, 3250);
 	CU_ASSERT (fleet_on_trial (ep, 8000) && !fleet_on_trial (ep, 9000));
 	fleet_finish (&f);
 }
--- a/tests/test_fleet_stall.c
+++ b/tests/test_fleet_stall.c
@@ -66,12 +66,12 @@
 	CU_ASSERT (!fleet_usable (&f, ep, at_ms) && ep->probe_at_ms == at_ms);
 	CU_ASSERT (!fleet_is_cut_off (ep, at_ms + 100));
 	/* It goes on. */
-	fleet_probed (&f, ep, true, at_ms + 200);
+	fleet_probed (&f, ep, FLEET_PROBE_HEALTHY, at_ms + 200);
 	CU_ASSERT (fleet_usable (&f, ep, at_ms + 200) &&
 		   !fleet_is_cut_off (ep, at_ms + 600));
 	/* It does not. */
 	CU_ASSERT (check (&f, at_ms + 200 + FLEET_STALL_MS) == ep);
-	fleet_probed (&f, ep, false, at_ms + 2000);
+	fleet_probed (&f, ep, FLEET_PROBE_UNREACHED, at_ms + 2000);
 	CU_ASSERT (fleet_is_cut_off (ep, at_ms + 2000));
 	CU_ASSERT (fleet_ready_count (&f, at_ms + 2000) == 1);
 	fleet_heard (ep, at_ms + 2100);
@@ -91,11 +91,39 @@
 	ep = fleet_find (&f, "a");
 	give_work (ep, 0, 2000);
 	fleet_suspect (&f, ep, 2100);
-	fleet_probed (&f, ep, false, 2400);
+	fleet_probed (&f, ep, FLEET_PROBE_UNREACHED, 2400);
 	CU_ASSERT (!fleet_is_cut_off (ep, 3000));
 	fleet_finish (&f);
 }
 
+/* All endpoints of a domain are silent for a moment, but accept connections. */
+static void
+test_silent_domain_that_accepts_connections_is_not_cut_off (void)
+{
+	struct fleet_info list[4] = {0};
+	struct fleet f;
+
+	for (int i = 0; i < 4; i++) {
+		g_snprintf (list[i].id, sizeof list[i].id, "e%d", i);
+		g_strlcpy (list[i].service, "s", sizeof list[i].service);
+		g_strlcpy (list[i].domain, "d", sizeof list[i].domain);
+		g_strlcpy (list[i].addr, "1.1.1.1:1", sizeof list[i].addr);
+	}
+	fleet_init (&f, NULL, NULL);
+	fleet_set_list (&f, list, 4, 1000, 0);
+	for (guint i = 0; i < f.eps->len; i++)
+		give_work (f.eps->pdata[i], 1, 2000);
+	fleet_check_silence (&f, 2250);
+	CU_ASSERT (fleet_check_silence (&f, 2350) != NULL);
+	for (guint i = 0; i < 2; i++)
+		fleet_probed (&f, f.eps->pdata[i], FLEET_PROBE_UNHEALTHY, 3050);
+	CU_ASSERT (!fleet_is_cut_off (f.eps->pdata[3], 3100));
+	for (guint i = 0; i < 2; i++)
+		fleet_probed (&f, f.eps->pdata[i], FLEET_PROBE_UNREACHED, 3550);
+	CU_ASSERT (fleet_is_cut_off (f.eps->pdata[3], 3600));
+	fleet_finish (&f);
+}
+
 /* The client reads slowly, or this process did not run. */
 static void
 test_silence_of_our_own_making (void)
@@ -123,6 +151,8 @@
 		{"a second", test_second_of_silence_is_no_loss},
 		{"stalled", test_stalled_endpoint_is_asked_before_it_is_left},
 		{"failed probe", test_failed_probe_alone_is_no_reason_to_leave},
+		{"silent domain",
+		 test_silent_domain_that_accepts_connections_is_not_cut_off},
 		{"our own making", test_silence_of_our_own_making},
 		{NULL, NULL}};
 
