test_platform_list: two findings of the linter

A first value that was never read, and a long address in two parts that looks like a missing comma; it is one text of 64 bytes now, still too long.

--- a/tests/test_platform_list.c
+++ b/tests/test_platform_list.c
@@ -63,7 +63,7 @@
 {
 	GArray *out = g_array_new (FALSE, TRUE, sizeof (struct fleet_info));
 	GString *page = g_string_new ("{\"instances\":[" ENTRY ("a", "") ",");
-	const struct fleet_info *i = (const struct fleet_info *)out->data;
+	const struct fleet_info *i;
 	struct err e = {0};
 	struct dia_skipped skipped = {0};
 	char *next = NULL;
@@ -210,6 +210,9 @@
 	}
 }
 
+#define LONG_ADDRESS                                                           \
+	"10.0.0.9:00000000000000000000000000000000000000000000000000000080"
+
 /* An address at which no server can be was listed as one: relays sent requests
  * there, at 0.0.0.0 to themselves. */
 static void
@@ -240,8 +243,7 @@
 		"0.0.0.0:80",
 		"255.255.255.255:80",
 		"224.0.0.1:80",
-		"10.0.0.9:0000000000000000000000000000000000000000000000000000"
-		"00000000000000000000080",
+		LONG_ADDRESS,
 	};
 
 	for (unsigned k = 0; k < G_N_ELEMENTS (odd); k++) {
