--- a/tests/test_relay_stream.c
+++ b/tests/test_relay_stream.c
@@ -124,6 +124,65 @@
 	}
 }
 
+/* A stream that may not run again ends whole where its endpoint ended it. */
+static void
+test_stream_that_breaks_off (void)
+{
+	static const struct {
+		const char *what, *text;
+		enum after after;
+		const char *body;
+		bool whole;
+	} cases[] = {
+		{"up to the connection's end", TO_THE_END E0 E1, FIN, E0 E1,
+		 true},
+		{"up to a reset", TO_THE_END E0 E1, RST, E0 E1, false},
+		{"up to the end, in an event", TO_THE_END E0 "id: 1\n", FIN, E0,
+		 false},
+		{"by chunks",
+		 STREAM "Transfer-Encoding: chunked\r\n\r\n"
+			"f\r\n" E0 "\r\n0\r\n\r\n",
+		 KEEP, E0, true},
+		{"by chunks, in an event",
+		 STREAM "Transfer-Encoding: chunked\r\n\r\n"
+			"15\r\n" E0 "id: 1\n\r\n0\r\n\r\n",
+		 KEEP, E0, false},
+		{"by chunks, without the last",
+		 STREAM "Transfer-Encoding: chunked\r\n\r\n"
+			"f\r\n" E0 "\r\n",
+		 FIN, E0, false},
+		{"by length, cut", STREAM "Content-Length: 30\r\n\r\n" E0, FIN,
+		 E0, false},
+		{"by chunks, then another head",
+		 STREAM "Transfer-Encoding: chunked\r\n\r\n"
+			"f\r\n" E0 "\r\n" FULL "\r\n",
+		 KEEP, E0, false},
+	};
+
+	for (unsigned i = 0; i < G_N_ELEMENTS (cases); i++) {
+		const struct answer script[ANSWERS_MAX] = {
+			{cases[i].text, cases[i].after, false, false}};
+		struct world w;
+		char *body;
+
+		world_init (&w, "app", ENDPOINTS);
+		world_ask (&w, "POST", "/s/a", "r1", script);
+		body = world_body (&w);
+		if (world_is_whole (&w) != cases[i].whole)
+			g_print ("%s: \"%s\"\n", cases[i].what, w.got->str);
+		/* A cut drops what the client has not taken. */
+		CU_ASSERT (
+			g_str_has_prefix (cases[i].body, body) &&
+			(!cases[i].whole || strcmp (body, cases[i].body) == 0));
+		CU_ASSERT (world_status (&w) == 200);
+		CU_ASSERT (world_is_whole (&w) == cases[i].whole &&
+			   w.reset == !cases[i].whole);
+		g_free (body);
+		CU_ASSERT (w.answered == 1);
+		world_finish (&w);
+	}
+}
+
 /* On a stream's route an answer that is no stream is passed on as it is. */
 static void
 test_answer_that_is_no_stream (void)
@@ -215,6 +274,7 @@
 {
 	static const struct t_case cases[] = {
 		{"error in a resumed stream", test_error_in_a_resumed_stream},
+		{"stream that breaks off", test_stream_that_breaks_off},
 		{"answer that is no stream", test_answer_that_is_no_stream},
 		{"copy while the engine may run",
 		 test_copy_while_the_engine_may_run},
