relayd: a failed attempt's log line names endpoint and prompt segments

What the logs could not tell: which prompt segments the requests held that broke their endpoint, so that "one segment", "one request", "one caller" and "endpoints that crash by themselves" looked alike. attempt-failed named neither segments nor the endpoint. Ruled out by the old lines alone, joined over `send`: endpoints lost without a request of theirs in flight before its answer began. So the culprit is among the requests before their first event. Change: ep= and segments= (all but the last, at most 8) on attempt-failed. Run: e2e_relay passes.

--- a/relayd/call.c
+++ b/relayd/call.c
@@ -18,6 +18,9 @@
  * above this, and continues below half of it. */
 #define PENDING_MAX_BYTES (256U << 10)
 
+/* Segment ids in a log line. */
+#define LOGGED_SEGMENTS_MAX 8
+
 static uint64_t
 remaining_ms (const struct call *c, uint64_t now_ms)
 {
@@ -297,19 +300,38 @@
 			     now_ms);
 }
 
+/* Prints the ids of the prompt segments that other requests may share. */
+static void
+print_shared_segments (const struct call *c, char *out, size_t size)
+{
+	size_t len = 0;
+
+	out[0] = '\0';
+	for (uint32_t i = 0; i + 1 < c->req.segment_count &&
+			     i < LOGGED_SEGMENTS_MAX && len < size;
+	     i++)
+		len += (size_t)g_snprintf (
+			out + len, size - len, "%s%" G_GINT64_MODIFIER "x",
+			i > 0 ? "," : "", c->req.segments[i].id);
+}
+
 /* Ends the attempt, whose exchange is over, and does what @v says. */
 static void
 end_attempt (struct call *c, const struct failover_input *f,
 	     enum failover_action v, uint64_t now_ms)
 {
+	char segments[LOGGED_SEGMENTS_MAX * 17];
+
+	print_shared_segments (c, segments, sizeof segments);
 	log_event (LOG_LV_INFO, "attempt-failed",
-		   "req=%s verdict=%s status=%d sent=%d not_run=%d "
+		   "req=%s verdict=%s ep=%s status=%d sent=%d not_run=%d "
 		   "headers_sent=%d maybe_run=%u attempts=%u "
-		   "cut_off=%d remaining_ms=%" G_GUINT64_FORMAT,
-		   c->req.id, failover_action_name (v), c->status, f->sent,
+		   "cut_off=%d segments=%s remaining_ms=%" G_GUINT64_FORMAT,
+		   c->req.id, failover_action_name (v),
+		   c->ep != NULL ? c->ep->info.id : "", c->status, f->sent,
 		   f->not_run, f->response_started, f->possible_runs,
 		   f->attempt_count,
-		   c->ep != NULL && fleet_is_cut_off (c->ep, now_ms),
+		   c->ep != NULL && fleet_is_cut_off (c->ep, now_ms), segments,
 		   f->remaining_ms);
 	if (v == FAILOVER_RETRY || v == FAILOVER_RETRY_UNSENT) {
 		c->r->stats.retries++;
