test_blame: requests that crash endpoints reach others without end (red)

A simulation of nine relays, three members and 18 endpoints: sound requests at 70/s, and requests with one more segment at 1 to 10/s, at any relay, that crash the endpoint as its answer begins; and the same request sent again and again. lib/blame is only its interface here and bars nothing. Run: test_blame, 240 assertions, 40 fail: after the fifth crash and contact time 85 to 837 more requests with the segment reach endpoints (bound: 3), after the third crash by the same request 75 to 343 more.

--- /dev/null
+++ b/lib/blame.h
@@ -0,0 +1,172 @@
+#ifndef DH_BLAME_H
+#define DH_BLAME_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "msg.h"
+
+/*
+ * Finds requests, and prompt segments, that crash the endpoints that run them.
+ * A request that holds such a segment loses its endpoint at whatever relay it
+ * arrives, and the other segments of that request are innocent.
+ *
+ * Each key of a request (its shared segments, and a fingerprint of the whole)
+ * is struck where the endpoint broke the connection before the answer began,
+ * and cleared where an answer begins.  Strikes without a later clearing bar the
+ * key: requests that hold it are refused.  Relays exchange strikes and
+ * clearings through the members of their group, which keep the same table.
+ * Times travel as ages.
+ *
+ * Does no I/O; time is passed in.
+ */
+
+/** BLAME_KEYS_MAX - most keys of a request */
+#define BLAME_KEYS_MAX 33
+
+/** BLAME_RECORDS_MAX - most records in a message */
+#define BLAME_RECORDS_MAX 128
+
+/** BLAME_STRIKES_MAX - most strikes kept for a key */
+#define BLAME_STRIKES_MAX 10
+
+/** enum blame_what - what a record says of its key */
+enum blame_what {
+	BLAME_STRIKE = 1, /* an endpoint broke off before an answer began */
+	BLAME_CLEAR = 2,  /* an answer began */
+	BLAME_TRIAL = 3,  /* a request was sent though the key is barred */
+};
+
+/**
+ * struct blame_record - news of a key
+ * @key: see blame_segment_key() and blame_request_key()
+ * @what: an enum blame_what; others are ignored
+ * @ep_hash: of a strike: hash of the endpoint's id
+ * @origin: of a strike: hash of the relay's name
+ * @age_ms: how long ago it happened
+ * @trials: of a trial: how many there were with it
+ */
+struct blame_record {
+	uint64_t key;
+	uint8_t what;
+	uint32_t ep_hash;
+	uint32_t origin;
+	uint32_t age_ms;
+	uint8_t trials;
+};
+
+/** blame_record_fields - wire format of struct blame_record */
+extern const struct msg_field blame_record_fields[];
+
+/** enum blame_change - a changed belief about a key */
+enum blame_change {
+	BLAME_BARRED,
+	BLAME_CLEARED, /* it was barred */
+	BLAME_EXPIRED, /* it was barred */
+	BLAME_TRIED,   /* a relay sends a request that holds it */
+};
+
+/** enum blame_verdict - what becomes of a request */
+enum blame_verdict {
+	BLAME_SEND,
+	BLAME_SEND_AS_TRIAL,
+	BLAME_REFUSE,
+};
+
+/** struct blame_ops - callbacks of the owner; @endpoints: struck so far */
+struct blame_ops {
+	void (*changed) (uint64_t key, enum blame_change change,
+			 uint32_t endpoints, void *ctx);
+};
+
+/** struct blame_success - when an answer to a request with @key began last */
+struct blame_success {
+	uint64_t key;
+	uint64_t at_ms;
+};
+
+/**
+ * struct blame - the table of a relay or member; the caller owns the memory
+ * @self: hash of the relay's name; 0: a member, which sends no requests
+ * @entries: key to struct blame_entry
+ * @successes: of a relay: latest own successes, by key
+ * @news: of struct blame_record, own news that is not sent yet
+ * @barred: number of barred keys
+ * @dropped: news left out because too many waited
+ */
+struct blame {
+	const struct blame_ops *ops;
+	void *ctx;
+	uint32_t self;
+	GHashTable *entries;
+	struct blame_success *successes;
+	GArray *news;
+	uint32_t barred;
+	uint64_t dropped;
+	uint64_t tick_ms;
+};
+
+/** blame_init() - start with an empty table; @ctx is passed to @ops */
+void blame_init (struct blame *b, uint32_t self, const struct blame_ops *ops,
+		 void *ctx);
+
+/** blame_finish() - release the memory */
+void blame_finish (struct blame *b);
+
+/** blame_segment_key() - key of a prompt segment by its @id */
+uint64_t blame_segment_key (uint64_t id);
+
+/** blame_request_key() - key of a whole request */
+uint64_t blame_request_key (const char *request_line, const char *account,
+			    const void *body, size_t len);
+
+/** blame_key_kind() - "segment" or "request" */
+const char *blame_key_kind (uint64_t key);
+
+/**
+ * blame_check() - decide on a request before each attempt
+ * @keys: its keys
+ * @count: number of @keys
+ * @culprit: is set to a barred key, unless the verdict is BLAME_SEND
+ */
+enum blame_verdict blame_check (struct blame *b, const uint64_t *keys,
+				uint32_t count, uint64_t *culprit,
+				uint64_t now_ms);
+
+/** blame_trial() - a request was sent after BLAME_SEND_AS_TRIAL */
+void blame_trial (struct blame *b, const uint64_t *keys, uint32_t count,
+		  uint64_t now_ms);
+
+/** blame_broke() - endpoint @ep_hash broke the connection of a request that was
+ * sent to it before an answer began */
+void blame_broke (struct blame *b, const uint64_t *keys, uint32_t count,
+		  uint32_t ep_hash, uint64_t now_ms);
+
+/** blame_answered() - an answer to a request began */
+void blame_answered (struct blame *b, const uint64_t *keys, uint32_t count,
+		     uint64_t now_ms);
+
+/**
+ * blame_merge() - take over records of another relay or member
+ * @fresh: array of struct blame_record, which records that were not known are
+ *	appended to; NULL: they aren't needed
+ *
+ * Records that arrive again, or in another order, change nothing.
+ */
+void blame_merge (struct blame *b, const struct blame_record *records,
+		  uint32_t count, GArray *fresh, uint64_t now_ms);
+
+/** blame_take_news() - move at most BLAME_RECORDS_MAX of the own news to @out,
+ * an array of struct blame_record */
+void blame_take_news (struct blame *b, GArray *out);
+
+/** blame_export() - append the whole table to @out, an array of struct
+ * blame_record */
+void blame_export (const struct blame *b, GArray *out, uint64_t now_ms);
+
+/** blame_tick() - drop what is too old */
+void blame_tick (struct blame *b, uint64_t now_ms);
+
+#endif
