lib/blame: find the segment or request that crashes endpoints, over all relays

Cause: a relay knew after a broken attempt only that the endpoint was suspect. It kept nothing about the request, and no relay told another. Change: a table of keys (shared segments, fingerprint of the whole request) with strikes, clearings and trials, merged by ages. Three events at three endpoints without a success between bar the key; five where a request with it succeeded in the minute before, or where there were fewer endpoints. Strikes within 400 ms are one event, and so are strikes of one endpoint within 5 s. A barred key is tried once, by the relay that struck first, 10 s, 60 s, then 360 s after the last strike. Holes found in the first sketch, and closed: (1) the first segment and the caller's other segments are in each of the poisonous requests, so a little used one has as many strikes as the culprit: a relay with an own success of the last minute says so when it hears of the first strike, which makes the key need five; (2) a sound key beside a barred one would be struck by what is under way: it is spared if it succeeded lately; (3) a request with two barred keys shows nothing as a trial: only 20 s later; (4) an entry whose ten strikes are full keeps the newest, so that the order of messages does not matter; (5) eviction looks at 32 entries, not at all. Ruled out: 50 ms as one event: a rack, and connections that time out, take longer, and 400 ms costs 0.8 s until the bar where 3 s are allowed.

--- a/lib/blame.h
+++ b/lib/blame.h
@@ -32,6 +32,9 @@
 /** BLAME_STRIKES_MAX - most strikes kept for a key */
 #define BLAME_STRIKES_MAX 10
 
+/** BLAME_ENTRIES_MAX - most keys in a table */
+#define BLAME_ENTRIES_MAX 1024
+
 /** enum blame_what - what a record says of its key */
 enum blame_what {
 	BLAME_STRIKE = 1, /* an endpoint broke off before an answer began */
@@ -91,21 +94,25 @@
  * struct blame - the table of a relay or member; the caller owns the memory
  * @self: hash of the relay's name; 0: a member, which sends no requests
  * @entries: key to struct blame_entry
+ * @order: the entries, in the order in which they are looked at where one has
+ *	to make room
  * @successes: of a relay: latest own successes, by key
- * @news: of struct blame_record, own news that is not sent yet
+ * @news: of struct blame_news, own news that is not sent yet
  * @barred: number of barred keys
- * @dropped: news left out because too many waited
+ * @dropped: news left out because too much waited
+ * @expired_ms: when expired entries were looked for last
  */
 struct blame {
 	const struct blame_ops *ops;
 	void *ctx;
 	uint32_t self;
 	GHashTable *entries;
+	GQueue order;
 	struct blame_success *successes;
 	GArray *news;
 	uint32_t barred;
 	uint64_t dropped;
-	uint64_t tick_ms;
+	uint64_t expired_ms;
 };
 
 /** blame_init() - start with an empty table; @ctx is passed to @ops */
@@ -160,7 +167,7 @@
 
 /** blame_take_news() - move at most BLAME_RECORDS_MAX of the own news to @out,
  * an array of struct blame_record */
-void blame_take_news (struct blame *b, GArray *out);
+void blame_take_news (struct blame *b, GArray *out, uint64_t now_ms);
 
 /** blame_export() - append the whole table to @out, an array of struct
  * blame_record */
--- a/tests/t_blame.c
+++ b/tests/t_blame.c
@@ -52,6 +52,7 @@
 			 n->is_relay ? "relay" : "member", (void *)n,
 			 blame_key_kind (key), (unsigned long)key, change,
 			 endpoints, is_poison (s, key) ? " POISON" : "");
+	s->trials += change == BLAME_TRIED;
 	if (change != BLAME_BARRED)
 		return;
 	if (is_poison (s, key))
@@ -67,7 +68,6 @@
 {
 	n->sim = s;
 	n->is_relay = self != 0;
-	n->up = true;
 	blame_init (&n->b, self, &ops, n);
 }
 
@@ -275,8 +275,7 @@
 set_keys (struct t_blame *s, struct t_blame_call *c, uint32_t mid)
 {
 	uint64_t id = (uint64_t)g_rand_int (s->rand) << 32 | c->first;
-	uint64_t poison = t_blame_poison_key (
-		(uint32_t)g_rand_int_range (s->rand, 0, s->poison_kinds));
+	uint64_t poison = t_blame_poison_key (c->kind);
 	bool repeat = c->poison && s->repeats;
 
 	c->keys[c->count++] = t_blame_first_key (c->first);
@@ -302,17 +301,16 @@
 	struct blame *b;
 	enum blame_verdict v;
 	uint64_t culprit;
-	bool late = s->bound_ms != 0 &&
-		    s->now_ms > s->bound_ms + T_BLAME_CONTACT_MS;
 
 	c->first = first;
 	c->poison = poison;
+	c->kind = (uint32_t)g_rand_int_range (s->rand, 0, s->poison_kinds);
 	c->relay = (uint32_t)g_rand_int_range (s->rand, 0, T_BLAME_RELAYS);
 	b = &s->relays[c->relay].b;
 	set_keys (s, c, mid);
 	c->ep = choose_endpoint (s, mid);
 	v = blame_check (b, c->keys, c->count, &culprit, s->now_ms);
-	if (!poison && s->bound_ms != 0) {
+	if (!poison && s->count_sound) {
 		s->sent[first]++;
 		s->refused[first] += v == BLAME_REFUSE;
 	}
@@ -323,7 +321,9 @@
 	}
 	if (v == BLAME_SEND_AS_TRIAL)
 		blame_trial (b, c->keys, c->count, s->now_ms);
-	s->late += poison && late;
+	s->late[c->kind] +=
+		poison && s->bound_ms[c->kind] != 0 &&
+		s->now_ms > s->bound_ms[c->kind] + T_BLAME_CONTACT_MS;
 	c->sent_ms = s->now_ms;
 	c->begin_ms = s->now_ms + 30 + g_rand_int (s->rand) % 120;
 	c->end_ms = c->begin_ms + 200 + g_rand_int (s->rand) % 1500;
@@ -337,9 +337,10 @@
 	uint32_t ep = c->ep;
 
 	if (c->poison) {
-		s->last_crash_ms = s->now_ms;
-		if (++s->crashes == s->bound_crashes)
-			s->bound_ms = s->now_ms;
+		if (++s->crashes[c->kind] == s->bound_crashes) {
+			s->bound_ms[c->kind] = s->now_ms;
+			s->count_sound = true;
+		}
 		t_blame_crash (s, ep);
 	} else if (g_rand_double (s->rand) < s->eps[ep].grey) {
 		break_call (s, at);
@@ -375,7 +376,7 @@
 	GArray *out = new_records ();
 
 	blame_tick (&s->relays[relay].b, s->now_ms);
-	blame_take_news (&s->relays[relay].b, out);
+	blame_take_news (&s->relays[relay].b, out, s->now_ms);
 	for (uint32_t m = 0; m < T_BLAME_MEMBERS; m++)
 		post (s, relay, m, true, out);
 	g_array_free (out, TRUE);
--- a/tests/t_blame.h
+++ b/tests/t_blame.h
@@ -20,6 +20,7 @@
 #define T_BLAME_ENDPOINTS 18
 #define T_BLAME_FIRSTS 4 /* first segments, from very to little used */
 #define T_BLAME_MIDS 40  /* middle segments of each */
+#define T_BLAME_POISONS 4
 #define T_BLAME_START_MS 1000000
 #define T_BLAME_CONTACT_MS 3000
 
@@ -30,7 +31,7 @@
 };
 
 struct t_blame_call {
-	uint32_t relay, ep, first;
+	uint32_t relay, ep, first, kind;
 	uint64_t keys[4];
 	uint32_t count;
 	uint64_t sent_ms, begin_ms, end_ms;
@@ -43,7 +44,6 @@
 	struct t_blame *sim;
 	struct blame b;
 	bool is_relay;
-	bool up;
 };
 
 /**
@@ -54,13 +54,13 @@
  * @repeats: poisonous requests are the same one, without such a segment
  * @recovery_ms: how long a crashed endpoint is away
  * @cut: links between a relay and a member that carry nothing
- * @crashes: by poisonous requests
- * @bound_crashes: after so many of them few more may come
- * @bound_ms: when the last of those was
- * @last_crash_ms: when the last of them was
- * @late: poisonous requests that reached an endpoint later than
- *	T_BLAME_CONTACT_MS after @bound_ms
- * @sent: sound requests since @bound_ms, by first segment
+ * @bound_crashes: after so many of a poisonous segment few more may come
+ * @crashes: by each poisonous segment, or by the repeated request
+ * @bound_ms: when the last of @bound_crashes was, for each
+ * @late: requests that reached an endpoint later than T_BLAME_CONTACT_MS after
+ *	@bound_ms, for each
+ * @trials: trials of sound and poisonous keys
+ * @sent: sound requests since the first @bound_ms, by first segment
  * @refused: those of them that were refused
  * @bars: sound keys that some node barred
  * @log: prints what changes
@@ -79,9 +79,12 @@
 	GPtrArray *calls;
 	GQueue packets;
 	uint32_t bound_crashes;
-	uint32_t crashes, late, refused_poison;
-	uint64_t bound_ms, last_crash_ms;
+	uint32_t crashes[T_BLAME_POISONS], late[T_BLAME_POISONS];
+	uint64_t bound_ms[T_BLAME_POISONS];
+	uint32_t trials;
+	bool count_sound;
 	uint32_t sent[T_BLAME_FIRSTS], refused[T_BLAME_FIRSTS];
+	uint32_t refused_poison;
 	uint32_t bars, poison_bars;
 	uint64_t records;
 	bool log;
