relayd, groupd: refuse what crashes endpoints, at every relay

Change: a relay strikes the keys of a request whose endpoint broke the connection before the first whole event (plain services: before a whole successful answer), and clears them where one arrived. It asks before each attempt, also of waiting and retried requests: 503 with Retry-After 8 to 12 s where nothing can have run, else 502. What does not strike: an answer of 300 or more, an endpoint that leaves, one that sent nothing for 1.4 s before (its connection timed out), a domain that is cut off. A cut-off stream with a length until close and no event neither strikes nor clears. Members forward 200,000 strikes a second at most, over all relays; clearings always. Ruled out: the first byte as the sign that an answer began: a server may cut its stream inside the first event.

--- /dev/null
+++ b/groupd/blame.c
@@ -0,0 +1,98 @@
+/*
+ * Requests that crash endpoints: what relays report of them is merged and
+ * forwarded to the other relays.
+ */
+#include "groupd.h"
+
+/* Strikes sent to all relays together in a second.  When many endpoints crash
+ * at once, those beyond are not forwarded: a request that crashes endpoints is
+ * reported again with the next one. */
+#define STRIKES_PER_S 200000
+
+static void
+on_changed (uint64_t key, enum blame_change change, uint32_t endpoints,
+	    void *ctx)
+{
+	(void)ctx;
+	log_event (LOG_LV_INFO, "blame",
+		   "change=%s kind=%s key=%016" G_GINT64_MODIFIER
+		   "x endpoints=%u",
+		   blame_change_name (change), blame_key_kind (key), key,
+		   endpoints);
+}
+
+void
+group_blame_init (struct group *g)
+{
+	static const struct blame_ops ops = {.changed = on_changed};
+
+	blame_init (&g->blame, 0, &ops, g);
+}
+
+void
+group_blame_finish (struct group *g)
+{
+	blame_finish (&g->blame);
+}
+
+/* Drops the strikes that are beyond the limit. */
+static void
+limit_strikes (struct group *g, GArray *list, uint32_t relays, uint64_t now_ms)
+{
+	if (now_ms >= g->blame_budget_ms + 1000) {
+		g->blame_budget_ms = now_ms;
+		g->blame_forwarded = 0;
+	}
+	for (guint i = list->len; i > 0; i--) {
+		if (g_array_index (list, struct blame_record, i - 1).what !=
+		    BLAME_STRIKE)
+			continue;
+		if (g->blame_forwarded + relays > STRIKES_PER_S)
+			g_array_remove_index (list, i - 1);
+		else
+			g->blame_forwarded += relays;
+	}
+}
+
+void
+group_blame_receive (struct group *g, const struct link *from,
+		     const struct gmsg_blame *m, uint64_t now_ms)
+{
+	GArray *fresh =
+		g_array_new (FALSE, FALSE, sizeof (struct blame_record));
+	struct gmsg_blame out = {0};
+	msgpack_sbuffer packed;
+
+	blame_merge (&g->blame, m->records.items, m->records.count, fresh,
+		     now_ms);
+	limit_strikes (g, fresh, g->accepted->len, now_ms);
+	out.records.items = fresh->data;
+	out.records.count = fresh->len;
+	msgpack_sbuffer_init (&packed);
+	msg_pack (gmsg_blame_fields, &out, &packed);
+	for (guint i = 0; i < g->accepted->len && fresh->len > 0; i++) {
+		struct accepted_link *a = g_ptr_array_index (g->accepted, i);
+
+		if (a->is_relay && a->link != from)
+			link_send_raw (a->link, FRAME_GROUP_BLAME, packed.data,
+				       packed.size);
+	}
+	msgpack_sbuffer_destroy (&packed);
+	g_array_free (fresh, TRUE);
+}
+
+void
+group_blame_send_all (struct group *g, struct link *l, uint64_t now_ms)
+{
+	GArray *all = g_array_new (FALSE, FALSE, sizeof (struct blame_record));
+
+	blame_export (&g->blame, all, now_ms);
+	for (guint i = 0; i < all->len; i += BLAME_RECORDS_MAX) {
+		struct gmsg_blame m = {
+			{&g_array_index (all, struct blame_record, i),
+			 MIN (all->len - i, BLAME_RECORDS_MAX)}};
+
+		link_send (l, FRAME_GROUP_BLAME, gmsg_blame_fields, &m);
+	}
+	g_array_free (all, TRUE);
+}
--- a/groupd/groupd.h
+++ b/groupd/groupd.h
@@ -7,6 +7,7 @@
 #include <glib.h>
 #include <h2o.h>
 
+#include "blame.h"
 #include "daemon.h"
 #include "dialect.h"
 #include "eplist.h"
@@ -132,6 +133,9 @@
 	struct loads loads;
 	struct plan *plan; /* parsed configuration of @state, or NULL */
 	struct scaler scaler;
+	struct blame blame;
+	uint64_t blame_budget_ms; /* when @blame_forwarded was 0 */
+	uint32_t blame_forwarded; /* strikes sent to relays since then */
 	bool loads_changed;
 	uint64_t loads_sent_ms;
 	guint list_cursor;          /* next of @accepted to get a full list */
@@ -275,6 +279,20 @@
  */
 bool group_may_act (struct group *g, uint64_t now_ms);
 
+/* blame.c: requests that crash endpoints */
+
+/** group_blame_init() - nothing is known yet */
+void group_blame_init (struct group *g);
+void group_blame_finish (struct group *g);
+
+/** group_blame_receive() - merge records of the relay on @from, and forward
+ * what is new to the other relays */
+void group_blame_receive (struct group *g, const struct link *from,
+			  const struct gmsg_blame *m, uint64_t now_ms);
+
+/** group_blame_send_all() - send the table to a relay whose link is up */
+void group_blame_send_all (struct group *g, struct link *l, uint64_t now_ms);
+
 /* scale.c: orders of endpoints */
 
 /** scale_init() - no pools are known yet */
--- a/groupd/peer.c
+++ b/groupd/peer.c
@@ -377,6 +377,7 @@
 		struct gmsg_report report;
 		struct gmsg_list list;
 		struct loads_msg loads;
+		struct gmsg_blame blame;
 	} u;
 	bool ok = true;
 
@@ -421,6 +422,11 @@
 				 &e);
 		if (ok)
 			receive_list (g, l, &u.list, now_ms);
+	} else if (kind == FRAME_GROUP_BLAME && a != NULL) {
+		ok = msg_unpack (gmsg_blame_fields, body, len, &u.blame, &zone,
+				 &e);
+		if (ok)
+			group_blame_receive (g, l, &u.blame, now_ms);
 	} else if (kind == FRAME_GROUP_REPORT) {
 		ok = msg_unpack (gmsg_report_fields, body, len, &u.report,
 				 &zone, &e);
@@ -480,6 +486,8 @@
 	a->last_rx_ms = tmr_now_ms ();
 	g_ptr_array_add (g->accepted, a);
 	send_state (g, l, a->last_rx_ms);
+	if (a->is_relay)
+		group_blame_send_all (g, l, a->last_rx_ms);
 }
 
 static void
@@ -521,6 +529,7 @@
 	g->members = g_ptr_array_new ();
 	g->accepted = g_ptr_array_new ();
 	loads_init (&g->loads);
+	group_blame_init (g);
 	g->server = link_listen (g->d.loop, &g->self, &g->peer_addr,
 				 &accepted_ops, g, e);
 	if (g->server == NULL)
@@ -540,6 +549,7 @@
 		g_free (g_ptr_array_index (g->accepted, i));
 	g_ptr_array_free (g->accepted, TRUE);
 	loads_finish (&g->loads);
+	group_blame_finish (g);
 }
 
 static void
@@ -567,6 +577,7 @@
 						   : GROUP_STATE_FOLLOWER_MS;
 
 	send_loads (g, now_ms);
+	blame_tick (&g->blame, now_ms);
 	peer_send_full_lists (g);
 	if (!g->state_changed && now_ms - g->state_sent_ms < interval_ms)
 		return;
--- a/lib/blame.c
+++ b/lib/blame.c
@@ -93,6 +93,22 @@
 	return key % 2 == 0 ? "segment" : "request";
 }
 
+const char *
+blame_change_name (enum blame_change change)
+{
+	switch (change) {
+	case BLAME_BARRED:
+		return "barred";
+	case BLAME_CLEARED:
+		return "cleared";
+	case BLAME_EXPIRED:
+		return "expired";
+	case BLAME_TRIED:
+		return "tried";
+	}
+	return "?";
+}
+
 static struct blame_entry *
 entry_find (const struct blame *b, uint64_t key)
 {
--- a/lib/blame.h
+++ b/lib/blame.h
@@ -71,6 +71,9 @@
 	BLAME_TRIED,   /* a relay sends a request that holds it */
 };
 
+/** blame_change_name() - "barred", ... */
+const char *blame_change_name (enum blame_change change);
+
 /** enum blame_verdict - what becomes of a request */
 enum blame_verdict {
 	BLAME_SEND,
--- a/lib/frame.c
+++ b/lib/frame.c
@@ -40,6 +40,7 @@
 		[FRAME_GROUP_REPORT] = "group_report",
 		[FRAME_GROUP_LOAD] = "group_load",
 		[FRAME_GROUP_OTHERS] = "group_others",
+		[FRAME_GROUP_BLAME] = "group_blame",
 	};
 
 	return kind < FRAME_KINDS ? names[kind] : NULL;
--- a/lib/gmsg.c
+++ b/lib/gmsg.c
@@ -64,3 +64,9 @@
 	MSG_FIELD (2, MSG_BOOL, struct gmsg_report, delta),
 	MSG_FIELD_END,
 };
+
+const struct msg_field gmsg_blame_fields[] = {
+	MSG_FIELD_LIST (1, struct gmsg_blame, records, struct blame_record,
+			blame_record_fields, BLAME_RECORDS_MAX),
+	MSG_FIELD_END,
+};
--- a/lib/gmsg.h
+++ b/lib/gmsg.h
@@ -1,6 +1,7 @@
 #ifndef DH_GMSG_H
 #define DH_GMSG_H
 
+#include "blame.h"
 #include "fleet.h"
 #include "gstate.h"
 #include "loads.h"
@@ -117,6 +118,14 @@
 	bool delta;
 };
 
+/**
+ * struct gmsg_blame - news of keys that may crash endpoints (FRAME_GROUP_BLAME)
+ * @records: of struct blame_record, at most BLAME_RECORDS_MAX
+ */
+struct gmsg_blame {
+	struct msg_list records;
+};
+
 /** GROUP_STATE_LEADER_MS - longest interval between two states of the leader */
 #define GROUP_STATE_LEADER_MS 400
 
@@ -130,5 +139,6 @@
 extern const struct msg_field gmsg_plan_fields[];
 extern const struct msg_field gmsg_list_fields[];
 extern const struct msg_field gmsg_report_fields[];
+extern const struct msg_field gmsg_blame_fields[];
 
 #endif
--- a/relayd/attempt.c
+++ b/relayd/attempt.c
@@ -175,7 +175,9 @@
 	g_string_truncate (c->answer_body, 0);
 	if (!evstream_feed (&c->evstream, data, len, c->answer_body))
 		c->status = 0;
-	else
+	else if (c->answer_body->len > 0)
+		blame_answer_begun (c);
+	if (c->status != 0)
 		write_chunk (c, c->answer_body->str, c->answer_body->len);
 }
 
@@ -258,6 +260,7 @@
 	bool complete = answer_is_complete (c, end);
 
 	record_outcome (c, end, h1cli_reused (x));
+	blame_attempt_ended (c, end);
 	if (end == H1CLI_UNSENT) {
 		c->r->stats.connect_failed++;
 		c->attempts--; /* no endpoint received it */
@@ -267,6 +270,8 @@
 	/* A server error is forwarded only if a retry at another endpoint isn't
 	 * possible. */
 	if (complete && !c->answer.not_executed && c->status < 500) {
+		if (!c->is_stream)
+			blame_answer_begun (c);
 		c->exchange = NULL;
 		finish_answer (c);
 		return;
@@ -380,6 +385,7 @@
 		   sizeof c->kv_from);
 	c->prefill_ms = v->nominal_ms;
 	c->first_byte_seen = c->is_stream = false;
+	blame_attempt_started (c);
 	c->status = 0;
 	c->answer = (struct dia_response){0};
 	g_string_truncate (c->answer_body, 0);
--- /dev/null
+++ b/relayd/blame.c
@@ -0,0 +1,190 @@
+/*
+ * Requests that crash endpoints: which attempts count, what becomes of requests
+ * that hold a barred key, and news to and from the members.
+ */
+#include <string.h>
+
+#include "relayd.h"
+
+/* An endpoint that sent nothing for so long timed out rather than crashed, and
+ * mostly the network did.  Shorter than the time-out of its connection. */
+#define SILENT_MS 1400
+
+/* Retry-After of refused requests: about the pause until a barred key is tried
+ * again. */
+#define RETRY_AFTER_MIN_MS 8000
+#define RETRY_AFTER_SPREAD_MS 4000
+
+/* Collects the keys of a request: its shared segments, which are all but the
+ * last one, and the request as a whole. */
+static uint32_t
+collect_keys (struct call *c, uint64_t *keys)
+{
+	uint32_t n = 0;
+
+	if (c->request_key == 0)
+		c->request_key =
+			blame_request_key (c->request_line->str, c->account,
+					   c->body->data, c->body->len);
+	keys[n++] = c->request_key;
+	for (uint32_t i = 0; i + 1 < c->req.segment_count; i++)
+		keys[n++] = blame_segment_key (c->req.segments[i].id);
+	return n;
+}
+
+static void
+refuse (struct call *c, uint64_t culprit)
+{
+	uint32_t retry_after_ms = RETRY_AFTER_MIN_MS +
+				  (uint32_t)g_rand_int_range (
+					  c->r->rand, 0, RETRY_AFTER_SPREAD_MS);
+
+	c->r->stats.barred++;
+	log_event (LOG_LV_INFO, "blame",
+		   "req=%s change=refused kind=%s key=%016" G_GINT64_MODIFIER
+		   "x maybe_run=%u",
+		   c->req.id, blame_key_kind (culprit), culprit, c->maybe_run);
+	if (c->headers_sent)
+		call_cut (c, "cut");
+	else if (c->maybe_run > 0)
+		call_fail (c, 502, 0, "outcome unknown");
+	else
+		call_fail (c, 503, retry_after_ms,
+			   "not run: such requests crash endpoints");
+}
+
+bool
+blame_refuses_call (struct call *c)
+{
+	uint64_t keys[BLAME_KEYS_MAX], culprit = 0;
+
+	if (c->r->blame.barred == 0 ||
+	    blame_check (&c->r->blame, keys, collect_keys (c, keys), &culprit,
+			 tmr_now_ms ()) != BLAME_REFUSE)
+		return false;
+	refuse (c, culprit);
+	return true;
+}
+
+void
+blame_attempt_started (struct call *c)
+{
+	uint64_t keys[BLAME_KEYS_MAX];
+
+	c->answer_begun = false;
+	if (c->r->blame.barred > 0)
+		blame_trial (&c->r->blame, keys, collect_keys (c, keys),
+			     tmr_now_ms ());
+}
+
+void
+blame_answer_begun (struct call *c)
+{
+	uint64_t keys[BLAME_KEYS_MAX];
+
+	if (c->answer_begun || c->status >= 300)
+		return;
+	c->answer_begun = true;
+	blame_answered (&c->r->blame, keys, collect_keys (c, keys),
+			tmr_now_ms ());
+}
+
+/* Whether an endpoint of the domain is suspect because all of them fell silent,
+ * so that its connections broke with a link. */
+static bool
+domain_is_cut (const struct relay *r, const struct fleet_ep *ep)
+{
+	for (guint i = 0; i < r->fleet.eps->len; i++) {
+		const struct fleet_ep *e = g_ptr_array_index (r->fleet.eps, i);
+
+		if (e->suspect_by_domain &&
+		    strcmp (e->info.domain, ep->info.domain) == 0)
+			return true;
+	}
+	return false;
+}
+
+void
+blame_attempt_ended (struct call *c, enum h1cli_end end)
+{
+	const struct fleet_ep *ep = c->ep;
+	uint64_t keys[BLAME_KEYS_MAX], now_ms = tmr_now_ms ();
+
+	if (end != H1CLI_BROKEN || c->answer_begun || c->answer.not_executed ||
+	    c->status >= 300 || ep->leaving ||
+	    now_ms > MAX (ep->last_heard_ms, c->sent_ms) + SILENT_MS ||
+	    domain_is_cut (c->r, ep))
+		return;
+	log_event (LOG_LV_INFO, "blame",
+		   "req=%s change=struck ep=%s segments=%u", c->req.id,
+		   ep->info.id, c->req.segment_count);
+	blame_broke (&c->r->blame, keys, collect_keys (c, keys), ep->ep_hash,
+		     now_ms);
+}
+
+static void
+on_changed (uint64_t key, enum blame_change change, uint32_t endpoints,
+	    void *ctx)
+{
+	(void)ctx;
+	log_event (LOG_LV_INFO, "blame",
+		   "change=%s kind=%s key=%016" G_GINT64_MODIFIER
+		   "x endpoints=%u",
+		   blame_change_name (change), blame_key_kind (key), key,
+		   endpoints);
+}
+
+void
+relay_blame_init (struct relay *r)
+{
+	static const struct blame_ops ops = {.changed = on_changed};
+
+	blame_init (&r->blame, r->name_hash, &ops, r);
+}
+
+void
+relay_blame_receive (struct relay *r, const struct gmsg_blame *m)
+{
+	blame_merge (&r->blame, m->records.items, m->records.count, NULL,
+		     tmr_now_ms ());
+}
+
+static void
+send_records (struct link *l, const GArray *list, guint from)
+{
+	struct gmsg_blame m = {
+		{&g_array_index (list, struct blame_record, from),
+		 MIN (list->len - from, BLAME_RECORDS_MAX)}};
+
+	link_send (l, FRAME_GROUP_BLAME, gmsg_blame_fields, &m);
+}
+
+void
+relay_blame_send_all (struct group_member *m)
+{
+	GArray *all = g_array_new (FALSE, FALSE, sizeof (struct blame_record));
+
+	blame_export (&m->r->blame, all, tmr_now_ms ());
+	for (guint i = 0; i < all->len; i += BLAME_RECORDS_MAX)
+		send_records (m->link, all, i);
+	g_array_free (all, TRUE);
+}
+
+void
+relay_blame_tick (struct relay *r, uint64_t now_ms)
+{
+	GArray *news;
+
+	blame_tick (&r->blame, now_ms);
+	if (r->blame.news->len == 0)
+		return;
+	news = g_array_new (FALSE, FALSE, sizeof (struct blame_record));
+	blame_take_news (&r->blame, news, now_ms);
+	for (guint i = 0; i < r->members->len; i++) {
+		struct group_member *m = g_ptr_array_index (r->members, i);
+
+		if (link_is_up (m->link))
+			send_records (m->link, news, 0);
+	}
+	g_array_free (news, TRUE);
+}
--- a/relayd/call.c
+++ b/relayd/call.c
@@ -209,6 +209,8 @@
 	uint64_t now_ms = tmr_now_ms ();
 	struct place_result v;
 
+	if (blame_refuses_call (c))
+		return;
 	choose_endpoint (c, &v, now_ms);
 	count_prefill (c, &v);
 	if (v.ep != NULL) {
--- a/relayd/main.c
+++ b/relayd/main.c
@@ -114,6 +114,7 @@
 	tmr_start (&r->tick_timer, TICK_MS);
 	call_tick (r, now_ms);
 	member_tick (r, now_ms);
+	relay_blame_tick (r, now_ms);
 	upstream_tick (r, now_ms);
 	startup_tick (r, now_ms);
 	usage_tick (r, now_ms);
@@ -158,6 +159,7 @@
 	r->rbudget = rbudget_new (&limits);
 	r->started_ms = tmr_now_ms ();
 	call_init (r);
+	relay_blame_init (r);
 	usage_init (r);
 	upstream_init (r);
 	if (!front_init (r, e))
@@ -178,6 +180,7 @@
 	member_finish (r);
 	upstream_finish (r);
 	usage_finish (r);
+	blame_finish (&r->blame);
 	rbudget_free (r->rbudget);
 	g_ptr_array_free (r->calls, TRUE);
 	plan_unref (r->plan);
--- a/relayd/member.c
+++ b/relayd/member.c
@@ -422,6 +422,7 @@
 		struct gmsg_plan plan;
 		struct gmsg_list list;
 		struct loads_msg loads;
+		struct gmsg_blame blame;
 	} u;
 	bool ok = true;
 
@@ -447,6 +448,11 @@
 				 &e);
 		if (ok)
 			on_peer_loads (m->r, m, &u.loads);
+	} else if (kind == FRAME_GROUP_BLAME) {
+		ok = msg_unpack (gmsg_blame_fields, body, len, &u.blame, &zone,
+				 &e);
+		if (ok)
+			relay_blame_receive (m->r, &u.blame);
 	}
 	msgpack_zone_destroy (&zone);
 	if (!ok)
@@ -462,6 +468,7 @@
 	(void)l;
 	m->last_frame_ms = tmr_now_ms ();
 	log_event (LOG_LV_INFO, "member-up", "addr=%s", m->addr);
+	relay_blame_send_all (m);
 }
 
 static void
--- a/relayd/metrics.c
+++ b/relayd/metrics.c
@@ -24,6 +24,8 @@
 	print_counter (out, "caller_gone_total", s->client_gone);
 	print_counter (out, "sends_total", s->attempts);
 	print_counter (out, "sends_again_total", s->retries);
+	print_counter (out, "barred_total", s->barred);
+	print_counter (out, "barred_keys", r->blame.barred);
 	print_counter (out, "streams_continued_total", s->continued);
 	print_counter (out, "sends_unsent_total", s->connect_failed);
 	print_counter (out, "probes_total", s->probes);
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -7,6 +7,7 @@
 #include <glib.h>
 #include <h2o.h>
 
+#include "blame.h"
 #include "failover.h"
 #include "daemon.h"
 #include "dialect.h"
@@ -67,6 +68,8 @@
  * @prefill_tokens: prompt tokens that this attempt has to prefill
  * @prefill_ms: predicted prefill time at the engine's usual speed
  * @first_byte_seen: the endpoint's answer began
+ * @answer_begun: a whole event, or a whole successful answer, arrived from it
+ * @request_key: blame_request_key() of the request; 0: not yet computed
  *
  * @status: status of the endpoint's answer; 0: none, or one that can't be used
  * @answer_headers: header lines of the endpoint's answer
@@ -113,6 +116,8 @@
 	double prefill_tokens;
 	double prefill_ms;
 	bool first_byte_seen;
+	bool answer_begun;
+	uint64_t request_key;
 	/* answer */
 	int status;
 	struct dia_response answer;
@@ -184,6 +189,7 @@
  * @cut: answers that ended incomplete after their headers were sent
  * @client_gone: requests whose client disconnected
  * @retries: failed attempts that another attempt was to follow
+ * @barred: requests that were refused as they hold a barred key, see blame.h
  * @continued: streams that went on from a copy of their run
  * @connect_failed: attempts for which no connection was made
  * @first_byte_us: time from arrival to the first byte of the answer
@@ -191,7 +197,7 @@
  */
 struct relay_stats {
 	uint64_t requests, served, refused, failed, passed_on, cut, client_gone;
-	uint64_t attempts, retries, continued, connect_failed, probes;
+	uint64_t attempts, retries, barred, continued, connect_failed, probes;
 	struct hist first_byte_us, total_us;
 };
 
@@ -231,6 +237,7 @@
  * @list_backoff_ms: additional delay after rate limited readings
  * @probe_check_ms: when endpoints were checked for due health checks last
  * @group_list_interval_ms: interval at which the group reads the list
+ * @blame: requests and prompt segments that crash endpoints
  * @usage: requests by client account
  * @sealed_window: newest usage window that takes no more counts
  * @dispatch_timer: retries waiting calls, see call_place_waiting()
@@ -277,6 +284,7 @@
 	uint64_t list_backoff_ms;
 	uint64_t probe_check_ms;
 	uint32_t group_list_interval_ms;
+	struct blame blame;
 	/* usage */
 	struct wincount usage;
 	uint64_t sealed_window;
@@ -390,6 +398,32 @@
 /** attempt_start() - send the request to the endpoint that @v names */
 void attempt_start (struct call *c, const struct place_result *v);
 
+/* blame.c: requests that crash endpoints */
+void relay_blame_init (struct relay *r);
+
+/** blame_refuses_call() - refuse the request, which frees @c, if it holds a
+ * barred key; asked before each attempt */
+bool blame_refuses_call (struct call *c);
+
+/** blame_attempt_started() - the request is sent */
+void blame_attempt_started (struct call *c);
+
+/** blame_answer_begun() - an event, or a whole successful answer, arrived */
+void blame_answer_begun (struct call *c);
+
+/** blame_attempt_ended() - the attempt is over; called while the endpoint is
+ * still that of the call */
+void blame_attempt_ended (struct call *c, enum h1cli_end end);
+
+/** relay_blame_receive() - merge records that a member sent */
+void relay_blame_receive (struct relay *r, const struct gmsg_blame *m);
+
+/** relay_blame_send_all() - send the table to a member whose link is up */
+void relay_blame_send_all (struct group_member *m);
+
+/** relay_blame_tick() - send news to all members */
+void relay_blame_tick (struct relay *r, uint64_t now_ms);
+
 /* upstream.c: endpoints, and the list where no member provides it */
 extern const struct fleet_ops upstream_fleet_ops;
 void upstream_init (struct relay *r);
