--- a/relayd/call.c
+++ b/relayd/call.c
@@ -18,6 +18,9 @@
  * above this, and continues below half of it. */
 #define PENDING_MAX_BYTES (256U << 10)
 
+/* Segment ids in a log line. */
+#define LOGGED_SEGMENTS_MAX 8
+
 static uint64_t
 remaining_ms (const struct call *c, uint64_t now_ms)
 {
@@ -209,6 +212,8 @@
 	uint64_t now_ms = tmr_now_ms (), give_up_ms;
 	struct place_result v;
 
+	if (blame_refuses_call (c))
+		return;
 	choose_endpoint (c, &v, now_ms);
 	count_prefill (c, &v);
 	if (v.ep != NULL) {
@@ -308,6 +313,21 @@
 			     now_ms);
 }
 
+/* Prints the ids of the prompt segments that other requests may share. */
+static void
+print_shared_segments (const struct call *c, char *out, size_t size)
+{
+	size_t len = 0;
+
+	out[0] = '\0';
+	for (uint32_t i = 0; i + 1 < c->req.segment_count &&
+			     i < LOGGED_SEGMENTS_MAX && len < size;
+	     i++)
+		len += (size_t)g_snprintf (
+			out + len, size - len, "%s%" G_GINT64_MODIFIER "x",
+			i > 0 ? "," : "", c->req.segments[i].id);
+}
+
 /* Time since the endpoint of the attempt sent a byte to this relay, or since
  * the attempt began. */
 static uint64_t
@@ -324,17 +344,20 @@
 log_failed_attempt (struct call *c, const struct failover_input *f,
 		    enum failover_action v, uint64_t now_ms)
 {
+	char segments[LOGGED_SEGMENTS_MAX * 17];
+
+	print_shared_segments (c, segments, sizeof segments);
 	log_event (LOG_LV_INFO, "attempt-failed",
 		   "req=%s verdict=%s ep=%s status=%d sent=%d not_run=%d "
 		   "headers_sent=%d maybe_run=%u attempts=%u "
 		   "cut_off=%d silent_ms=%" G_GUINT64_FORMAT
-		   " remaining_ms=%" G_GUINT64_FORMAT,
+		   " segments=%s remaining_ms=%" G_GUINT64_FORMAT,
 		   c->req.id, failover_action_name (v),
 		   c->ep != NULL ? c->ep->info.id : "", c->status, f->sent,
 		   f->not_run, f->response_started, f->possible_runs,
 		   f->attempt_count,
 		   c->ep != NULL && fleet_is_cut_off (c->ep, now_ms),
-		   silent_ms (c, now_ms), f->remaining_ms);
+		   silent_ms (c, now_ms), segments, f->remaining_ms);
 }
 
 /* Another attempt is to follow the one that ends. */
@@ -388,7 +411,8 @@
 
 	f.answered = false;
 	f.possible_runs++;
-	if (!f.sent || failover_decide (&f) != FAILOVER_RETRY)
+	if (!f.sent || failover_decide (&f) != FAILOVER_RETRY ||
+	    blame_bars_call (c))
 		return;
 	c->maybe_run++;
 	choose_endpoint (c, &v, now_ms);
