--- a/tests/test_evstream.c
+++ b/tests/test_evstream.c
@@ -134,6 +134,8 @@
 static void
 test_ids_that_are_no_numbers (void)
 {
+	static const char numbers[] =
+		"id:5\r\n\r\nid: 06 \n\nevent: e\nid: 7\n\n";
 	static const char *const texts[] = {"id:\ndata: x\n\n",
 					    "id:\n3\ndata: x\n\n",
 					    "id: \ndata: x\n\n",
@@ -157,8 +159,7 @@
 		evstream_finish (&s);
 	}
 	evstream_init (&s, -1);
-	evstream_feed (&s, "id:5\r\n\r\nid: 06 \n\nevent: e\nid: 7\n\n", 40,
-		       out);
+	evstream_feed (&s, numbers, sizeof numbers - 1, out);
 	CU_ASSERT (s.last_id == 7 && s.events == 3);
 	evstream_finish (&s);
 	g_string_free (out, TRUE);
