--- a/tests/relay_world.c
+++ b/tests/relay_world.c
@@ -117,6 +117,7 @@
 	r->relay_count = 1;
 	r->rbudget = rbudget_new (&limits);
 	call_init (r);
+	relay_blame_init (r);
 	usage_init (r);
 	upstream_init (r);
 	CU_ASSERT_FATAL (front_init (r, &e));
@@ -140,6 +141,7 @@
 	upstream_finish (r);
 	usage_finish (r);
 	rbudget_free (r->rbudget);
+	blame_finish (&r->blame);
 	plan_unref (r->plan);
 	g_rand_free (r->rand);
 	g_ptr_array_free (r->calls, TRUE);
