relayd: a relay whose name hashes to 0 is not taken for a member

blame_init() takes 0 for a member, which keeps no successes; blame_answered() then wrote through a null pointer. The fixture of test_relay_stream has no name and showed it: segmentation fault before, passed after.

--- a/relayd/blame.c
+++ b/relayd/blame.c
@@ -155,7 +155,8 @@
 {
 	static const struct blame_ops ops = {.changed = on_changed};
 
-	blame_init (&r->blame, r->name_hash, &ops, r);
+	/* 0 stands for a member. */
+	blame_init (&r->blame, MAX (r->name_hash, 1), &ops, r);
 }
 
 void
