relayd: a refusal for a barred key names the segment's id

The key in the log is a hash, so that `change=refused` could not be matched with the segments= of attempt-failed lines.

--- a/relayd/blame.c
+++ b/relayd/blame.c
@@ -32,6 +32,17 @@
 	return n;
 }
 
+/* The id of the segment whose key is barred; 0: the request as a whole is. */
+static uint64_t
+find_segment (const struct call *c, uint64_t key)
+{
+	for (uint32_t i = 0; i + 1 < c->req.segment_count; i++) {
+		if (blame_segment_key (c->req.segments[i].id) == key)
+			return c->req.segments[i].id;
+	}
+	return 0;
+}
+
 static void
 refuse (struct call *c, uint64_t culprit)
 {
@@ -42,8 +53,9 @@
 	c->r->stats.barred++;
 	log_event (LOG_LV_INFO, "blame",
 		   "req=%s change=refused kind=%s key=%016" G_GINT64_MODIFIER
-		   "x maybe_run=%u",
-		   c->req.id, blame_key_kind (culprit), culprit, c->maybe_run);
+		   "x segment=%" G_GINT64_MODIFIER "x maybe_run=%u",
+		   c->req.id, blame_key_kind (culprit), culprit,
+		   find_segment (c, culprit), c->maybe_run);
 	if (c->headers_sent)
 		call_cut (c, "cut");
 	else if (c->maybe_run > 0)
