soak: silences as long as they were, the baseline after the start; findings

A silence counts as long as it was, where the soak's own process was held up, and -q prints the longest pause between two of its turns.

--- a/tests/soak/endpoints.c
+++ b/tests/soak/endpoints.c
@@ -391,8 +391,8 @@
 void
 world_ep_down (struct soak_ep *e)
 {
-	while (e->jobs->len > 0)
-		job_cut (g_ptr_array_index (e->jobs, 0));
+	for (guint i = e->jobs->len; i > 0; i--)
+		job_cut (g_ptr_array_index (e->jobs, i - 1));
 	if (e->up)
 		h1srv_finish (&e->srv);
 	e->up = false;
@@ -406,9 +406,19 @@
 	g_strlcpy (s.id, e->id, sizeof s.id);
 	g_array_append_val (e->k->silences, s);
 	e->silent_until_ms = tmr_now_ms () + ms;
+	e->silence = e->k->silences->len;
 	e->reads = reads;
 }
 
+/* It lasted longer where this process was held up. */
+static void
+note_awake (struct soak_ep *e, uint64_t now_ms)
+{
+	g_array_index (e->k->silences, struct soak_silence, e->silence - 1)
+		.ms += (uint32_t)(now_ms - e->silent_until_ms);
+	e->silence = 0;
+}
+
 /* Endpoints are awake but for those that read nothing either. */
 void
 world_run (struct soak *k)
@@ -418,6 +428,9 @@
 	for (uint32_t i = 0; i < SOAK_EPS; i++) {
 		struct soak_ep *e = &k->eps[i];
 
+		if (e->silence != 0 && e->silent_until_ms != 0 &&
+		    now_ms >= e->silent_until_ms)
+			note_awake (e, now_ms);
 		if (e->reads || !e->up || now_ms >= e->silent_until_ms)
 			h2o_evloop_run (e->loop, 0);
 		if (e->crashing)
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -63,6 +63,11 @@
 	uint64_t end_ms = tmr_now_ms () + ms;
 
 	while (tmr_now_ms () < end_ms && !(until_acked && k->acked > 0)) {
+		uint64_t now_ms = tmr_now_ms ();
+
+		if (k->quiet.on && k->turn_ms != 0)
+			k->pause_ms = MAX (k->pause_ms, now_ms - k->turn_ms);
+		k->turn_ms = now_ms;
 		h2o_evloop_run (k->loop, TURN_MS);
 		world_run (k);
 	}
@@ -120,7 +125,9 @@
 {
 	uint64_t healed_ms;
 
-	soak_run_for (k, USED_MS - WARM_MS, false);
+	/* At first relays know no loads, and use servers of all domains. */
+	quiet_note_used (k);
+	soak_run_for (k, USED_MS, false);
 	quiet_note_used (k);
 	k->quiet.on = true;
 	k->quiet.begun_wall_ms = tmr_wall_ms ();
@@ -154,7 +161,6 @@
 	soak_run_for (k, START_MS, true);
 	if (k->acked == 0)
 		soak_wrong (k, "no configuration was acknowledged");
-	quiet_note_used (k);
 	soak_run_for (k, WARM_MS, false);
 	if (strchr (what, 'r') != NULL)
 		play_restart (k);
@@ -230,10 +236,11 @@
 		printf ("seed %u: %u silences; relays sent %u again, endpoints "
 			"ran %u again; %u refused, %u errors; %u used again "
 			"after a second's rest or more, %u closed before four "
-			"fifths of the limit%s\n",
+			"fifths of the limit; "
+			"the soak's longest pause %" G_GUINT64_FORMAT " ms%s\n",
 			k.seed, k.quiet.silences, k.quiet.resends,
 			k.quiet.reruns, k.quiet.refused, k.quiet.errors,
-			k.quiet.reused, k.quiet.closed,
+			k.quiet.reused, k.quiet.closed, k.pause_ms,
 			k.quiet.left_out ? "; logs left lines out" : "");
 	if (k.wrong == 0)
 		procs_clean (&k);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -101,8 +101,9 @@
 	h2o_loop_t *loop;
 	bool crashing;
 	uint64_t up_at_ms;
-	uint64_t silent_until_ms;  /* it writes nothing before, then goes on */
-	bool reads;                /* meanwhile */
+	uint64_t silent_until_ms; /* it writes nothing before, then goes on */
+	uint32_t silence; /* its place in the list, from 1 on; 0: none */
+	bool reads;       /* meanwhile */
 	uint32_t ran[SOAK_RELAYS]; /* of each relay, since they were reset */
 };
 
@@ -211,6 +212,7 @@
 	uint32_t denied; /* with a withdrawn key */
 	struct tmr tick;
 	bool over;
+	uint64_t turn_ms, pause_ms; /* the last turn, the longest between two */
 };
 
 /** soak_run_for() - go on for so long, or until a version is acknowledged */
