soak: no error answer inside a stream that has no framing

Its first engine was told to fail in mid stream and wrote "HTTP/1.1 500 ..." after nine events; in a body without length or chunks these bytes are an event without an id, which the relay rightly passes on (nine ids, then Last-Event-Id 9 and ten events at the second engine: 10 x 15 ms in each run by the log). In a chunked stream the same bytes are a broken coding, and stay.

--- a/tests/soak/endpoints.c
+++ b/tests/soak/endpoints.c
@@ -252,7 +252,8 @@
 		job_cut (j);
 	else if (j->e->mode == SOAK_CUTS && !j->streams)
 		job_half (j);
-	else if (!j->streams || j->e->mode == SOAK_FAILS)
+	else if (!j->streams ||
+		 (j->e->mode == SOAK_FAILS && !(j->head_sent && j->open_ended)))
 		job_plain (j);
 	else
 		job_event (j);
