--- a/tests/soak/endpoints.c
+++ b/tests/soak/endpoints.c
@@ -205,17 +205,20 @@
 job_unrun (struct job *j)
 {
 	struct h1srv_conn *c = j->conn;
-	char *headers =
-		g_strdup_printf ("X-Instance-Id: %s\r\n%s", j->e->id,
-				 j->status / 100 == 4 || j->status == 503
-					 ? "X-Not-Executed: 1\r\n"
-					 : "");
+	bool refuses = j->status / 100 == 4 || j->status == 503;
+	GString *headers = g_string_new (NULL);
 	int status = j->status;
 
+	g_string_printf (headers, "X-Instance-Id: %s\r\n", j->e->id);
+	if (j->r != NULL)
+		g_string_append_printf (headers, "X-Request-Id: %s\r\n",
+					j->r->id);
+	if (refuses)
+		g_string_append (headers, "X-Not-Executed: 1\r\n");
 	h1srv_set_data (c, NULL);
 	job_free (j);
-	h1srv_answer (c, status, headers, "", 0);
-	g_free (headers);
+	h1srv_answer (c, status, headers->str, "", 0);
+	g_string_free (headers, TRUE);
 }
 
 /* The endpoint goes down once its loop's turn is over. */
