log: a text from outside can't end its line

What operators would see: an id of an endpoint with a line break in it makes a second line that looks like one of ours.

Cause: write_line() wrote what it was given. Change: control characters become '?'. test_log fails without it (3 assertions).

--- a/lib/log.c
+++ b/lib/log.c
@@ -97,6 +97,11 @@
 		len = sizeof line - 1;
 		line[len - 1] = '\n';
 	}
+	/* Texts from outside must not end the line. */
+	for (int i = 0; i + 1 < len; i++) {
+		if (g_ascii_iscntrl (line[i]))
+			line[i] = '?';
+	}
 	return write (log_fd, line, (size_t)len) >= 0;
 }
 
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -110,12 +110,40 @@
 	fclose (f);
 }
 
+static int
+odd_texts (void)
+{
+	log_event (LOG_LV_INFO, "endpoint", "ep=%s",
+		   "a\n2026-01-01T00:00:00.000Z error relayd[x] "
+		   "forged\x1b[2J\x7f");
+	return 0;
+}
+
+/* A name from outside made two lines of one. */
+static void
+test_line_forged_by_a_name_from_outside (void)
+{
+	char text[1024] = "";
+	FILE *f = tmpfile ();
+	size_t len;
+
+	CU_ASSERT (run_with (fileno (f), STDERR_FILENO, odd_texts) == 0);
+	rewind (f);
+	len = fread (text, 1, sizeof text - 1, f);
+	CU_ASSERT (len > 0 && strchr (text, '\n') == text + len - 1);
+	CU_ASSERT (strstr (text, "ep=a?2026-01-01T") != NULL);
+	CU_ASSERT (strstr (text, "forged?[2J?\n") != NULL);
+	fclose (f);
+}
+
 int
 main (void)
 {
-	static const struct t_case cases[] = {{"no reader", test_no_reader},
-					      {"bound", test_bound},
-					      {NULL, NULL}};
+	static const struct t_case cases[] = {
+		{"no reader", test_no_reader},
+		{"bound", test_bound},
+		{"forged line", test_line_forged_by_a_name_from_outside},
+		{NULL, NULL}};
 
 	return t_run ("log", cases);
 }
