h1srv: an answer that is being written is not cut by the limit on idle clients

What callers saw: an answer that the endpoint gave whole ends in the middle, for a client that reads slowly, and around a planned stop for any client whose last bytes were queued in the turn in which idle connections are closed.

Cause: once the owner has handed over the last byte, the connection counts as idle, though the answer is still in its queue. h1srv_close_idle() and the idle timer closed it there.

Change: the rest begins when the last byte is written; a client that has read some of it within the limit is waited for; h1srv_close_idle() leaves connections with output.

--- a/lib/h1srv.c
+++ b/lib/h1srv.c
@@ -28,6 +28,7 @@
 	enum conn_state state;
 	struct tmr tmr;
 	uint64_t timed_since_ms; /* when the state began that @tmr limits */
+	size_t unread;           /* output that was queued when it fired */
 	GString *head;           /* of the running request */
 	GByteArray *body_bytes;
 	struct h1_body body;
@@ -97,11 +98,21 @@
 	conn_close (c, false);
 }
 
+/* Starts the limit on the state that the connection has now. */
+static void
+conn_limit (struct h1srv_conn *c, uint32_t ms)
+{
+	c->timed_since_ms = tmr_now_ms ();
+	tmr_start (&c->tmr, ms);
+}
+
 static void
 on_drained (void *ctx)
 {
 	struct h1srv_conn *c = ctx;
 
+	if (c->state == CONN_HEAD && !c->head_timed)
+		conn_limit (c, c->srv->limits.idle_timeout_ms);
 	if (c->state != CONN_ENDING)
 		return;
 	c->state = CONN_LINGER;
@@ -131,14 +142,6 @@
 	h1srv_answer (c, status, NULL, "", 0);
 }
 
-/* Starts the limit on the state that the connection has now. */
-static void
-conn_limit (struct h1srv_conn *c, uint32_t ms)
-{
-	c->timed_since_ms = tmr_now_ms ();
-	tmr_start (&c->tmr, ms);
-}
-
 /* What is left of the limit, which may have changed since it was started: a
  * client that knows the new one counts on it. */
 static uint64_t
@@ -154,6 +157,18 @@
 	return end_ms > now_ms ? end_ms - now_ms : 0;
 }
 
+/* Whether the client read some of the last answer since this was asked last,
+ * and has more to read. */
+static bool
+client_reads (struct h1srv_conn *c)
+{
+	size_t unread = sio_pending (&c->io);
+	bool reads = unread > 0 && (c->unread == 0 || unread < c->unread);
+
+	c->unread = unread;
+	return reads;
+}
+
 static void
 on_timer (void *ctx)
 {
@@ -171,6 +186,10 @@
 		return;
 	}
 	sio_input (&c->io, &len);
+	if (c->state == CONN_HEAD && len == 0 && client_reads (c)) {
+		conn_limit (c, c->srv->limits.idle_timeout_ms);
+		return;
+	}
 	if (c->state == CONN_BODY || len > 0)
 		conn_refuse (c, 408);
 	else
@@ -368,11 +387,24 @@
 
 		if (sio_is_open (&c->io))
 			sio_input (&c->io, &len);
-		if (c->state == CONN_HEAD && len == 0)
+		if (c->state == CONN_HEAD && len == 0 &&
+		    sio_pending (&c->io) == 0)
 			conn_close (c, false);
 	}
 }
 
+bool
+h1srv_has_output (const struct h1srv *s)
+{
+	for (guint i = 0; i < s->conns->len; i++) {
+		const struct h1srv_conn *c = g_ptr_array_index (s->conns, i);
+
+		if (sio_pending (&c->io) > 0)
+			return true;
+	}
+	return false;
+}
+
 void
 h1srv_finish (struct h1srv *s)
 {
@@ -434,6 +466,7 @@
 	}
 	c->state = CONN_HEAD;
 	c->head_timed = false;
+	c->unread = 0;
 	conn_limit (c, c->srv->limits.idle_timeout_ms);
 	sio_resume (&c->io);
 	conn_read (c);
--- a/lib/h1srv.h
+++ b/lib/h1srv.h
@@ -76,9 +76,14 @@
 /** h1srv_close_listener() - take no new connections */
 void h1srv_close_listener (struct h1srv *s);
 
-/** h1srv_close_idle() - close the connections that have no request */
+/** h1srv_close_idle() - close the connections that have no request, and whose
+ * last answer is written */
 void h1srv_close_idle (struct h1srv *s);
 
+/** h1srv_has_output() - whether an answer, or a part of one, is to be written
+ */
+bool h1srv_has_output (const struct h1srv *s);
+
 /** h1srv_finish() - stop listening and close all connections */
 void h1srv_finish (struct h1srv *s);
 
--- a/tests/test_h1srv.c
+++ b/tests/test_h1srv.c
@@ -14,12 +14,14 @@
 
 #define SHORT_MS 300
 #define LONG_MS 1500
+#define ANSWER_BYTES (8U << 20) /* more than the buffers of both sides take */
 
 static const char request[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
 
 struct fixture {
 	h2o_loop_t *loop;
 	struct h1srv srv;
+	GString *answer;
 	int fd;
 };
 
@@ -27,10 +29,11 @@
 on_request (struct h1srv_conn *c, const struct h1_head *h,
 	    const GByteArray *body, void *ctx)
 {
+	struct fixture *t = ctx;
+
 	(void)h;
 	(void)body;
-	(void)ctx;
-	h1srv_answer (c, 200, NULL, "", 0);
+	h1srv_answer (c, 200, NULL, t->answer->str, t->answer->len);
 }
 
 static void
@@ -50,6 +53,7 @@
 
 	at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
 	t->loop = h2o_evloop_create ();
+	t->answer = g_string_new (NULL);
 	CU_ASSERT_FATAL (
 		h1srv_init (&t->srv, t->loop, &at, &limits, &ops, t, NULL));
 	at.sin_port = htons (t->srv.port);
@@ -63,6 +67,7 @@
 {
 	close (t->fd);
 	h1srv_finish (&t->srv);
+	g_string_free (t->answer, TRUE);
 }
 
 static void
@@ -137,6 +142,79 @@
 	finish (&t);
 }
 
+/* Reads what is there, at most @max bytes; Return: their number. */
+static size_t
+read_some (struct fixture *t, size_t max)
+{
+	char buf[65536];
+	size_t sum = 0;
+	ssize_t n;
+
+	while (sum < max &&
+	       (n = recv (t->fd, buf, sizeof buf, MSG_DONTWAIT)) > 0)
+		sum += (size_t)n;
+	return sum;
+}
+
+static void
+ask_for_large_answer (struct fixture *t)
+{
+	g_string_set_size (t->answer, ANSWER_BYTES);
+	memset (t->answer->str, 'a', t->answer->len);
+	(void)!send (t->fd, request, sizeof request - 1, MSG_NOSIGNAL);
+	run (t, 50);
+	CU_ASSERT (h1srv_has_output (&t->srv));
+}
+
+static size_t
+read_all (struct fixture *t, size_t step, uint64_t pause_ms)
+{
+	size_t sum = 0, n;
+
+	do {
+		run (t, pause_ms);
+		n = read_some (t, step);
+		sum += n;
+	} while (n > 0);
+	return sum;
+}
+
+/* The limit on the rest began with the answer, not with its last byte. */
+static void
+test_answer_cut_under_a_slow_reader (void)
+{
+	struct fixture t;
+
+	init (&t, LONG_MS, SHORT_MS);
+	ask_for_large_answer (&t);
+	CU_ASSERT (read_all (&t, ANSWER_BYTES / 10, SHORT_MS / 3) >
+		   ANSWER_BYTES);
+	finish (&t);
+	/* Who reads nothing is not waited for. */
+	init (&t, LONG_MS, SHORT_MS);
+	ask_for_large_answer (&t);
+	run (&t, 3 * SHORT_MS);
+	CU_ASSERT (t.srv.conns->len == 0);
+	finish (&t);
+}
+
+/* A process that ends closed connections with an answer in their queue. */
+static void
+test_answer_cut_at_a_planned_stop (void)
+{
+	struct fixture t;
+
+	init (&t, LONG_MS, LONG_MS);
+	ask_for_large_answer (&t);
+	h1srv_leave (&t.srv);
+	h1srv_close_idle (&t.srv);
+	CU_ASSERT (read_all (&t, ANSWER_BYTES, 20) > ANSWER_BYTES);
+	CU_ASSERT (!h1srv_has_output (&t.srv));
+	h1srv_close_idle (&t.srv);
+	CU_ASSERT (t.srv.conns->len == 0);
+	finish (&t);
+}
+
 int
 main (void)
 {
@@ -146,6 +224,8 @@
 		{"longer header limit",
 		 test_request_in_two_parts_that_a_longer_limit_allows},
 		{"same limits", test_limits_that_stay_hold},
+		{"slow reader", test_answer_cut_under_a_slow_reader},
+		{"planned stop", test_answer_cut_at_a_planned_stop},
 		{NULL, NULL}};
 
 	return t_run ("h1srv", cases);
