relayd: a planned stop answers what still waits and writes all answers

What callers saw: at the end of a planned stop a request that waited for an endpoint got no answer, and an answer that was not written yet was cut (LOST).

Cause: the process ended when no request was open, whether or not the answers were written, and half a second before SIGKILL closed the connections of those that were open.

Change: half a second before SIGKILL, requests that are open end as if their time was up: 503 where nothing was sent, 504 where it was, a cut stream. The process then goes on until the answers are written, 0.2 s before SIGKILL at the latest.

--- a/relayd/call.c
+++ b/relayd/call.c
@@ -441,6 +441,13 @@
 	}
 }
 
+void
+call_expire_all (struct relay *r)
+{
+	while (r->calls->len > 0)
+		call_expire (g_ptr_array_index (r->calls, r->calls->len - 1));
+}
+
 static void
 place_waiting (void *ctx)
 {
--- a/relayd/main.c
+++ b/relayd/main.c
@@ -22,8 +22,10 @@
  * request may be on its way while the answer closes its connection. */
 #define IDLE_CLOSE_MS 2800
 
-/* Part of the time until SIGKILL in which the last answers are flushed. */
-#define FLUSH_MARGIN_MS 500
+/* Before SIGKILL: when requests still open are answered with an error, and when
+ * the process ends even with answers to write. */
+#define GIVE_UP_MARGIN_MS 500
+#define STOP_MARGIN_MS 200
 
 bool
 relay_is_ready (const struct relay *r)
@@ -70,16 +72,23 @@
 shutdown_tick (struct relay *r, uint64_t now_ms)
 {
 	uint64_t since_ms = now_ms - r->leave_started_ms;
+	uint64_t kill_ms = (uint64_t)(r->set.grace_s * 1000);
 
 	if (since_ms >= BALANCER_NOTICE_MS)
 		h1srv_close_listener (&r->front);
 	if (since_ms < IDLE_CLOSE_MS)
 		return;
 	h1srv_close_idle (&r->front);
-	if (r->calls->len > 0 &&
-	    since_ms + FLUSH_MARGIN_MS < (uint64_t)(r->set.grace_s * 1000))
+	if (r->calls->len > 0 && since_ms + GIVE_UP_MARGIN_MS < kill_ms)
 		return;
-	log_event (LOG_LV_INFO, "stop", "calls=%u", r->calls->len);
+	if (r->calls->len > 0) {
+		log_event (LOG_LV_INFO, "give-up", "calls=%u", r->calls->len);
+		call_expire_all (r);
+	}
+	if (h1srv_has_output (&r->front) && since_ms + STOP_MARGIN_MS < kill_ms)
+		return;
+	log_event (LOG_LV_INFO, "stop", "output=%d",
+		   h1srv_has_output (&r->front));
 	daemon_stop (&r->daemon);
 }
 
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -377,6 +377,9 @@
  * requests once the current event is handled */
 void call_place_waiting (struct relay *r);
 void call_init (struct relay *r);
+
+/** call_expire_all() - end all requests as if their time was up */
+void call_expire_all (struct relay *r);
 void call_tick (struct relay *r, uint64_t now_ms);
 
 /* attempt.c: HTTP exchanges with endpoints */
