--- a/lib/h1srv.c
+++ b/lib/h1srv.c
@@ -11,7 +11,8 @@
 #include "tmr.h"
 
 #define LISTEN_BACKLOG 512
-#define LINGER_MS 1000 /* for a client to read a refusal that closes */
+#define LINGER_MS 1000      /* for a client to read a refusal that closes */
+#define OUTPUT_MAX_MS 30000 /* for a client to read the last answer */
 #define AHEAD_MAX_BYTES (256U << 10) /* read behind a running request */
 
 enum conn_state {
@@ -28,7 +29,7 @@
 	enum conn_state state;
 	struct tmr tmr;
 	uint64_t timed_since_ms; /* when the state began that @tmr limits */
-	size_t unread;           /* output that was queued when it fired */
+	uint64_t answered_ms;    /* when the owner ended the last answer */
 	GString *head;           /* of the running request */
 	GByteArray *body_bytes;
 	struct h1_body body;
@@ -157,16 +158,12 @@
 	return end_ms > now_ms ? end_ms - now_ms : 0;
 }
 
-/* Whether the client read some of the last answer since this was asked last,
- * and has more to read. */
+/* Whether the client may go on reading the last answer. */
 static bool
-client_reads (struct h1srv_conn *c)
+has_to_read (const struct h1srv_conn *c)
 {
-	size_t unread = sio_pending (&c->io);
-	bool reads = unread > 0 && (c->unread == 0 || unread < c->unread);
-
-	c->unread = unread;
-	return reads;
+	return sio_pending (&c->io) > 0 &&
+	       tmr_now_ms () < c->answered_ms + OUTPUT_MAX_MS;
 }
 
 static void
@@ -186,7 +183,7 @@
 		return;
 	}
 	sio_input (&c->io, &len);
-	if (c->state == CONN_HEAD && len == 0 && client_reads (c)) {
+	if (c->state == CONN_HEAD && len == 0 && has_to_read (c)) {
 		conn_limit (c, c->srv->limits.idle_timeout_ms);
 		return;
 	}
@@ -466,7 +463,7 @@
 	}
 	c->state = CONN_HEAD;
 	c->head_timed = false;
-	c->unread = 0;
+	c->answered_ms = tmr_now_ms ();
 	conn_limit (c, c->srv->limits.idle_timeout_ms);
 	sio_resume (&c->io);
 	conn_read (c);
