relayd: an endpoint that answers its probe is not silent

A full endpoint rejects health checks with 503 while it prefills. After 2.5 s without a byte it counted as stalled, and the 503 as a failed probe, so that requests that may run again left it and ran twice. No test of its own: the relay's probes are played by the soak only.

--- a/relayd/upstream.c
+++ b/relayd/upstream.c
@@ -87,6 +87,9 @@
 	(void)echoed;
 	u->probe_status = h->status;
 	u->r->dialect->parse_response (h, &u->probe_answer);
+	/* A full endpoint rejects probes, and works. */
+	fleet_heard (u->ep, tmr_now_ms ());
+	u->ep->stalled = false;
 }
 
 static void
