fleet: an endpoint whose stream is not read from is not silent

A slow client makes the relay stop reading; such an endpoint counted towards a silent domain and was left with it, though not as stalled.

--- a/lib/fleet_health.c
+++ b/lib/fleet_health.c
@@ -46,7 +46,7 @@
 static bool
 is_silent (const struct fleet_ep *e, uint64_t now_ms)
 {
-	return e->inflight > 0 &&
+	return e->inflight > 0 && e->paused == 0 &&
 	       MAX (e->last_heard_ms, e->busy_since_ms) + SILENCE_MS <= now_ms;
 }
 
--- a/tests/test_fleet_stall.c
+++ b/tests/test_fleet_stall.c
@@ -136,6 +136,9 @@
 	give_work (ep, 1, 2000);
 	ep->paused = 1;
 	CU_ASSERT (check (&f, 9000) == NULL);
+	ep->cut_off = true;
+	CU_ASSERT (!fleet_is_cut_off (ep, 9000));
+	ep->cut_off = false;
 	ep->paused = 0;
 	fleet_check_silence (&f, 10000);
 	fleet_check_silence (&f, 12000);
