relayd: the transport limit is for requests that have an attempt left

A request that may run again had the limit of 1.5 s of silence also on its last attempt, and ended with 502 for it.

--- a/relayd/attempt.c
+++ b/relayd/attempt.c
@@ -403,6 +403,14 @@
 	}
 }
 
+/* Whether another attempt may follow this one from the beginning. */
+static bool
+can_start_anew (const struct call *c)
+{
+	return attempt_is_repeatable (c) && !c->headers_sent &&
+	       c->maybe_run + 1 < c->route->max_attempts;
+}
+
 void
 attempt_start (struct call *c, const struct place_result *v)
 {
@@ -417,9 +425,7 @@
 		.idle_max_ms = attempt_is_repeatable (c) ? REUSE_IDLE_MAX_MS
 							 : REUSE_IDLE_ONCE_MS,
 		.connect_ms = (uint32_t)MIN (CONNECT_TIMEOUT_MS, remaining_ms),
-		.limits = attempt_is_repeatable (c) && !c->headers_sent
-				  ? start_anew_limits
-				  : wait_limits,
+		.limits = can_start_anew (c) ? start_anew_limits : wait_limits,
 	};
 	GString *text;
 
