test_relay_silence: a stream cut because its silent endpoint was given up first

The relay between plain sockets now has an endpoint that it takes for cut off while a stream of it stands still for 0.8 s. With no other endpoint the stream is whole once it goes on; with another it goes on there. Answers of the fixture's scripts name their fields.

--- a/tests/relay_world.c
+++ b/tests/relay_world.c
@@ -161,6 +161,28 @@
 		close (w->client);
 }
 
+static struct fleet_ep *
+endpoint_find (struct world *w, int ep)
+{
+	char id[16];
+
+	g_snprintf (id, sizeof id, "i-%d", ep);
+	return fleet_find (&w->r.fleet, id);
+}
+
+/* What the relay believes of its endpoints once @a was sent by @ep. */
+static void
+set_beliefs (struct world *w, int ep, const struct answer *a)
+{
+	struct fleet_ep *other = endpoint_find (w, 1 - ep);
+
+	endpoint_find (w, ep)->cut_off = a->cut_off;
+	if (a->cut_off)
+		endpoint_find (w, ep)->health = FLEET_SUSPECT;
+	if (a->alone && other != NULL)
+		other->health = FLEET_SUSPECT;
+}
+
 static void
 endpoint_answer (struct world *w, int ep, int conn)
 {
@@ -177,15 +199,18 @@
 		w->listeners[ep] = -1;
 	}
 	if (a->no_address) {
-		char id[16];
-		struct fleet_ep *e;
+		struct fleet_ep *e = endpoint_find (w, ep);
 
-		g_snprintf (id, sizeof id, "i-%d", ep);
-		e = fleet_find (&w->r.fleet, id);
 		/* An address for documentation, which no machine has. */
 		((struct upstream *)e->owner_data)->host.from.s_addr =
 			htonl (0xcb007101);
 	}
+	set_beliefs (w, ep, a);
+	if (a->rest != NULL) {
+		w->rest = a->rest;
+		w->rest_fd = fd;
+		w->rest_ms = tmr_now_ms () + REST_MS;
+	}
 	if (a->after == KEEP)
 		return;
 	/* What was sent arrives before the reset does. */
@@ -248,6 +273,7 @@
 	w->answers = answers;
 	w->answered = 0;
 	w->ended = w->reset = false;
+	w->rest = NULL;
 	g_string_truncate (w->got, 0);
 	g_string_truncate (w->requests, 0);
 	at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
@@ -269,6 +295,11 @@
 		h2o_evloop_run (w->r.daemon.loop, 2);
 		for (int i = 0; i < ENDPOINTS; i++)
 			endpoint_run (w, i);
+		if (w->rest != NULL && tmr_now_ms () >= w->rest_ms) {
+			(void)!send (w->rest_fd, w->rest, strlen (w->rest),
+				     MSG_NOSIGNAL);
+			w->rest = NULL;
+		}
 		n = recv (w->client, buf, sizeof buf, MSG_DONTWAIT);
 		if (n > 0)
 			g_string_append_len (w->got, buf, n);
--- a/tests/relay_world.h
+++ b/tests/relay_world.h
@@ -17,10 +17,15 @@
 struct answer {
 	const char *text;
 	enum after after;
-	bool closes;     /* the endpoint takes no more connections */
-	bool no_address; /* the relay can open no more connections to it */
+	bool closes;      /* the endpoint takes no more connections */
+	bool no_address;  /* the relay can open no more connections to it */
+	bool cut_off;     /* the relay takes it for cut off */
+	bool alone;       /* the relay can use no other */
+	const char *rest; /* sent REST_MS later; NULL: nothing */
 };
 
+#define REST_MS 800
+
 struct world {
 	struct relay r;
 	struct tmr tick_timer;
@@ -31,6 +36,9 @@
 	GString *requests;
 	int client;
 	GString *got;
+	const char *rest; /* of the answer of struct answer.rest */
+	int rest_fd;
+	uint64_t rest_ms;
 	bool ended, reset;
 };
 
--- a/tests/test_relay_refused.c
+++ b/tests/test_relay_refused.c
@@ -60,9 +60,9 @@
 
 	for (unsigned i = 0; i < 2 * G_N_ELEMENTS (answers); i++) {
 		const struct answer first[ANSWERS_MAX] = {
-			{answers[i / 2].first, KEEP, false, false}};
+			{.text = answers[i / 2].first, .after = KEEP}};
 		const struct answer script[ANSWERS_MAX] = {
-			{answers[i / 2].text, KEEP, false, false}};
+			{.text = answers[i / 2].text, .after = KEEP}};
 		struct world w;
 
 		world_init (&w, "app", 1);
--- a/tests/test_relay_stream.c
+++ b/tests/test_relay_stream.c
@@ -110,8 +110,8 @@
 {
 	for (unsigned i = 0; i < G_N_ELEMENTS (rows); i++) {
 		const struct answer answers[ANSWERS_MAX] = {
-			{FIRST, RST, false, false},
-			{rows[i].second, rows[i].after, false, false}};
+			{.text = FIRST, .after = RST},
+			{.text = rows[i].second, .after = rows[i].after}};
 		struct world w;
 
 		world_init (&w, "app", ENDPOINTS);
@@ -161,7 +161,7 @@
 
 	for (unsigned i = 0; i < G_N_ELEMENTS (cases); i++) {
 		const struct answer script[ANSWERS_MAX] = {
-			{cases[i].text, cases[i].after, false, false}};
+			{.text = cases[i].text, .after = cases[i].after}};
 		struct world w;
 		char *body;
 
@@ -205,7 +205,7 @@
 
 	for (unsigned i = 0; i < G_N_ELEMENTS (answers); i++) {
 		const struct answer script[ANSWERS_MAX] = {
-			{answers[i].text, KEEP, false, false}};
+			{.text = answers[i].text, .after = KEEP}};
 		struct world w;
 		char *body;
 
@@ -253,8 +253,11 @@
 
 	for (unsigned i = 0; i < G_N_ELEMENTS (cases); i++) {
 		const struct answer script[ANSWERS_MAX] = {
-			{FIRST, RST, cases[i].closes, cases[i].no_address},
-			{cases[i].second, FIN, false, false}};
+			{.text = FIRST,
+			 .after = RST,
+			 .closes = cases[i].closes,
+			 .no_address = cases[i].no_address},
+			{.text = cases[i].second, .after = FIN}};
 		struct world w;
 
 		world_init (&w, "llm", ENDPOINTS);
