--- a/relayd/upstream.c
+++ b/relayd/upstream.c
@@ -280,17 +280,25 @@
 }
 
 static void
-check_silence (struct relay *r, uint64_t now_ms)
+check_domains (struct relay *r, uint64_t now_ms)
 {
 	const struct fleet_ep *ep = fleet_check_silence (&r->fleet, now_ms);
 
-	if (ep != NULL) {
-		r->load_changed =
-			true; /* load reports name suspect endpoints */
-		log_event (LOG_LV_INFO, "domain-silent",
-			   "domain=%s heard_ms=%" G_GUINT64_FORMAT,
-			   ep->info.domain, now_ms - ep->last_heard_ms);
-	}
+	if (ep == NULL)
+		return;
+	r->load_changed = true; /* load reports name suspect endpoints */
+	log_event (LOG_LV_INFO, "domain-silent",
+		   "domain=%s heard_ms=%" G_GUINT64_FORMAT, ep->info.domain,
+		   now_ms - ep->last_heard_ms);
+}
+
+/* To be called after check_domains(), which leaves no endpoint of a silent
+ * domain unsuspected. */
+static void
+check_stalled (struct relay *r, uint64_t now_ms)
+{
+	const struct fleet_ep *ep;
+
 	while ((ep = fleet_next_stalled (&r->fleet, now_ms)) != NULL) {
 		r->load_changed = true;
 		log_event (LOG_LV_INFO, "endpoint",
@@ -307,8 +315,10 @@
 {
 	bool due = now_ms >= r->probe_check_ms + PROBE_CHECK_MS;
 
-	if (due)
-		check_silence (r, now_ms);
+	if (due) {
+		check_domains (r, now_ms);
+		check_stalled (r, now_ms);
+	}
 
 	for (guint i = 0; due && i < r->fleet.eps->len; i++) {
 		struct fleet_ep *ep = g_ptr_array_index (r->fleet.eps, i);
