e2e_keys: a failure tells the count of credential headers that was read

The check failed once beside load, and its log does not tell a count above 0 from an answer that did not come. The check is the same, and prints what it read where it fails.

--- a/tests/e2e_keys.sh
+++ b/tests/e2e_keys.sh
@@ -115,9 +115,15 @@
 	kill "$pid" 2>/dev/null
 done
 
+# saw_none ENGINE WHAT: a failure tells the count, or that none was read.
+saw_none () {
+	local count
+	count=$(seen "$1" "$2")
+	[ "$count" = 0 ] || { echo "$1 $2: '$count'"; return 1; }
+}
 for engine in n1 n2 s1 s2; do
 	check "$engine saw no credential header" \
-		test "$(seen $engine credential_headers)" = 0
-	check "$engine saw no key" test "$(seen $engine key_texts)" = 0
+		saw_none $engine credential_headers
+	check "$engine saw no key" saw_none $engine key_texts
 done
 echo ok
