review: a member killed in its first start never starts again

What breaks: CONFIG (an acknowledged state that can't be read back), by a program that doesn't start. A kill between the first two files of a new data folder leaves a folder that every later start refuses. The member counts as running; with the next loss of a machine, which the installation bears, the group has no majority. Shown by: review/2/run.sh, after review/build.sh.

--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,68 @@
+#!/usr/bin/env bash
+# A machine of the core is replaced by an empty one.  The process on the new
+# machine is killed once during its first start, and restarted whenever it
+# ends.  Long after that, another machine of the core is lost.
+. "$(dirname "$0")/../lib.sh"
+
+keep_running () { # MEMBER: restart it whenever it ends, as the platform does
+	while :; do
+		target/bin/groupd -f "$TMP/core-$1.conf" >>"$TMP/core-$1.out" 2>&1
+		note "core-$1 ended, status $?: $(tail -1 "$TMP/core-$1.out" |
+			sed "s|$TMP|(folder)|")"
+		sleep 0.5
+	done
+}
+
+for i in 1 2 3; do member $i true; done
+list
+platform
+wait_for 15 put_config 1 5 || cannot_run "no configuration"
+for i in 1 2 3; do
+	wait_for 10 has_config $i 5 || cannot_run "core-$i does not follow"
+done
+
+note "core-3 is lost for good; core-4 comes with an empty disk"
+kill -KILL "${PID[core-3]}"
+sleep 1
+render groupd.json.in core-4 zone-3 "$NET.4" false
+if [ "$TROUBLE" = 1 ]; then
+	for ((i = 0; i < 200; i++)); do
+		rm -rf "$TMP/disk-core-4"
+		mkdir "$TMP/disk-core-4"
+		$R/kill_at "$TMP/disk-core-4" log identity \
+			target/bin/groupd -f "$TMP/core-4.conf" \
+			>>"$TMP/core-4.out" 2>&1 && break
+	done
+	[ "$i" -lt 200 ] || cannot_run "the moment was never met"
+	note "core-4 got SIGKILL during its first start"
+	sleep 0.5
+else
+	mkdir "$TMP/disk-core-4"
+fi
+keep_running 4 &
+PID[keeper]=$!
+
+# catch_up_s is 4 and contact_ms 3000: core-4 counts as back by far.
+sleep 14
+wait_for 10 put_config 1 6 || cannot_run "a change is not acknowledged"
+note "version 6 is acknowledged"
+sleep 2
+note "core-2 is lost"
+kill -KILL "${PID[core-2]}"
+
+# contact_ms later the core counts as stable: two of its three machines run,
+# one of them as it counts as running while it ends by itself.  From then on
+# the operator reads the desired state for 12 s, at each node that is left.
+sleep 4
+READ=0
+END=$(($(date +%s) + 12))
+while [ "$(date +%s)" -lt $END ] && [ $READ = 0 ]; do
+	for i in 1 4; do
+		has_config $i 6 && READ=1
+	done
+	sleep 0.2
+done
+note "version 6 is read back: $READ"
+kill "${PID[keeper]}"
+pkill -KILL -P "${PID[keeper]}" 2>/dev/null
+[ $READ = 1 ]
