review: a deposed leader whose disk stalled reports usage once more

What breaks: ONE. groupd's tick judges the lease by the time of before the flush of the log. A leader whose disk hung for 3.5 s sends a usage report with its old fence after another leader has reported, and before it does again. The earlier cases move up by one.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,73 +1,46 @@
 #!/usr/bin/env bash
-# A machine of the core is replaced by an empty one.  The process on the new
-# machine is killed once during its first start, and restarted whenever it
-# ends.  Long after that, another machine of the core loses its disk.
+# A relay gets SIGTERM.  Clients that keep their channels have streams running
+# on it, which end some seconds later, and send their next request at once.
 . "$(dirname "$0")/../lib.sh"
 
-keep_running () { # MEMBER: restart it whenever it ends, as the platform does
-	while :; do
-		target/bin/groupd -f "$TMP/core-$1.conf" >>"$TMP/core-$1.out" 2>&1 &
-		echo $! >"$TMP/core-$1.pid"
-		wait $!
-		note "core-$1 ended, status $?: $(tail -1 "$TMP/core-$1.out" |
-			sed "s|$TMP|(folder)|")"
-		sleep 0.5
-	done
-}
-
+CHANNELS=6
 for i in 1 2 3; do member $i true; done
-list
+for i in 1 2 3; do server "app-$i" $i; done
+list "$(entry app-1 1 app zone-1)" "$(entry app-2 2 app zone-2)" \
+	"$(entry app-3 3 app zone-3)"
 platform
 wait_for 15 put_config 1 5 || cannot_run "no configuration"
-for i in 1 2 3; do
-	wait_for 10 has_config $i 5 || cannot_run "core-$i does not follow"
-done
+relay 1
+wait_for 15 is_ready 1 || cannot_run "the relay is not ready"
 
-note "core-3 is lost for good; core-4 comes with an empty disk"
-kill -KILL "${PID[core-3]}"
+for ((i = 1; i <= CHANNELS; i++)); do
+	# 4.8 s each: 40 events, 120 ms between two.
+	$R/client "$NET.11:$FRONT" "$RECORD" $KEY 12000 \
+		"first-$i" /stream/a "events=40 gap_ms=120" \
+		"second-$i" /stream/b "events=40 gap_ms=120" &
+	CLIENTS+=($!)
+done
 sleep 1
-render groupd.json.in core-4 zone-3 "$NET.4" false
 if [ "$TROUBLE" = 1 ]; then
-	for ((i = 0; i < 200; i++)); do
-		rm -rf "$TMP/disk-core-4"
-		mkdir "$TMP/disk-core-4"
-		$R/kill_at "$TMP/disk-core-4" log identity \
-			target/bin/groupd -f "$TMP/core-4.conf" \
-			>>"$TMP/core-4.out" 2>&1 && break
-	done
-	[ "$i" -lt 200 ] || cannot_run "the moment was never met"
-	note "core-4 got SIGKILL during its first start"
-	sleep 0.5
-else
-	mkdir "$TMP/disk-core-4"
+	note "SIGTERM to the relay"
+	kill -TERM "${PID[edge-1]}"
+	wait_for 8 eval '! alive edge-1' || {
+		note "SIGKILL to the relay, grace_s after SIGTERM"
+		kill -KILL "${PID[edge-1]}"
+	}
 fi
-keep_running 4 &
-PID[keeper]=$!
-disown $!
-
-# catch_up_s is 4 and contact_ms 3000: core-4 counts as back by far.
-sleep 14
-wait_for 10 put_config 1 6 || cannot_run "a change is not acknowledged"
-note "version 6 is acknowledged"
-sleep 2
-note "core-2 loses its disk"
-kill -KILL "${PID[core-2]}"
-rm -rf "$TMP/disk-core-2"
-sleep 3
-note "core-2 is back, with an empty disk"
-member 2 false
+wait "${CLIENTS[@]}"
+sleep 0.5
 
-# The operator reads the desired state at each node, for recovery_s (12 s) and
-# 8 s more.
-READ=0
-END=$(($(date +%s) + 20))
-while [ "$(date +%s)" -lt $END ] && [ $READ = 0 ]; do
-	for i in 1 2 4; do
-		has_config $i 6 && READ=1
-	done
-	sleep 0.2
+for ((i = 1; i <= CHANNELS; i++)); do
+	grep -q "client answer first-$i whole status=200" "$RECORD" ||
+		note "first-$i was not served"
+	# Passed on to a server, and ended without a complete answer.
+	if grep -q "runs second-$i " "$RECORD" &&
+		grep -Eq "client answer second-$i (cut|none)" "$RECORD"; then
+		note "LOST: second-$i ran at a server and its answer was cut"
+		LOST=$((${LOST:-0} + 1))
+	fi
 done
-note "version 6 is read back: $READ"
-kill -KILL "${PID[keeper]}"
-kill -KILL "$(cat "$TMP/core-4.pid")" 2>/dev/null
-[ $READ = 1 ]
+note "lost requests: ${LOST:-0}"
+[ "${LOST:-0}" = 0 ]
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,46 +1,73 @@
 #!/usr/bin/env bash
-# A new desired state adds two tenants.  Each sends requests with its key.
+# A machine of the core is replaced by an empty one.  The process on the new
+# machine is killed once during its first start, and restarted whenever it
+# ends.  Long after that, another machine of the core loses its disk.
 . "$(dirname "$0")/../lib.sh"
 
-NORTH=regional-directorate-of-the-water-towers-and-of-pumping-stations-north
-SOUTH=regional-directorate-of-the-water-towers-and-of-pumping-stations-south
-[ "$TROUBLE" = 1 ] || NORTH=stations-north SOUTH=stations-south
-
-config_with_tenants () { # VERSION
-	config "$1" | sed "s|\"tenants\":\[|&{\"name\":\"$NORTH\",\
-\"api_keys\":[\"key-of-the-north-0001\"]},{\"name\":\"$SOUTH\",\
-\"api_keys\":[\"key-of-the-south-0001\"]},|" >"$TMP/config-$1"
-}
-put_tenants () { # VERSION
-	$R/api POST "$NET.1:$CONTROL" /api/config/replace "$TMP/config-$1" |
-		head -1 | grep -q 200
+keep_running () { # MEMBER: restart it whenever it ends, as the platform does
+	while :; do
+		target/bin/groupd -f "$TMP/core-$1.conf" >>"$TMP/core-$1.out" 2>&1 &
+		echo $! >"$TMP/core-$1.pid"
+		wait $!
+		note "core-$1 ended, status $?: $(tail -1 "$TMP/core-$1.out" |
+			sed "s|$TMP|(folder)|")"
+		sleep 0.5
+	done
 }
 
 for i in 1 2 3; do member $i true; done
-server app-1 1
-list "$(entry app-1 1 app zone-1)"
+list
 platform
 wait_for 15 put_config 1 5 || cannot_run "no configuration"
-relay 1
-wait_for 15 is_ready 1 || cannot_run "the relay is not ready"
-
-config_with_tenants 6
-wait_for 10 put_tenants 6 || cannot_run "the new state is not acknowledged"
-note "the state with the tenants $NORTH and $SOUTH is acknowledged"
-sleep 3
 for i in 1 2 3; do
-	$R/client "$NET.11:$FRONT" "$RECORD" key-of-the-north-0001 1500 \
-		"north-$i" /once/a "work_ms=10"
-	$R/client "$NET.11:$FRONT" "$RECORD" key-of-the-south-0001 1500 \
-		"south-$i" /once/a "work_ms=10"
+	wait_for 10 has_config $i 5 || cannot_run "core-$i does not follow"
 done
 
-WRONG=0
-for i in 1 2 3; do
-	grep -q "runs north-$i " "$RECORD" && grep -q "runs south-$i " "$RECORD" ||
-		cannot_run "a request did not reach the server"
-	grep -q "runs north-$i .*tenant=$NORTH\$" "$RECORD" || WRONG=$((WRONG + 1))
-	grep -q "runs south-$i .*tenant=$SOUTH\$" "$RECORD" || WRONG=$((WRONG + 1))
+note "core-3 is lost for good; core-4 comes with an empty disk"
+kill -KILL "${PID[core-3]}"
+sleep 1
+render groupd.json.in core-4 zone-3 "$NET.4" false
+if [ "$TROUBLE" = 1 ]; then
+	for ((i = 0; i < 200; i++)); do
+		rm -rf "$TMP/disk-core-4"
+		mkdir "$TMP/disk-core-4"
+		$R/kill_at "$TMP/disk-core-4" log identity \
+			target/bin/groupd -f "$TMP/core-4.conf" \
+			>>"$TMP/core-4.out" 2>&1 && break
+	done
+	[ "$i" -lt 200 ] || cannot_run "the moment was never met"
+	note "core-4 got SIGKILL during its first start"
+	sleep 0.5
+else
+	mkdir "$TMP/disk-core-4"
+fi
+keep_running 4 &
+PID[keeper]=$!
+disown $!
+
+# catch_up_s is 4 and contact_ms 3000: core-4 counts as back by far.
+sleep 14
+wait_for 10 put_config 1 6 || cannot_run "a change is not acknowledged"
+note "version 6 is acknowledged"
+sleep 2
+note "core-2 loses its disk"
+kill -KILL "${PID[core-2]}"
+rm -rf "$TMP/disk-core-2"
+sleep 3
+note "core-2 is back, with an empty disk"
+member 2 false
+
+# The operator reads the desired state at each node, for recovery_s (12 s) and
+# 8 s more.
+READ=0
+END=$(($(date +%s) + 20))
+while [ "$(date +%s)" -lt $END ] && [ $READ = 0 ]; do
+	for i in 1 2 4; do
+		has_config $i 6 && READ=1
+	done
+	sleep 0.2
 done
-note "UNASKED: runs with another X-Tenant than that of the key: $WRONG"
-[ $WRONG = 0 ]
+note "version 6 is read back: $READ"
+kill -KILL "${PID[keeper]}"
+kill -KILL "$(cat "$TMP/core-4.pid")" 2>/dev/null
+[ $READ = 1 ]
