relayd: begin nothing late in a planned stop that may not end in it

Cause: a head that was written before SIGTERM does not say that its connection ends, so the client goes on; front_handle() admitted all that came as long as the process lived, whatever was left of the grace. On the same path: a request that was still arriving, or lay unread in the socket's buffer, was dropped with the idle connections or at the exit; so were those that waited for the first configuration; and with a grace of 2.8 s or less nothing open was answered. Change: stopplan has the times of a stop and what may be begun in it: all while clients can't know, then what ends by its own limit; the rest is refused as not run, with Retry-After, and the connection says that it ends. Sockets are looked at before they are closed, partial requests are awaited and then refused, the accept queue is emptied, and all of it shrinks with the grace. A refusal of a request that did not arrive whole now logs its id.

--- a/lib/h1srv.c
+++ b/lib/h1srv.c
@@ -133,13 +133,39 @@
 	.ended = on_ended,
 };
 
+/* To be answered before the request has arrived whole. */
 static void
-conn_refuse (struct h1srv_conn *c, int status)
+conn_begin_refusal (struct h1srv_conn *c)
 {
-	log_event (LOG_LV_INFO, "bad-request", "status=%d", status);
 	c->close = true;
 	c->state = CONN_BUSY;
+	c->data = NULL;
 	c->srv->busy++;
+}
+
+/* The request's id, if its head has arrived; free with g_free(). */
+static char *
+conn_request_id (const struct h1srv_conn *c)
+{
+	const char *name = c->srv->id_header;
+	struct h1_head h;
+	size_t used;
+
+	if (name == NULL || c->state != CONN_BODY ||
+	    h1_request (c->head->str, c->head->len, &h, &used) != H1_OK)
+		return NULL;
+	return h1_copy (h1_find (&h, name));
+}
+
+static void
+conn_refuse (struct h1srv_conn *c, int status, const char *why)
+{
+	char *id = conn_request_id (c);
+
+	log_event (LOG_LV_INFO, "bad-request", "req=%s status=%d why=\"%s\"",
+		   id != NULL ? id : "", status, why);
+	g_free (id);
+	conn_begin_refusal (c);
 	h1srv_answer (c, status, NULL, "", 0);
 }
 
@@ -188,7 +214,7 @@
 		return;
 	}
 	if (c->state == CONN_BODY || len > 0)
-		conn_refuse (c, 408);
+		conn_refuse (c, 408, "not whole in time");
 	else
 		conn_close (c, false);
 }
@@ -225,11 +251,11 @@
 		return false;
 	switch (h1_request (in, len, &h, &used)) {
 	case H1_BAD:
-		conn_refuse (c, 400);
+		conn_refuse (c, 400, "malformed head");
 		return false;
 	case H1_MORE:
 		if (len > l->max_header_bytes)
-			conn_refuse (c, 431);
+			conn_refuse (c, 431, "head too long");
 		else if (!c->head_timed)
 			conn_limit (c, l->header_timeout_ms);
 		c->head_timed = true;
@@ -238,7 +264,10 @@
 		break;
 	}
 	if (used > l->max_header_bytes || h.length > l->max_body_bytes) {
-		conn_refuse (c, used > l->max_header_bytes ? 431 : 413);
+		if (used > l->max_header_bytes)
+			conn_refuse (c, 431, "head too long");
+		else
+			conn_refuse (c, 413, "body too long");
 		return false;
 	}
 	c->close = h.close;
@@ -270,7 +299,7 @@
 		sio_consume (&c->io, used);
 		if (c->body_bytes->len <= c->srv->limits.max_body_bytes)
 			return true;
-		conn_refuse (c, 413);
+		conn_refuse (c, 413, "body too long");
 		return false;
 	case H1_STEP_END:
 		sio_consume (&c->io, used);
@@ -279,7 +308,7 @@
 	case H1_STEP_BAD:
 		break;
 	}
-	conn_refuse (c, 400);
+	conn_refuse (c, 400, "malformed body");
 	return false;
 }
 
@@ -370,33 +399,98 @@
 void
 h1srv_close_listener (struct h1srv *s)
 {
-	if (s->listener != NULL)
-		h2o_socket_close (s->listener);
+	if (s->listener == NULL)
+		return;
+	/* The kernel would reset the connections that were not taken from it.
+	 */
+	on_accept (s->listener, NULL);
+	h2o_socket_close (s->listener);
 	s->listener = NULL;
 }
 
+/* Whether bytes of a request wait in the socket's buffer. */
+static bool
+has_unread (const struct h1srv_conn *c)
+{
+	char byte;
+
+	return recv (h2o_socket_get_fd (c->io.sock), &byte, 1,
+		     MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/* Whether the part of a request that was read is not the whole. */
+static bool
+is_partial (const struct h1srv_conn *c)
+{
+	size_t len;
+
+	if (c->state != CONN_HEAD)
+		return c->state == CONN_BODY;
+	sio_input (&c->io, &len);
+	return len > 0;
+}
+
+/* Whether a request is unanswered, or has begun to arrive. */
+static bool
+has_request (const struct h1srv_conn *c)
+{
+	return c->state == CONN_BUSY || is_partial (c) ||
+	       (c->state == CONN_HEAD && has_unread (c));
+}
+
 void
 h1srv_close_idle (struct h1srv *s)
 {
 	for (guint i = s->conns->len; i > 0; i--) {
 		struct h1srv_conn *c = g_ptr_array_index (s->conns, i - 1);
-		size_t len = 0;
 
-		if (sio_is_open (&c->io))
-			sio_input (&c->io, &len);
-		if (c->state == CONN_HEAD && len == 0 &&
+		if (c->state == CONN_HEAD && !has_request (c) &&
 		    sio_pending (&c->io) == 0)
 			conn_close (c, false);
 	}
 }
 
+bool
+h1srv_has_requests (const struct h1srv *s)
+{
+	for (guint i = 0; i < s->conns->len; i++) {
+		const struct h1srv_conn *c = g_ptr_array_index (s->conns, i);
+
+		if (has_request (c))
+			return true;
+	}
+	return false;
+}
+
+void
+h1srv_refuse_partial (struct h1srv *s,
+		      void (*refuse) (struct h1srv_conn *c,
+				      const struct h1_head *h, void *ctx),
+		      void *ctx)
+{
+	for (guint i = s->conns->len; i > 0; i--) {
+		struct h1srv_conn *c = g_ptr_array_index (s->conns, i - 1);
+		bool has_head = c->state == CONN_BODY;
+		struct h1_head h;
+		size_t used;
+
+		if (!is_partial (c))
+			continue;
+		tmr_stop (&c->tmr);
+		conn_begin_refusal (c);
+		has_head = has_head && h1_request (c->head->str, c->head->len,
+						   &h, &used) == H1_OK;
+		refuse (c, has_head ? &h : NULL, ctx);
+	}
+}
+
 bool
 h1srv_has_output (const struct h1srv *s)
 {
 	for (guint i = 0; i < s->conns->len; i++) {
 		const struct h1srv_conn *c = g_ptr_array_index (s->conns, i);
 
-		if (sio_pending (&c->io) > 0)
+		if (sio_pending (&c->io) > 0 || c->state == CONN_LINGER)
 			return true;
 	}
 	return false;
--- a/lib/h1srv.h
+++ b/lib/h1srv.h
@@ -52,7 +52,8 @@
 	GPtrArray *conns;  /* of struct h1srv_conn * */
 	GPtrArray *graves; /* closed ones, freed by @sweep */
 	struct tmr sweep;
-	uint32_t busy; /* of them, with a request */
+	uint32_t busy;         /* of them, with a request */
+	const char *id_header; /* names requests in log lines; NULL: none */
 	uint16_t port;
 	bool leaving;
 };
@@ -73,15 +74,30 @@
  */
 void h1srv_leave (struct h1srv *s);
 
-/** h1srv_close_listener() - take no new connections */
+/** h1srv_close_listener() - take no new connections; those that the kernel has
+ * accepted are served */
 void h1srv_close_listener (struct h1srv *s);
 
-/** h1srv_close_idle() - close the connections that have no request, and whose
- * last answer is written */
+/** h1srv_close_idle() - close the connections that have no request, not even
+ * one that is yet to be read, and whose last answer is written */
 void h1srv_close_idle (struct h1srv *s);
 
-/** h1srv_has_output() - whether an answer, or a part of one, is to be written
+/** h1srv_has_requests() - whether a request is unanswered, or a part of one has
+ * arrived */
+bool h1srv_has_requests (const struct h1srv *s);
+
+/**
+ * h1srv_refuse_partial() - refuse the requests of which a part was read
+ * @refuse: answers one by h1srv_answer(); @h is its head, NULL where that has
+ *	not arrived whole either.  The connection ends with the answer.
  */
+void h1srv_refuse_partial (struct h1srv *s,
+			   void (*refuse) (struct h1srv_conn *c,
+					   const struct h1_head *h, void *ctx),
+			   void *ctx);
+
+/** h1srv_has_output() - whether an answer, or a part of one, is to be written,
+ * or to be read by a client before its connection is closed */
 bool h1srv_has_output (const struct h1srv *s);
 
 /** h1srv_finish() - stop listening and close all connections */
--- a/relayd/front.c
+++ b/relayd/front.c
@@ -67,13 +67,19 @@
 	}
 }
 
+/* How long a request may take. */
+static uint64_t
+wait_limit_ms (const struct plan_route *route, const struct dia_request *req)
+{
+	return req->timeout_ms > 0 ? MIN (route->timeout_ms, req->timeout_ms)
+				   : route->timeout_ms;
+}
+
 static void
 set_deadline (struct call *c, uint64_t arrived_ms)
 {
-	uint64_t wait_ms = c->route->timeout_ms;
+	uint64_t wait_ms = wait_limit_ms (c->route, &c->req);
 
-	if (c->req.timeout_ms > 0)
-		wait_ms = MIN (wait_ms, c->req.timeout_ms);
 	c->arrived_ms = arrived_ms;
 	c->deadline_ms = c->arrived_ms + MAX (wait_ms, 2 * DEADLINE_MARGIN_MS) -
 			 DEADLINE_MARGIN_MS;
@@ -148,6 +154,11 @@
 			return;
 		}
 	}
+	if (!stop_admits (r, wait_limit_ms (route, &req))) {
+		front_refuse (r, conn, req.id, 503, stop_retry_after_ms (r),
+			      "stopping");
+		return;
+	}
 	create_call (r, conn, h, body, &req, route, account, arrived_ms);
 }
 
@@ -231,6 +242,7 @@
 	    !h1srv_init (&r->front, r->daemon.loop, &at, &limits, &front_ops, r,
 			 e))
 		return false;
+	r->front.id_header = r->dialect->request_id_header;
 	if (!link_addr_parse (r->set.ready, &at, e) ||
 	    !h1srv_init (&r->ready, r->daemon.loop, &at, &limits, &ready_ops, r,
 			 e))
--- a/relayd/main.c
+++ b/relayd/main.c
@@ -13,20 +13,6 @@
 
 #define LOG_LINES_PER_S 200
 
-/* The load balancer checks readiness once a second and stops sending after two
- * failed checks.  Later connections come only while too few other instances are
- * ready; these are refused, which tells the client that nothing was read. */
-#define BALANCER_NOTICE_MS 2300
-
-/* Idle connections are closed later than the listener, since a client's next
- * request may be on its way while the answer closes its connection. */
-#define IDLE_CLOSE_MS 2800
-
-/* Before SIGKILL: when requests still open are answered with an error, and when
- * the process ends even with answers to write. */
-#define GIVE_UP_MARGIN_MS 500
-#define STOP_MARGIN_MS 200
-
 bool
 relay_is_ready (const struct relay *r)
 {
@@ -68,41 +54,10 @@
 	return (uint64_t)(own + (int64_t)tmr_now_ms ());
 }
 
-static void
-shutdown_tick (struct relay *r, uint64_t now_ms)
-{
-	uint64_t since_ms = now_ms - r->leave_started_ms;
-	uint64_t kill_ms = (uint64_t)(r->set.grace_s * 1000);
-
-	if (since_ms >= BALANCER_NOTICE_MS)
-		h1srv_close_listener (&r->front);
-	if (since_ms < IDLE_CLOSE_MS)
-		return;
-	h1srv_close_idle (&r->front);
-	if (r->calls->len > 0 && since_ms + GIVE_UP_MARGIN_MS < kill_ms)
-		return;
-	if (r->calls->len > 0) {
-		log_event (LOG_LV_INFO, "give-up", "calls=%u", r->calls->len);
-		call_expire_all (r);
-	}
-	if (h1srv_has_output (&r->front) && since_ms + STOP_MARGIN_MS < kill_ms)
-		return;
-	log_event (LOG_LV_INFO, "stop", "output=%d",
-		   h1srv_has_output (&r->front));
-	daemon_stop (&r->daemon);
-}
-
 static void
 on_terminate (void *ctx)
 {
-	struct relay *r = ctx;
-
-	if (r->leaving)
-		return;
-	log_event (LOG_LV_INFO, "leave", "calls=%u", r->calls->len);
-	r->leaving = true;
-	r->leave_started_ms = tmr_now_ms ();
-	h1srv_leave (&r->front);
+	stop_begin (ctx);
 }
 
 static void
@@ -127,8 +82,7 @@
 	upstream_tick (r, now_ms);
 	startup_tick (r, now_ms);
 	usage_tick (r, now_ms);
-	if (r->leaving)
-		shutdown_tick (r, now_ms);
+	stop_tick (r, now_ms);
 }
 
 static bool
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -25,6 +25,7 @@
 #include "plan.h"
 #include "set_daemons.h"
 #include "rbudget.h"
+#include "stopplan.h"
 #include "tmr.h"
 #include "wincount.h"
 
@@ -243,6 +244,7 @@
  * @dispatch_timer: retries waiting calls, see call_place_waiting()
  * @leaving: SIGTERM was received
  * @leave_started_ms: when it was received
+ * @stopplan: times of the planned stop
  * @sent_bytes: bytes sent on links, by frame kind
  */
 struct relay {
@@ -291,6 +293,7 @@
 	struct tmr tick_timer, dispatch_timer;
 	bool leaving;
 	uint64_t leave_started_ms;
+	struct stopplan stopplan;
 	struct relay_stats stats;
 	uint64_t sent_bytes[FRAME_KINDS];
 };
@@ -343,9 +346,25 @@
 /** startup_client_gone() - the client on @conn disconnected */
 void startup_client_gone (struct relay *r, const struct h1srv_conn *conn);
 
+/** startup_refuse_all() - refuse all queued requests */
+void startup_refuse_all (struct relay *r);
+
 /** startup_tick() - handle queued requests once configured, or out of time */
 void startup_tick (struct relay *r, uint64_t now_ms);
 
+/* stop.c: the planned stop, see stopplan.h */
+
+/** stop_begin() - SIGTERM was received; a second one changes nothing */
+void stop_begin (struct relay *r);
+
+/** stop_admits() - whether to begin a request whose client waits for @limit_ms
+ * at most; always unless the relay stops */
+bool stop_admits (const struct relay *r, uint64_t limit_ms);
+
+/** stop_retry_after_ms() - Retry-After of a request that isn't begun */
+uint32_t stop_retry_after_ms (struct relay *r);
+void stop_tick (struct relay *r, uint64_t now_ms);
+
 /* call.c: admitted requests, from admission to the end of their answer */
 
 /** call_admit() - start to place a new request */
--- a/relayd/startup.c
+++ b/relayd/startup.c
@@ -14,11 +14,13 @@
 
 /**
  * struct startup_req - a queued request
+ * @id: the request's id
  * @head_text: request line and headers, parsed again when it is handled
  * @deadline_ms: when it is handled even without a configuration
  */
 struct startup_req {
 	struct h1srv_conn *conn;
+	char id[DIA_ID_BYTES];
 	GString *head_text;
 	GByteArray *body;
 	uint64_t arrived_ms;
@@ -70,6 +72,7 @@
 		return false;
 	q = g_new0 (struct startup_req, 1);
 	q->conn = conn;
+	g_strlcpy (q->id, req.id, sizeof q->id);
 	q->head_text = format_head (h);
 	q->body = g_byte_array_new ();
 	g_byte_array_append (q->body, body->data, body->len);
@@ -115,6 +118,20 @@
 	}
 }
 
+void
+startup_refuse_all (struct relay *r)
+{
+	while (r->startup_queue->len > 0) {
+		struct startup_req *q = g_ptr_array_index (r->startup_queue, 0);
+
+		g_ptr_array_remove_index_fast (r->startup_queue, 0);
+		r->startup_bytes -= q->body->len;
+		front_refuse (r, q->conn, q->id, 503, stop_retry_after_ms (r),
+			      "stopping");
+		startup_req_free (q);
+	}
+}
+
 void
 startup_client_gone (struct relay *r, const struct h1srv_conn *conn)
 {
--- a/tests/relay_world.c
+++ b/tests/relay_world.c
@@ -63,6 +63,7 @@
 	struct world *w = ctx;
 
 	call_tick (&w->r, tmr_now_ms ());
+	stop_tick (&w->r, tmr_now_ms ());
 	tmr_start (&w->tick_timer, 1);
 }
 
@@ -260,22 +261,20 @@
 	       strtoul (length + 16, NULL, 10) == strlen (body + 4);
 }
 
-/* Sends a request of @method and @path and reads until it is answered or cut.
- */
 void
-world_ask (struct world *w, const char *method, const char *path,
-	   const char *id, const struct answer *answers)
+world_run (struct world *w, uint64_t ms)
+{
+	uint64_t end_ms = tmr_now_ms () + ms;
+
+	while (tmr_now_ms () < end_ms)
+		h2o_evloop_run (w->r.daemon.loop, 2);
+}
+
+static void
+client_connect (struct world *w)
 {
-	uint64_t end_ms = tmr_now_ms () + WAIT_MS;
 	struct sockaddr_in at = {.sin_family = AF_INET};
-	char text[256], buf[4096];
 
-	w->answers = answers;
-	w->answered = 0;
-	w->ended = w->reset = false;
-	w->rest = NULL;
-	g_string_truncate (w->got, 0);
-	g_string_truncate (w->requests, 0);
 	at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
 	at.sin_port = htons (w->r.front.port);
 	if (w->client >= 0)
@@ -283,11 +282,39 @@
 	w->client = socket (AF_INET, SOCK_STREAM, 0);
 	CU_ASSERT_FATAL (
 		connect (w->client, (struct sockaddr *)&at, sizeof at) == 0);
+}
+
+/* Sends a request of @method and @path and reads until it is answered or cut.
+ */
+void
+world_ask (struct world *w, const char *method, const char *path,
+	   const char *id, const struct answer *answers)
+{
+	char text[256];
+
+	client_connect (w);
 	g_snprintf (text, sizeof text,
 		    "%s %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\n"
 		    "X-Deadline-Ms: 3000\r\nX-Token-Usage: 10,20\r\n"
 		    "Content-Length: 0\r\n\r\n",
 		    method, path, id);
+	world_send (w, text, answers);
+}
+
+void
+world_send (struct world *w, const char *text, const struct answer *answers)
+{
+	uint64_t end_ms = tmr_now_ms () + WAIT_MS;
+	char buf[4096];
+
+	w->answers = answers;
+	w->answered = 0;
+	w->ended = w->reset = false;
+	w->rest = NULL;
+	g_string_truncate (w->got, 0);
+	g_string_truncate (w->requests, 0);
+	if (w->client < 0)
+		client_connect (w);
 	CU_ASSERT (send (w->client, text, strlen (text), MSG_NOSIGNAL) > 0);
 	while (!w->ended && !world_is_whole (w) && tmr_now_ms () < end_ms) {
 		ssize_t n;
--- a/tests/relay_world.h
+++ b/tests/relay_world.h
@@ -50,6 +50,14 @@
 void world_ask (struct world *w, const char *method, const char *path,
 		const char *id, const struct answer *answers);
 
+/** world_send() - send @text on the connection of the last request, and read
+ * until it is answered or cut */
+void world_send (struct world *w, const char *text,
+		 const struct answer *answers);
+
+/** world_run() - let @ms pass */
+void world_run (struct world *w, uint64_t ms);
+
 /** world_status() - the status that the client got, or 0 */
 int world_status (const struct world *w);
 
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -82,6 +82,8 @@
 		MIN (r->patience_ms,
 		     operator_timeout_ms (r->k, r->kind, r->begun_ms));
 
+	if (r->k->stops.on && stops_excuses (r, end))
+		return;
 	if (end == H1CLI_WHOLE) {
 		r->k->quiet.errors += r->status / 100 == 5 && r->status != 503;
 		r->k->quiet.refused += r->status == 503;
@@ -194,9 +196,10 @@
 			       .account = account,
 			       .relay = relay,
 			       .extra = -1,
-			       .strict = k->quiet.on,
-			       .patience_ms = k->quiet.on ? QUIET_PATIENCE_MS
-							  : PATIENCE_MS,
+			       .strict = k->quiet.on || k->stops.on,
+			       .patience_ms = k->quiet.on || k->stops.on
+						      ? QUIET_PATIENCE_MS
+						      : PATIENCE_MS,
 			       .begun_ms = tmr_now_ms ()};
 	r->heard_ms = r->begun_ms;
 	g_snprintf (r->id, sizeof r->id, "q%u-%u", k->seed, ++k->number);
--- a/tests/soak/endpoints.c
+++ b/tests/soak/endpoints.c
@@ -9,7 +9,6 @@
 
 #include "soak.h"
 
-#define EVENT_MS 15
 #define WORK_MS 10
 #define DRAIN_MS 3000
 
@@ -99,7 +98,7 @@
 	g_string_append_printf (out, "\r\n%.*s", (int)strlen (body) / 2, body);
 	h1srv_write (j->conn, out->str, out->len);
 	j->head_sent = true;
-	tmr_start (&j->tmr, EVENT_MS);
+	tmr_start (&j->tmr, j->e->k->event_ms);
 	g_string_free (out, TRUE);
 	g_free (headers);
 	g_free (body);
@@ -198,7 +197,7 @@
 	else if (j->next++ == j->last)
 		job_end (j);
 	else
-		tmr_start (&j->tmr, EVENT_MS);
+		tmr_start (&j->tmr, j->e->k->event_ms);
 }
 
 static void
--- a/tests/soak/kept.c
+++ b/tests/soak/kept.c
@@ -14,6 +14,9 @@
 #define SHORT_REST_MS 300
 #define LONGEST_REST_MS 6400 /* four fifths of the longest limit */
 #define CONNECT_AGAIN_MS 200
+#define LATE_SHARE 6 /* one body in so many comes late, beside stops */
+#define LATE_MS_MAX 2500
+#define LATE_BYTES 2
 
 struct kept {
 	struct soak *k;
@@ -26,6 +29,7 @@
 	struct h1_body body;
 	bool close;
 	uint64_t rested_since_ms;
+	GString *late; /* what is yet to be sent of the request */
 };
 
 static void
@@ -48,6 +52,9 @@
 {
 	struct soak *k = c->k;
 
+	/* Beside stops, most send the next request with the answer's end. */
+	if (k->stops.on && g_rand_int_range (k->traffic, 0, 3) > 0)
+		return (uint64_t)g_rand_int_range (k->traffic, 0, 3);
 	switch (g_rand_int_range (k->traffic, 0, 3)) {
 	case 0:
 		return (uint64_t)g_rand_int_range (k->traffic, 0,
@@ -182,9 +189,18 @@
 	r->idle_limit_ms = operator_idle_ms (c->k);
 	c->r = r;
 	c->head = c->close = false;
+	g_string_truncate (c->late, 0);
+	if (c->k->stops.on && r->kind != SOAK_REPEATABLE &&
+	    g_rand_int_range (c->k->traffic, 0, LATE_SHARE) == 0) {
+		g_string_assign (c->late, text + strlen (text) - LATE_BYTES);
+		text[strlen (text) - LATE_BYTES] = '\0';
+	}
 	sio_write (&c->io, text, strlen (text));
 	g_free (text);
-	tmr_start (&c->tmr, SHORT_REST_MS);
+	tmr_start (&c->tmr, c->late->len > 0
+				    ? (uint64_t)g_rand_int_range (
+					      c->k->traffic, 1, LATE_MS_MAX)
+				    : SHORT_REST_MS);
 }
 
 static void
@@ -232,6 +248,11 @@
 		struct soak_req *r = c->r;
 
 		tmr_start (&c->tmr, SHORT_REST_MS);
+		if (c->late->len > 0) {
+			sio_write (&c->io, c->late->str, c->late->len);
+			g_string_truncate (c->late, 0);
+			c->r->begun_ms = c->r->heard_ms = now_ms;
+		}
 		if (!callers_gives_up (r, now_ms))
 			return;
 		drop (c);
@@ -254,6 +275,7 @@
 		struct kept *c = g_new0 (struct kept, 1);
 
 		c->k = k;
+		c->late = g_string_new (NULL);
 		tmr_init (&c->tmr, k->loop, on_timer, c);
 		tmr_start (&c->tmr,
 			   (uint64_t)g_rand_int_range (k->traffic, 0, 3000));
@@ -269,6 +291,7 @@
 
 		drop (c);
 		tmr_finish (&c->tmr);
+		g_string_free (c->late, TRUE);
 		g_free (c);
 	}
 	g_ptr_array_free (k->kept, TRUE);
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -13,7 +13,9 @@
 
 #define START_MS 15000 /* for the first configuration to be acknowledged */
 #define HEAL_MS 12000  /* for all to be in order again after the last fault */
-#define TURN_MS 1      /* the endpoints' loops run between two of these */
+#define EVENT_MS 15    /* between two events of a stream */
+#define GRACE_MS 8000
+#define TURN_MS 1 /* the endpoints' loops run between two of these */
 #define JUDGE_MS 3000
 #define ERRORS_MS 6000
 #define WARM_MS 1500
@@ -48,6 +50,8 @@
 		crash_tick (k, now_ms);
 	if (k->next_silence_ms != 0)
 		quiet_tick (k, now_ms);
+	if (k->stops.on)
+		stops_tick (k, now_ms);
 	cut_tick (k, now_ms);
 	callers_tick (k, now_ms);
 	if (k->next_fault_ms != 0 && now_ms >= k->next_fault_ms) {
@@ -146,7 +150,7 @@
 static void
 play (struct soak *k, uint64_t fault_ms, const char *what)
 {
-	bool faults = fault_ms > 0 && strchr (what, 'q') == NULL &&
+	bool faults = fault_ms > 0 && strpbrk (what, "ql") == NULL &&
 		      k->crash.what == SOAK_CRASH_NONE;
 
 	k->loop = h2o_evloop_create ();
@@ -168,6 +172,8 @@
 		play_errors (k);
 	if (strchr (what, 'q') != NULL)
 		play_quiet (k, fault_ms);
+	if (strchr (what, 'l') != NULL)
+		stops_play (k, fault_ms);
 	if (k->crash.what != SOAK_CRASH_NONE)
 		crash_play (k);
 	k->next_fault_ms = faults ? tmr_now_ms () : 0;
@@ -194,19 +200,24 @@
 int
 main (int argc, char **argv)
 {
-	struct soak k = {.seed = 1, .bin = (char *)"build/bin"};
+	struct soak k = {.seed = 1,
+			 .bin = (char *)"build/bin",
+			 .event_ms = EVENT_MS,
+			 .stops.grace_ms = GRACE_MS};
 	uint64_t fault_ms = 8000;
 	char what[8] = "";
 	int c;
 
-	while ((c = getopt (argc, argv, "s:t:b:preqx:")) != -1) {
+	while ((c = getopt (argc, argv, "s:t:b:g:preqlx:")) != -1) {
 		if (c == 's')
 			k.seed = (uint32_t)strtoul (optarg, NULL, 10);
 		else if (c == 't')
 			fault_ms = strtoul (optarg, NULL, 10);
 		else if (c == 'b')
 			k.bin = optarg;
-		else if (strchr ("req", c) != NULL)
+		else if (c == 'g')
+			k.stops.grace_ms = (uint32_t)strtoul (optarg, NULL, 10);
+		else if (strchr ("reql", c) != NULL)
 			what[strlen (what) % 7] = (char)c;
 		else if (c == 'x' && strcmp (optarg, "segment") == 0)
 			k.crash.what = SOAK_CRASH_SEGMENT;
@@ -242,6 +253,14 @@
 			k.quiet.reruns, k.quiet.refused, k.quiet.errors,
 			k.quiet.reused, k.quiet.closed, k.pause_ms,
 			k.quiet.left_out ? "; logs left lines out" : "");
+	if (k.stops.count > 0)
+		printf ("seed %u: %u planned stops, grace %u ms; of the "
+			"requests beside them %u were answered, %u found no "
+			"listener, %u crossed a close, %u ran beyond the "
+			"grace\n",
+			k.seed, k.stops.count, k.stops.grace_ms,
+			k.stops.answered, k.stops.unsent, k.stops.crossed,
+			k.stops.late);
 	if (k.wrong == 0)
 		procs_clean (&k);
 	return k.wrong == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
--- a/tests/soak/procs.c
+++ b/tests/soak/procs.c
@@ -47,9 +47,10 @@
 			found ? "true" : "false");
 	else
 		text = g_strdup_printf ("{%s,\"listen\":\"%s:%u\","
-					"\"ready\":\"%s:%u\"}",
+					"\"ready\":\"%s:%u\","
+					"\"grace_s\":%g}",
 					common, p->ip, k->front, p->ip,
-					k->ready);
+					k->ready, k->stops.grace_ms / 1000.0);
 	path = g_strdup_printf ("%s/%s.json", k->dir, p->name);
 	g_file_set_contents (path, text, -1, NULL);
 	g_free (text);
@@ -140,7 +141,7 @@
 	}
 }
 
-static void
+void
 proc_kill (struct soak_proc *p, int sig)
 {
 	if (p->pid > 0)
@@ -178,6 +179,9 @@
 				soak_wrong (k, "%s ended by itself: %d",
 					    p->name, status);
 			p->pid = 0;
+			p->gone_ms = now_ms;
+			if (k->stops.on)
+				stops_check_gone (k, p);
 			if (p->start_ms == 0)
 				p->start_ms = now_ms;
 		}
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -121,6 +121,8 @@
 	int pid; /* 0: down */
 	bool member, stopped, ending;
 	uint64_t start_ms; /* when it is to be started again; 0: not at all */
+	uint64_t term_ms;  /* when it last got SIGTERM; 0: never */
+	uint64_t gone_ms;  /* when it last ended */
 	uint64_t wake_ms;  /* when it is to go on */
 	uint64_t space_ms; /* when its disk takes bytes again; 0: it does */
 	uint32_t starts;
@@ -199,6 +201,13 @@
 		uint64_t next_sound_ms, next_bad_ms;
 		uint32_t usual, after; /* sound requests served */
 	} crash;
+	struct {
+		bool on;
+		uint32_t grace_ms; /* 0: the relays' default */
+		uint64_t next_ms;
+		uint32_t count, answered, unsent, crossed, late; /* requests */
+	} stops;           /* planned stops of relays and configurations */
+	uint32_t event_ms; /* between two events of a stream */
 	struct h1cli *put;
 	GString *get_text;
 	uint32_t put_to;
@@ -247,6 +256,15 @@
 /** quiet_check_logs() - what relays sent again, once they have ended */
 void quiet_check_logs (struct soak *k);
 
+/* stops.c: planned stops of relays */
+void stops_play (struct soak *k, uint64_t ms);
+void stops_tick (struct soak *k, uint64_t now_ms);
+/** stops_excuses() - whether the planned stop of its relay may end a request
+ * that way */
+bool stops_excuses (struct soak_req *r, enum h1cli_end end);
+/** stops_check_gone() - a relay that was stopped has ended */
+void stops_check_gone (struct soak *k, const struct soak_proc *p);
+
 /* crash.c: requests that crash endpoints */
 void crash_tick (struct soak *k, uint64_t now_ms);
 void crash_ep (struct soak_ep *e);
@@ -314,6 +332,7 @@
 uint16_t procs_free_port (void);
 void procs_tick (struct soak *k, uint64_t now_ms);
 void procs_fault (struct soak *k, uint64_t now_ms);
+void proc_kill (struct soak_proc *p, int sig);
 void procs_kill_all (struct soak *k, uint64_t now_ms);
 void procs_heal (struct soak *k);
 void procs_finish (struct soak *k);
