wal: a first start that was killed does not keep later ones from starting

Seen: a member that lost its disk was killed in its first start after that; each later start ended with "data folder ... is not empty: holds log". Cause: wal_create() writes the log first and the identity last, and refused any folder that held another file than the lock. Ruled out: a marker file that says that the folder is being made; the folders of killed starts that exist today have none, and the log itself proves as much. Change: without an identity nothing is promised, and a member makes its term or vote durable before it promises anything; so a log without an identity is discarded if it holds no vote, no later term and no entry but the first ones, and files that end in .tmp always are. All else is refused with the file's name. A member that had an identity since its process began no longer founds a group.

--- a/controld/store.c
+++ b/controld/store.c
@@ -280,7 +280,7 @@
 	command.data = (const uint8_t *)first.data;
 	command.len = (uint32_t)first.size;
 	ok = ok && wal_create (c->set.data_dir, id, join ? NULL : &config,
-			       first.size > 0 ? &command : NULL, e);
+			       first.size > 0 ? &command : NULL, NULL, NULL, e);
 	msgpack_sbuffer_destroy (&first);
 	if (ok)
 		g_print ("%016" G_GINT64_MODIFIER "x\n", id);
--- a/groupd/store.c
+++ b/groupd/store.c
@@ -282,7 +282,7 @@
 	} while (id == 0);
 	log_event (LOG_LV_INFO, "create", "founder=%d", is_founder);
 	return wal_create (g->set.data_dir, is_founder ? founder : id,
-			   is_founder ? &c : NULL, NULL, e);
+			   is_founder ? &c : NULL, NULL, NULL, NULL, e);
 }
 
 bool
@@ -308,6 +308,10 @@
 		ok = false;
 	}
 	wal_state_finish (&st);
+	/* Should the folder be lost while this process runs, the id of a
+	 * founder is not taken again. */
+	if (ok)
+		g->set.found = false;
 	return ok;
 }
 
--- a/lib/wal.c
+++ b/lib/wal.c
@@ -11,8 +11,22 @@
 #include <sys/file.h>
 #include <unistd.h>
 
+#include "log.h"
 #include "wal_priv.h"
 
+/* The log of a new member holds no vote and at most the group and the first
+ * command. */
+#define FIRST_TERM 1
+#define FIRST_ENTRIES 2
+
+static void
+wal_state_init (struct wal_state *st)
+{
+	memset (st, 0, sizeof *st);
+	st->entries = g_ptr_array_new_with_free_func (g_free);
+	st->snap_data = g_byte_array_new ();
+}
+
 static void
 wal_zero (struct wal *w, const struct wal_io *io, void *io_ctx)
 {
@@ -59,36 +73,87 @@
 }
 
 static bool
-check_empty (const char *dir, struct err *e)
+is_temporary (const char *name)
+{
+	return strcmp (name, WAL_LOG WAL_TMP) == 0 ||
+	       strcmp (name, WAL_SNAPSHOT WAL_TMP) == 0 ||
+	       strcmp (name, WAL_IDENTITY WAL_TMP) == 0;
+}
+
+/* Refuses a folder that holds anything but a log and unfinished files. */
+static bool
+check_names (const char *dir, bool *has_log, struct err *e)
 {
 	DIR *d = opendir (dir);
 	const struct dirent *f;
 	bool ok = true;
 
+	*has_log = false;
 	if (d == NULL)
 		return err_set (e, ERR_IO, "open data folder %s: %s", dir,
 				strerror (errno));
 	while (ok && (f = readdir (d)) != NULL) {
 		if (strcmp (f->d_name, ".") == 0 ||
 		    strcmp (f->d_name, "..") == 0 ||
-		    strcmp (f->d_name, WAL_LOCK) == 0)
+		    strcmp (f->d_name, WAL_LOCK) == 0 ||
+		    is_temporary (f->d_name))
 			continue;
-		ok = err_set (e, ERR_CONFLICT,
-			      "data folder %s is not empty: holds %s", dir,
-			      f->d_name);
+		if (strcmp (f->d_name, WAL_LOG) == 0)
+			*has_log = true;
+		else
+			ok = err_set (e, ERR_CONFLICT,
+				      "data folder %s is not empty: holds %s",
+				      dir, f->d_name);
 	}
 	closedir (d);
 	return ok;
 }
 
+/* Whether the log is as write_first_log() makes it.  A member changes its term
+ * or vote before it promises anything. */
+static bool
+is_first_log (const struct wal_state *st)
+{
+	return st->base == 0 && st->term <= FIRST_TERM && st->vote == 0 &&
+	       st->entries->len <= FIRST_ENTRIES;
+}
+
+/* Removes what a wal_create() left that did not come to its end. */
+static bool
+discard_unfinished (struct wal *w, const char *dir, struct err *e)
+{
+	struct wal_state st;
+	bool has_log, ok;
+
+	if (!check_names (dir, &has_log, e))
+		return false;
+	if (has_log) {
+		wal_state_init (&st);
+		ok = wal_load_log (w, &st, e) &&
+		     (is_first_log (&st) ||
+		      err_set (
+			      e, ERR_CONFLICT,
+			      "data folder %s holds the %s of a member, but no "
+			      "%s",
+			      dir, WAL_LOG, WAL_IDENTITY));
+		wal_state_finish (&st);
+		w->batch_no = 0;
+		if (!ok)
+			return false;
+		log_event (LOG_LV_WARN, "wal-discard",
+			   "file=%s why=\"it was never used\"", WAL_LOG);
+	}
+	return wal_remove_temporary (w, e) && wal_remove (w, WAL_LOG, e);
+}
+
 static bool
 write_first_log (struct wal *w, const struct raft_config *config,
 		 const struct msg_bytes *command, struct err *e)
 {
 	struct raft_entry group = {
-		.index = 1, .term = 1, .kind = RAFT_ENTRY_CONFIG};
+		.index = 1, .term = FIRST_TERM, .kind = RAFT_ENTRY_CONFIG};
 	struct raft_entry first = {
-		.index = 2, .term = 1, .kind = RAFT_ENTRY_COMMAND};
+		.index = 2, .term = FIRST_TERM, .kind = RAFT_ENTRY_COMMAND};
 	GPtrArray *entries = g_ptr_array_new ();
 	msgpack_sbuffer buf;
 	bool ok;
@@ -99,7 +164,7 @@
 		group.data.data = (const uint8_t *)buf.data;
 		group.data.len = (uint32_t)buf.size;
 		g_ptr_array_add (entries, &group);
-		w->term = 1;
+		w->term = FIRST_TERM;
 	}
 	if (command != NULL) {
 		first.data = *command;
@@ -113,7 +178,8 @@
 
 bool
 wal_create (const char *dir, uint64_t id, const struct raft_config *config,
-	    const struct msg_bytes *command, struct err *e)
+	    const struct msg_bytes *command, const struct wal_io *io,
+	    void *io_ctx, struct err *e)
 {
 	GByteArray *text = g_byte_array_new ();
 	struct wal w;
@@ -125,8 +191,8 @@
 		line, sizeof line,
 		"dragonflyhinge member 1\nid %016" G_GINT64_MODIFIER "x\n", id);
 	g_byte_array_append (text, (const guint8 *)line, (guint)n);
-	wal_zero (&w, NULL, NULL);
-	ok = lock_folder (&w, dir, e) && check_empty (dir, e) &&
+	wal_zero (&w, io, io_ctx);
+	ok = lock_folder (&w, dir, e) && discard_unfinished (&w, dir, e) &&
 	     write_first_log (&w, config, command, e) &&
 	     wal_replace (&w, WAL_IDENTITY, text, e);
 	g_byte_array_free (text, TRUE);
@@ -167,9 +233,7 @@
 	  struct wal_state *st, struct err *e)
 {
 	wal_zero (w, io, io_ctx);
-	memset (st, 0, sizeof *st);
-	st->entries = g_ptr_array_new_with_free_func (g_free);
-	st->snap_data = g_byte_array_new ();
+	wal_state_init (st);
 	if (!lock_folder (w, dir, e) || !load_identity (w, dir, &st->id, e) ||
 	    !wal_load (w, st, e))
 		goto fail;
@@ -180,6 +244,8 @@
 		wal_fail (w, e, "open", WAL_LOG);
 		goto fail;
 	}
+	if (!wal_remove_temporary (w, e))
+		goto fail;
 	return true;
 fail:
 	wal_finish (w);
--- a/lib/wal.h
+++ b/lib/wal.h
@@ -36,6 +36,7 @@
 	ssize_t (*write) (int fd, const void *data, size_t len, void *ctx);
 	int (*sync) (int fd, bool data_only, void *ctx);
 	int (*rename) (int dir_fd, const char *from, const char *to, void *ctx);
+	int (*remove) (int dir_fd, const char *name, void *ctx);
 };
 
 /** wal_io_posix - the system's own */
@@ -90,15 +91,23 @@
 
 /**
  * wal_create() - make a member's folder
- * @dir: an existing folder that holds nothing
+ * @dir: an existing folder that holds nothing, or what an earlier call left
+ *	that did not come to its end
  * @id: the new random identity, not 0
  * @config: the group of a new one-member cluster, or NULL for a member that
  *	waits to be added to a group
  * @command: the new group's first command, or NULL
- * @e: ERR_CONFLICT where the folder is not empty, ERR_IO, ERR_FULL
+ * @io: system calls, or NULL for the system's own
+ * @e: ERR_CONFLICT where the folder holds anything else, ERR_CORRUPT, ERR_IO,
+ *	ERR_FULL
+ *
+ * The identity is written last, and no member votes or acknowledges without
+ * one.  A log without an identity is discarded only if it holds no vote and no
+ * entry but the first ones, so that nothing was promised by it.
  */
 bool wal_create (const char *dir, uint64_t id, const struct raft_config *config,
-		 const struct msg_bytes *command, struct err *e);
+		 const struct msg_bytes *command, const struct wal_io *io,
+		 void *io_ctx, struct err *e);
 
 /**
  * wal_open() - lock and read a folder
--- a/lib/wal_file.c
+++ b/lib/wal_file.c
@@ -31,10 +31,18 @@
 	return renameat (dir_fd, from, dir_fd, to);
 }
 
+static int
+posix_remove (int dir_fd, const char *name, void *ctx)
+{
+	(void)ctx;
+	return unlinkat (dir_fd, name, 0);
+}
+
 const struct wal_io wal_io_posix = {
 	.write = posix_write,
 	.sync = posix_sync,
 	.rename = posix_rename,
+	.remove = posix_remove,
 };
 
 /* Records the first failure, from errno; every later call ends here too. */
@@ -81,7 +89,7 @@
 	bool ok;
 	int fd;
 
-	(void)snprintf (tmp, sizeof tmp, "%s.tmp", name);
+	(void)snprintf (tmp, sizeof tmp, "%s" WAL_TMP, name);
 	fd = openat (w->dir_fd, tmp, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC,
 		     0600);
 	if (fd < 0)
@@ -100,6 +108,22 @@
 	return true;
 }
 
+bool
+wal_remove (struct wal *w, const char *name, struct err *e)
+{
+	if (w->io->remove (w->dir_fd, name, w->io_ctx) != 0 && errno != ENOENT)
+		return wal_fail (w, e, "remove", name);
+	return true;
+}
+
+bool
+wal_remove_temporary (struct wal *w, struct err *e)
+{
+	return wal_remove (w, WAL_LOG WAL_TMP, e) &&
+	       wal_remove (w, WAL_SNAPSHOT WAL_TMP, e) &&
+	       wal_remove (w, WAL_IDENTITY WAL_TMP, e);
+}
+
 GByteArray *
 wal_slurp (int dir_fd, const char *name, struct err *e)
 {
--- a/lib/wal_load.c
+++ b/lib/wal_load.c
@@ -239,7 +239,7 @@
 }
 
 bool
-wal_load (struct wal *w, struct wal_state *st, struct err *e)
+wal_load_log (struct wal *w, struct wal_state *st, struct err *e)
 {
 	GByteArray *log = wal_slurp (w->dir_fd, WAL_LOG, e);
 	bool ok;
@@ -248,7 +248,13 @@
 		return false;
 	ok = load_log (w, st, log, e);
 	g_byte_array_free (log, TRUE);
-	if (!ok || !load_snapshot (w, st, e))
+	return ok;
+}
+
+bool
+wal_load (struct wal *w, struct wal_state *st, struct err *e)
+{
+	if (!wal_load_log (w, st, e) || !load_snapshot (w, st, e))
 		return false;
 	if (st->base > st->snap_index)
 		return damaged (e, WAL_LOG, 0,
--- a/lib/wal_priv.h
+++ b/lib/wal_priv.h
@@ -9,6 +9,7 @@
 #define WAL_SNAPSHOT "snapshot"
 #define WAL_IDENTITY "identity"
 #define WAL_LOCK "lock"
+#define WAL_TMP ".tmp" /* ends the name of a file that is being written */
 
 /* enum wal_type - record types; numbers are never reused */
 enum wal_type {
@@ -57,10 +58,16 @@
 /* Write @name.tmp, sync it, rename it to @name and sync the folder. */
 bool wal_replace (struct wal *w, const char *name, const GByteArray *data,
 		  struct err *e);
+/* Remove a file; true where there is none. */
+bool wal_remove (struct wal *w, const char *name, struct err *e);
+/* Remove the files whose writing did not come to its end. */
+bool wal_remove_temporary (struct wal *w, struct err *e);
 /* The whole of a file; NULL with ERR_NOT_FOUND or ERR_IO. */
 GByteArray *wal_slurp (int dir_fd, const char *name, struct err *e);
 
 /* wal_load.c */
+/* Reads the log alone. */
+bool wal_load_log (struct wal *w, struct wal_state *st, struct err *e);
 bool wal_load (struct wal *w, struct wal_state *st, struct err *e);
 bool wal_rewrite (struct wal *w, uint64_t base, uint64_t base_term,
 		  GPtrArray *entries, guint from, struct err *e);
--- a/tests/e2e_group.sh
+++ b/tests/e2e_group.sh
@@ -69,6 +69,22 @@
 prlimit --pid "${PID[m1]}" --fsize=unlimited:
 wait_for 10 has_config 1 $version
 
+# A member that lost its disk is killed in its first start, after it wrote the
+# log and before the identity, which leaves what a killed start leaves.
+version=$((version + 1))
+wait_for 10 put_config 2 $version
+stop m3 KILL
+rm -rf "$TMP/d3"
+sed -i "s/\[.*\]/[\"127.0.0.39:$API\"]/" "$TMP/m3.json"
+start m3 "$BIN/groupd" -f "$TMP/m3.json"
+wait_for 10 test -e "$TMP/d3/identity"
+stop m3 KILL
+rm "$TMP/d3/identity"
+: >"$TMP/m3.out"
+launch 3 false
+wait_for 15 votes 3
+check "the unfinished log was not discarded" grep -q wal-discard "$TMP/m3.out"
+
 for i in 1 2 3; do stop m$i KILL; done
 for i in 1 2 3; do launch $i false; done
 for i in 1 2 3; do wait_for 15 has_config $i $version; done
--- a/tests/fuzz/fuzz_wal.c
+++ b/tests/fuzz/fuzz_wal.c
@@ -47,7 +47,8 @@
 	char *path;
 
 	dir = g_dir_make_tmp ("dh-fuzz-XXXXXX", NULL);
-	FUZZ_CHECK (dir != NULL && wal_create (dir, 7, NULL, NULL, &e));
+	FUZZ_CHECK (dir != NULL &&
+		    wal_create (dir, 7, NULL, NULL, NULL, NULL, &e));
 	path = g_build_filename (dir, WAL_LOG, NULL);
 	FUZZ_CHECK (
 		g_file_get_contents (path, &first_log, &first_log_len, NULL));
--- a/tests/test_wal.c
+++ b/tests/test_wal.c
@@ -118,8 +118,8 @@
 
 	CU_ASSERT_EQUAL (count_entries (dir, &e), -1);
 	CU_ASSERT_EQUAL (e.kind, ERR_NOT_FOUND);
-	CU_ASSERT_FATAL (wal_create (dir, 77, NULL, NULL, &e));
-	CU_ASSERT_FALSE (wal_create (dir, 78, NULL, NULL, &e));
+	CU_ASSERT_FATAL (wal_create (dir, 77, NULL, NULL, NULL, NULL, &e));
+	CU_ASSERT_FALSE (wal_create (dir, 78, NULL, NULL, NULL, NULL, &e));
 	CU_ASSERT_EQUAL (e.kind, ERR_CONFLICT);
 	CU_ASSERT_FATAL (wal_open (&w, dir, NULL, NULL, &st, &e));
 	CU_ASSERT_EQUAL (st.id, 77);
@@ -149,7 +149,7 @@
 	struct wal_state st;
 	struct stat s;
 
-	CU_ASSERT_FATAL (wal_create (dir, 77, NULL, NULL, NULL));
+	CU_ASSERT_FATAL (wal_create (dir, 77, NULL, NULL, NULL, NULL, NULL));
 	CU_ASSERT_FATAL (wal_open (&w, dir, NULL, NULL, &st, NULL));
 	wal_state_finish (&st);
 	CU_ASSERT (put (&w, 1, 3, NULL));
@@ -273,11 +273,18 @@
 	return renameat (dir_fd, from, dir_fd, to);
 }
 
+static int
+faulty_remove (int dir_fd, const char *name, void *ctx)
+{
+	(void)ctx;
+	return unlinkat (dir_fd, name, 0);
+}
+
 static void
 try_fault (struct fault f)
 {
 	static const struct wal_io io = {faulty_write, faulty_sync,
-					 faulty_rename};
+					 faulty_rename, faulty_remove};
 	char *dir = folder_new ();
 	struct raft_config config = {.count = 1};
 	struct wal_snapshot snap = {2, 1, &config, "state", 5};
