wal: what a start reads is synced before it is acknowledged

Cause: a process that is killed between a write, or a rename, and its sync leaves bytes that the next start reads and answers by: it votes by them and tells the leader that it holds them. wal_load() synced nothing, so a power loss then took back what was acknowledged. Change: wal_open() syncs the log and its folder before it returns, which is before the first vote and the first answer. Two syncs a start. Before: test_wal_steps, with a disk that forgets what was not synced: the entry that the start had read was gone (2 assertions). After: passes. Ruled out: marking such entries as not durable in raft; the sync costs a start a few milliseconds and leaves one state less to reason about.

--- a/lib/wal.c
+++ b/lib/wal.c
@@ -228,6 +228,18 @@
 	       err_set (e, ERR_CORRUPT, "%s/%s is damaged", dir, WAL_IDENTITY);
 }
 
+/* What was read may have been written, or renamed, and not been synced when an
+ * earlier process was killed. */
+static bool
+sync_loaded (struct wal *w, struct err *e)
+{
+	if (w->io->sync (w->log_fd, false, w->io_ctx) != 0)
+		return wal_fail (w, e, "sync", WAL_LOG);
+	if (w->io->sync (w->dir_fd, false, w->io_ctx) != 0)
+		return wal_fail (w, e, "sync the folder of", WAL_LOG);
+	return true;
+}
+
 bool
 wal_open (struct wal *w, const char *dir, const struct wal_io *io, void *io_ctx,
 	  struct wal_state *st, struct err *e)
@@ -244,7 +256,7 @@
 		wal_fail (w, e, "open", WAL_LOG);
 		goto fail;
 	}
-	if (!wal_remove_temporary (w, e))
+	if (!wal_remove_temporary (w, e) || !sync_loaded (w, e))
 		goto fail;
 	return true;
 fail:
--- a/tests/test_wal_steps.c
+++ b/tests/test_wal_steps.c
@@ -331,6 +331,41 @@
 	CU_ASSERT (!over);
 }
 
+/* A log that was written, and not synced before a kill, was taken for durable
+ * by the next start. */
+static void
+test_start_makes_durable_what_it_reads (void)
+{
+	char *dir = folder_new (), *path = g_build_filename (dir, "log", NULL);
+	struct disk d = {.left = 1000};
+	struct wal_state st;
+	struct wal w;
+	struct err e;
+	guint read;
+
+	CU_ASSERT_FATAL (start (dir, 7, NULL, &w, &st, &disk_io, &d, &e));
+	CU_ASSERT (put (&w, 1, 2, &e));
+	wal_state_finish (&st);
+	d.left = 1; /* written, not synced */
+	CU_ASSERT_FALSE (put (&w, 2, 2, &e));
+	wal_finish (&w);
+
+	d = (struct disk){.left = 1000};
+	CU_ASSERT_FATAL (start (dir, 9, NULL, &w, &st, &disk_io, &d, &e));
+	read = st.entries->len;
+	wal_finish (&w);
+	wal_state_finish (&st);
+	CU_ASSERT (d.folder_syncs > 0);
+	/* Power is lost: what was not synced is gone. */
+	CU_ASSERT_FATAL (truncate (path, d.synced_bytes) == 0);
+	CU_ASSERT_FATAL (start (dir, 9, NULL, &w, &st, NULL, NULL, &e));
+	CU_ASSERT_EQUAL (st.entries->len, read);
+	wal_finish (&w);
+	wal_state_finish (&st);
+	g_free (path);
+	folder_free (dir);
+}
+
 int
 main (void)
 {
@@ -343,6 +378,8 @@
 		 test_folder_of_another_kind_is_not_discarded},
 		{"a snapshot and a vote are killed after any step",
 		 test_snapshot_and_vote_killed_after_any_step},
+		{"a start makes durable what it reads",
+		 test_start_makes_durable_what_it_reads},
 		{NULL, NULL},
 	};
 
