platform: names are held whole, or what brings them is refused

Cause: fixed arrays of 64 bytes and copies that cut. Ruled out: larger arrays for accounts too. Members keep counts by relay, window and account, so each byte of the array counts many times; the names are interned. Change: accounts by pointer into the configuration or as interned strings, keys and ids as they stand in the head, at any length; 255 bytes for endpoints, services and domains. Messages and records: a name of 64 bytes or more has a tag of its own, and under the old tag an alias that ends in its hash, so that members of the version before decode them and keep two names apart.

--- a/lib/dialect.h
+++ b/lib/dialect.h
@@ -18,8 +18,6 @@
  * parse and format; they make no decisions and keep no state.
  */
 
-#define DIA_ID_BYTES 128
-#define DIA_KEY_BYTES 256
 #define DIA_SEGMENTS_MAX 32
 
 /**
@@ -34,8 +32,10 @@
 
 /**
  * struct dia_request - what the headers of a client's request state
- * @id: request id, "" where the request has none
- * @key: API key, "" where none is presented
+ * @id: request id, in the head that was parsed, without a final NUL
+ * @id_len: its length in bytes, 0 where the request has none
+ * @key: API key, in the head that was parsed, without a final NUL
+ * @key_len: its length in bytes, 0 where none is presented
  * @timeout_ms: how long the client waits for an answer, 0 where not stated
  * @prompt_tokens: length of the prompt, 0 where not stated
  * @max_output_tokens: upper bound of the answer's length, 0 where not stated
@@ -46,8 +46,10 @@
  *	stream; otherwise -1
  */
 struct dia_request {
-	char id[DIA_ID_BYTES];
-	char key[DIA_KEY_BYTES];
+	const char *id;
+	size_t id_len;
+	const char *key;
+	size_t key_len;
 	uint64_t timeout_ms;
 	uint32_t prompt_tokens;
 	uint32_t max_output_tokens;
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -33,9 +33,9 @@
 #define SLOWDOWN_MAX 8.0
 
 const struct msg_field fleet_info_fields[] = {
-	MSG_FIELD (1, MSG_STR, struct fleet_info, id),
-	MSG_FIELD (2, MSG_STR, struct fleet_info, service),
-	MSG_FIELD (3, MSG_STR, struct fleet_info, domain),
+	MSG_FIELD_LONG (1, 10, MSG_STR, struct fleet_info, id),
+	MSG_FIELD_LONG (2, 11, MSG_STR, struct fleet_info, service),
+	MSG_FIELD_LONG (3, 12, MSG_STR, struct fleet_info, domain),
 	MSG_FIELD (4, MSG_STR, struct fleet_info, addr),
 	MSG_FIELD (5, MSG_U32, struct fleet_info, slots),
 	MSG_FIELD (6, MSG_U32, struct fleet_info, cold_remaining_ms),
--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -16,8 +16,11 @@
  * does no input or output, and the caller passes the time in.
  */
 
-/* Size of the buffers for ids, names and addresses, with the final NUL. */
-#define FLEET_NAME_BYTES 64
+/* Sizes of the buffers for ids and names, and for addresses, with the final
+ * NUL.
+ */
+#define FLEET_NAME_BYTES PLAN_NAME_BYTES
+#define FLEET_ADDR_BYTES 64
 
 /* Longest cold start that is believed; real ones take seconds to minutes. */
 #define FLEET_COLD_MAX_MS (60U * 60 * 1000)
@@ -41,7 +44,7 @@
 	char id[FLEET_NAME_BYTES];
 	char service[FLEET_NAME_BYTES];
 	char domain[FLEET_NAME_BYTES];
-	char addr[FLEET_NAME_BYTES];
+	char addr[FLEET_ADDR_BYTES];
 	uint32_t slots;
 	uint32_t cold_remaining_ms;
 	bool leaving;
--- a/lib/gstate.c
+++ b/lib/gstate.c
@@ -12,13 +12,13 @@
 };
 
 const struct msg_field gstate_drain_fields[] = {
-	MSG_FIELD (1, MSG_STR, struct gstate_drain, domain),
+	MSG_FIELD_LONG (1, 3, MSG_STR, struct gstate_drain, domain),
 	MSG_FIELD (2, MSG_BOOL, struct gstate_drain, drained),
 	MSG_FIELD_END,
 };
 
 const struct msg_field gstate_count_fields[] = {
-	MSG_FIELD (1, MSG_STR, struct gstate_count, account),
+	MSG_FIELD_LONG (1, 3, MSG_NAME, struct gstate_count, account),
 	MSG_FIELD (2, MSG_U64, struct gstate_count, requests),
 	MSG_FIELD_END,
 };
@@ -56,7 +56,10 @@
 window_free (void *data)
 {
 	struct gstate_window *w = data;
+	const struct gstate_count *c = w->counts.items;
 
+	for (uint32_t i = 0; i < w->counts.count; i++)
+		g_ref_string_release ((char *)c[i].account);
 	g_free (w->counts.items);
 	g_free (w);
 }
@@ -129,6 +132,7 @@
 seal_window (struct gstate *s, const struct gstate_window *w)
 {
 	struct gstate_window *copy;
+	struct gstate_count *c;
 
 	if (w->number <= s->sealed_window)
 		return;
@@ -138,6 +142,9 @@
 	copy->counts.items =
 		g_memdup2 (w->counts.items,
 			   w->counts.count * sizeof (struct gstate_count));
+	c = copy->counts.items;
+	for (uint32_t i = 0; i < w->counts.count; i++)
+		c[i].account = g_ref_string_new_intern (c[i].account);
 	g_ptr_array_add (s->windows, copy);
 	s->sealed_window = w->number;
 	if (s->windows->len > GSTATE_WINDOWS_KEPT)
--- a/lib/gstate.h
+++ b/lib/gstate.h
@@ -9,6 +9,7 @@
 
 #include "err.h"
 #include "msg.h"
+#include "plan.h"
 
 /*
  * The state that the members of a group replicate for relays: the newest
@@ -16,7 +17,7 @@
  * usage windows sealed last.
  */
 
-#define GSTATE_NAME_BYTES 64
+#define GSTATE_NAME_BYTES PLAN_NAME_BYTES
 #define GSTATE_DOMAINS_MAX 64
 #define GSTATE_PLAN_MAX_BYTES (3U << 20)
 #define GSTATE_WINDOWS_KEPT 8
@@ -49,9 +50,10 @@
 	bool drained;
 };
 
-/** struct gstate_count - requests of one client account in one usage window */
+/** struct gstate_count - requests of one client account in one usage window;
+ * the name belongs to whoever made the array */
 struct gstate_count {
-	char account[GSTATE_NAME_BYTES];
+	const char *account;
 	uint64_t requests;
 };
 
--- a/lib/msg.c
+++ b/lib/msg.c
@@ -3,6 +3,9 @@
  */
 #include <string.h>
 
+#include <glib.h>
+#include <xxhash.h>
+
 #include "msg.h"
 
 /* Deepest nesting of lists in our tables, with room for one version more. */
@@ -28,6 +31,8 @@
 		return true;
 	case MSG_STR:
 		return *(const char *)p == '\0';
+	case MSG_NAME:
+		return **(const char *const *)p == '\0';
 	case MSG_BYTES:
 		return ((const struct msg_bytes *)p)->len == 0;
 	case MSG_LIST:
@@ -60,6 +65,47 @@
 	return v;
 }
 
+static const char *
+text_of (const struct msg_field *f, const void *p)
+{
+	return f->type == MSG_NAME ? *(const char *const *)p : p;
+}
+
+static bool
+has_long_text (const struct msg_field *f, const void *p)
+{
+	return (f->type == MSG_STR || f->type == MSG_NAME) &&
+	       f->long_tag != 0 && strlen (text_of (f, p)) >= MSG_SHORT_BYTES;
+}
+
+/* What stands for a long name where only a short one is understood. */
+static void
+print_alias (const char *name, char out[MSG_SHORT_BYTES])
+{
+	const size_t hash_len = 1 + 16;
+	size_t len = MSG_SHORT_BYTES - 1 - hash_len;
+
+	/* Not between the bytes of a character. */
+	while (len > 0 && ((uint8_t)name[len] & 0xc0) == 0x80)
+		len--;
+	g_snprintf (out, MSG_SHORT_BYTES, "%.*s~%016" G_GINT64_MODIFIER "x",
+		    (int)len, name, (uint64_t)XXH64 (name, strlen (name), 0));
+}
+
+/* A text, and its alias before it where it is a long one. */
+static void
+pack_text (msgpack_packer *pk, const struct msg_field *f, const char *text)
+{
+	char alias[MSG_SHORT_BYTES];
+
+	if (f->long_tag != 0 && strlen (text) >= MSG_SHORT_BYTES) {
+		print_alias (text, alias);
+		msgpack_pack_str_with_body (pk, alias, strlen (alias));
+		msgpack_pack_uint8 (pk, f->long_tag);
+	}
+	msgpack_pack_str_with_body (pk, text, strlen (text));
+}
+
 static void
 pack_value (msgpack_packer *pk, const struct msg_field *f, const void *p)
 {
@@ -91,7 +137,8 @@
 		msgpack_pack_double (pk, f64);
 		break;
 	case MSG_STR:
-		msgpack_pack_str_with_body (pk, p, strnlen (p, f->size - 1));
+	case MSG_NAME:
+		pack_text (pk, f, text_of (f, p));
 		break;
 	case MSG_BIN:
 		msgpack_pack_bin_with_body (pk, p, f->size);
@@ -112,8 +159,10 @@
 	const struct msg_field *f;
 	size_t n = 0;
 
-	for (f = fields; f->type != MSG_END; f++)
+	for (f = fields; f->type != MSG_END; f++) {
 		n += !is_zero (f, member (f, obj));
+		n += has_long_text (f, member (f, obj));
+	}
 	msgpack_pack_map (pk, n);
 	for (f = fields; f->type != MSG_END; f++) {
 		if (is_zero (f, member (f, obj)))
@@ -183,6 +232,25 @@
 	return true;
 }
 
+static bool
+read_name (const struct msg_field *f, const msgpack_object *o, void *p,
+	   msgpack_zone *zone, struct err *e)
+{
+	struct msg_field text = *f;
+	char *copy;
+
+	if (o->type != MSGPACK_OBJECT_STR)
+		return bad (f, "not a string", e);
+	text.size = o->via.str.size + 1;
+	copy = msgpack_zone_malloc (zone, text.size);
+	if (copy == NULL)
+		return err_set (e, ERR_INTERNAL, "message: out of memory");
+	if (!read_text (&text, o, copy, e))
+		return false;
+	memcpy (p, &copy, sizeof copy);
+	return true;
+}
+
 static bool
 read_bin (const struct msg_field *f, const msgpack_object *o, void *p,
 	  struct err *e)
@@ -274,6 +342,8 @@
 		return read_number (f, o, p, e);
 	case MSG_STR:
 		return read_text (f, o, p, e);
+	case MSG_NAME:
+		return read_name (f, o, p, zone, e);
 	case MSG_BIN:
 	case MSG_BYTES:
 		return read_bin (f, o, p, e);
@@ -301,6 +371,25 @@
 	return end;
 }
 
+/* Zero, and names without text. */
+static void
+clear_struct (const struct msg_field *fields, void *obj)
+{
+	static const char *const none = "";
+
+	memset (obj, 0, struct_size (fields));
+	for (const struct msg_field *f = fields; f->type != MSG_END; f++) {
+		if (f->type == MSG_NAME)
+			memcpy ((uint8_t *)obj + f->offset, &none, sizeof none);
+	}
+}
+
+static bool
+is_tag (const struct msg_field *f, uint64_t tag)
+{
+	return f->tag == tag || (f->long_tag != 0 && f->long_tag == tag);
+}
+
 static bool
 read_struct (const struct msg_field *fields, const msgpack_object *o, void *obj,
 	     msgpack_zone *zone, unsigned depth, struct err *e)
@@ -311,14 +400,14 @@
 		return err_set (e, ERR_PROTOCOL, "message: not a map");
 	if (depth > DEPTH_MAX)
 		return err_set (e, ERR_PROTOCOL, "message: nested too deep");
-	memset (obj, 0, struct_size (fields));
+	clear_struct (fields, obj);
 	for (uint32_t i = 0; i < map->size; i++) {
 		const msgpack_object_kv *kv = &map->ptr[i];
 		const struct msg_field *f = fields;
 
 		if (kv->key.type != MSGPACK_OBJECT_POSITIVE_INTEGER)
 			return err_set (e, ERR_PROTOCOL, "message: bad tag");
-		while (f->type != MSG_END && f->tag != kv->key.via.u64)
+		while (f->type != MSG_END && !is_tag (f, kv->key.via.u64))
 			f++;
 		if (!read_value (f, &kv->val, (uint8_t *)obj + f->offset, zone,
 				 depth, e))
@@ -334,7 +423,7 @@
 	msgpack_object o;
 	size_t used = 0;
 
-	memset (obj, 0, struct_size (fields));
+	clear_struct (fields, obj);
 	if (!msg_fits (data, len) ||
 	    msgpack_unpack (data, len, &used, zone, &o) !=
 		    MSGPACK_UNPACK_SUCCESS)
--- a/lib/msg.h
+++ b/lib/msg.h
@@ -27,6 +27,7 @@
 	MSG_I64,   /* int64_t */
 	MSG_F64,   /* double */
 	MSG_STR,   /* char[size], always terminated */
+	MSG_NAME,  /* const char * to text in the arena, never NULL */
 	MSG_BIN,   /* uint8_t[size], of exactly that length */
 	MSG_BYTES, /* struct msg_bytes, of any length */
 	MSG_LIST,  /* struct msg_list of @sub structs */
@@ -52,6 +53,7 @@
  * @size: bytes, for MSG_STR and MSG_BIN; the struct's size, for MSG_LIST
  * @sub: the fields of a MSG_LIST item
  * @max: most items of a MSG_LIST, most bytes of a MSG_BYTES
+ * @long_tag: of a name that MSG_SHORT_BYTES don't hold; 0: it has none
  */
 struct msg_field {
 	uint8_t tag;
@@ -60,8 +62,16 @@
 	uint32_t size;
 	const struct msg_field *sub;
 	uint32_t max;
+	uint8_t long_tag;
 };
 
+/*
+ * Names once had at most MSG_SHORT_BYTES with their end.  A longer one is sent
+ * under @long_tag, and under @tag an alias of it that differs from those of
+ * other names, for receivers of that version.
+ */
+#define MSG_SHORT_BYTES 64
+
 /* Table rows: MSG_FIELD (1, MSG_U64, struct hello, incarnation) */
 #define MSG_FIELD(tag_, type_, struct_, member_)                               \
 	{                                                                      \
@@ -69,6 +79,12 @@
 		.offset = offsetof (struct_, member_),                         \
 		.size = sizeof (((struct_ *)0)->member_)                       \
 	}
+#define MSG_FIELD_LONG(tag_, long_tag_, type_, struct_, member_)               \
+	{                                                                      \
+		.tag = tag_, .long_tag = long_tag_, .type = type_,             \
+		.offset = offsetof (struct_, member_),                         \
+		.size = sizeof (((struct_ *)0)->member_)                       \
+	}
 #define MSG_FIELD_BYTES(tag_, struct_, member_, max_)                          \
 	{                                                                      \
 		.tag = tag_, .type = MSG_BYTES,                                \
--- a/lib/plan.c
+++ b/lib/plan.c
@@ -237,9 +237,13 @@
 }
 
 const struct plan_account *
-plan_account_by_key (const struct plan *p, const char *key)
+plan_account_by_key (const struct plan *p, const char *key, size_t len)
 {
-	return g_hash_table_lookup (p->keys, key);
+	char *text = g_strndup (key, len);
+	const struct plan_account *a = g_hash_table_lookup (p->keys, text);
+
+	g_free (text);
+	return a;
 }
 
 uint32_t
--- a/lib/plan.h
+++ b/lib/plan.h
@@ -14,7 +14,14 @@
  * process replaces its configuration as a whole.
  */
 
-#define PLAN_NAME_BYTES 64
+/* Size of the buffers for names of services and failure domains, with the final
+ * NUL. */
+#define PLAN_NAME_BYTES 256
+
+/* Names of all client accounts together.  Each sealed usage window holds them.
+ */
+#define PLAN_ACCOUNT_NAMES_MAX_BYTES (256U << 10)
+
 #define PLAN_TIER_MAX 9
 
 /** enum plan_kind - whether a route's requests may be executed repeatedly */
@@ -151,6 +158,7 @@
  * @keys: API key to struct plan_account *
  * @hosts: host to a GPtrArray of struct plan_route *, longest prefix first;
  *	filled by plan_check()
+ * @account_name_bytes: sum over @accounts
  * @duplicate_key: two accounts have one key
  * @tier_count: highest tier of a route plus one; set by plan_check()
  * @limits: limits on client requests
@@ -163,6 +171,7 @@
 	GPtrArray *accounts;
 	GHashTable *keys;
 	GHashTable *hosts;
+	size_t account_name_bytes;
 	bool duplicate_key;
 	uint32_t tier_count;
 	struct plan_limits limits;
@@ -218,10 +227,10 @@
 					   const char *host, size_t host_len,
 					   const char *path, size_t path_len);
 
-/** plan_account_by_key() - finds the account of an API key; NULL where the key
- * is unknown */
+/** plan_account_by_key() - finds the account of the API key of @len bytes at
+ * @key; NULL where it is unknown */
 const struct plan_account *plan_account_by_key (const struct plan *p,
-						const char *key);
+						const char *key, size_t len);
 
 /**
  * plan_tier() - priority of a request, 0 is the most urgent
--- a/lib/wincount.c
+++ b/lib/wincount.c
@@ -95,11 +95,10 @@
 	g_hash_table_iter_init (&it, x->counts);
 	while (g_hash_table_iter_next (&it, &name, &value)) {
 		const struct count *n = value;
-		struct gstate_count c = {.requests = n->requests};
+		struct gstate_count c = {name, n->requests};
 
 		if (n->change_seq <= reported)
 			continue;
-		g_strlcpy (c.account, name, sizeof c.account);
 		g_array_append_val (list, c);
 	}
 	return list;
@@ -179,6 +178,14 @@
 	g_hash_table_destroy (s->relays);
 }
 
+static void
+count_clear (void *data)
+{
+	struct gstate_count *c = data;
+
+	g_ref_string_release ((char *)c->account);
+}
+
 static struct winsum_window *
 sum_window (GPtrArray *windows, uint64_t number)
 {
@@ -192,6 +199,7 @@
 	x = g_new0 (struct winsum_window, 1);
 	x->number = number;
 	x->list = g_array_new (FALSE, TRUE, sizeof (struct gstate_count));
+	g_array_set_clear_func (x->list, count_clear);
 	g_ptr_array_add (windows, x);
 	return x;
 }
@@ -199,16 +207,19 @@
 static void
 count_set (GArray *list, const struct gstate_count *to)
 {
+	struct gstate_count copy = *to;
+
 	for (guint i = 0; i < list->len; i++) {
 		struct gstate_count *c =
 			&g_array_index (list, struct gstate_count, i);
 
 		if (strcmp (c->account, to->account) == 0) {
-			*c = *to;
+			c->requests = to->requests;
 			return;
 		}
 	}
-	g_array_append_val (list, *to);
+	copy.account = g_ref_string_new_intern (to->account);
+	g_array_append_val (list, copy);
 }
 
 /* Reports hold totals, so the newest one replaces those before. */
--- a/lib/wincount.h
+++ b/lib/wincount.h
@@ -76,7 +76,8 @@
 void winsum_drop (struct winsum *s, uint64_t sealed);
 
 /** winsum_total() - sum window @number over all relays; returns an array of
- * struct gstate_count, to be freed with g_array_free() */
+ * struct gstate_count, to be freed with g_array_free(); its names are valid
+ * until @s changes */
 GArray *winsum_total (const struct winsum *s, uint64_t number);
 
 #endif
--- a/relayd/attempt.c
+++ b/relayd/attempt.c
@@ -366,7 +366,7 @@
 		.last_event_id = c->evstream.last_id,
 		.kv_source = c->kv_from[0] != '\0' ? c->kv_from : NULL,
 		.run_copy = c->continues ? c->ep->info.addr : NULL,
-		.request_id = c->req.id,
+		.request_id = c->id,
 	};
 
 	if (backup != NULL)
@@ -421,7 +421,7 @@
 	struct h1cli_req req = {
 		.to_head = c->is_head,
 		.echo_name = c->r->dialect->request_id_header,
-		.echo_value = c->req.id,
+		.echo_value = c->id,
 		.idle_max_ms = attempt_is_repeatable (c) ? REUSE_IDLE_MAX_MS
 							 : REUSE_IDLE_ONCE_MS,
 		.connect_ms = (uint32_t)MIN (CONNECT_TIMEOUT_MS, remaining_ms),
@@ -452,17 +452,17 @@
 	c->ep->prefill_tokens += c->prefill_tokens;
 	if (c->service->is_engine)
 		record_segments (c, v, now_ms);
-	log_event (
-		LOG_LV_INFO, "send",
-		"req=%s service=%s ep=%s domain=%s why=%s "
-		"predicted_ttft_ms=%.0f "
-		"prefill_tokens=%.0f kv_from=%s inflight=%u tier=%u "
-		"remaining_ms=%" G_GUINT64_FORMAT
-		" list_age_ms=%" G_GUINT64_FORMAT " version=%" G_GUINT64_FORMAT,
-		c->req.id, c->service->name, c->ep->info.id, c->ep->info.domain,
-		place_reason_name (v->reason), v->ttft_ms, v->prefill_tokens,
-		c->kv_from, c->ep->inflight, c->tier, remaining_ms,
-		now_ms - c->r->list_read_ms, c->plan->version);
+	log_event (LOG_LV_INFO, "send",
+		   "req=%s service=%s ep=%s domain=%s why=%s "
+		   "predicted_ttft_ms=%.0f "
+		   "prefill_tokens=%.0f kv_from=%s inflight=%u tier=%u "
+		   "remaining_ms=%" G_GUINT64_FORMAT
+		   " list_age_ms=%" G_GUINT64_FORMAT
+		   " version=%" G_GUINT64_FORMAT,
+		   c->id, c->service->name, c->ep->info.id, c->ep->info.domain,
+		   place_reason_name (v->reason), v->ttft_ms, v->prefill_tokens,
+		   c->kv_from, c->ep->inflight, c->tier, remaining_ms,
+		   now_ms - c->r->list_read_ms, c->plan->version);
 	text = format_request (c, choose_backup (c, now_ms), remaining_ms);
 	req.bytes = text->str;
 	req.len = text->len;
--- a/relayd/blame.c
+++ b/relayd/blame.c
@@ -54,7 +54,7 @@
 	log_event (LOG_LV_INFO, "blame",
 		   "req=%s change=refused kind=%s key=%016" G_GINT64_MODIFIER
 		   "x segment=%" G_GINT64_MODIFIER "x maybe_run=%u",
-		   c->req.id, blame_key_kind (culprit), culprit,
+		   c->id, blame_key_kind (culprit), culprit,
 		   find_segment (c, culprit), c->maybe_run);
 	if (c->headers_sent)
 		call_cut (c, "cut");
@@ -144,8 +144,8 @@
 	    domain_is_cut (c->r, ep))
 		return;
 	log_event (LOG_LV_INFO, "blame",
-		   "req=%s change=struck ep=%s segments=%u", c->req.id,
-		   ep->info.id, c->req.segment_count);
+		   "req=%s change=struck ep=%s segments=%u", c->id, ep->info.id,
+		   c->req.segment_count);
 	blame_broke (&c->r->blame, keys, collect_keys (c, keys), ep->ep_hash,
 		     now_ms);
 }
--- a/relayd/call.c
+++ b/relayd/call.c
@@ -46,6 +46,7 @@
 	dequeue_call (c);
 	g_ptr_array_remove_fast (r->calls, c);
 	plan_unref (c->plan);
+	g_free (c->id);
 	g_string_free (c->request_line, TRUE);
 	g_string_free (c->headers, TRUE);
 	g_byte_array_unref (c->body);
@@ -88,7 +89,7 @@
 		"first_byte_ms=%" G_GUINT64_FORMAT
 		" total_ms=%" G_GUINT64_FORMAT " events=%" G_GUINT64_FORMAT
 		" max_gap_ms=%" G_GUINT64_FORMAT,
-		c->req.id, outcome, c->status, c->route->name, c->account,
+		c->id, outcome, c->status, c->route->name, c->account,
 		c->attempts,
 		c->first_byte_ms > 0 ? c->first_byte_ms - c->arrived_ms : 0,
 		now_ms - c->arrived_ms, c->evstream.events, c->max_gap_ms);
@@ -123,13 +124,13 @@
 {
 	struct h1srv_conn *client = c->client;
 	struct relay *r = c->r;
-	char id[DIA_ID_BYTES];
+	char *id = g_strdup (c->id);
 
-	g_strlcpy (id, c->req.id, sizeof id);
 	c->status = status;
 	h1srv_set_data (client, NULL);
 	call_close (c, status == 503 ? "refused" : "failed");
 	front_refuse (r, client, id, status, retry_after_ms, why);
+	g_free (id);
 }
 
 static gint
@@ -233,8 +234,8 @@
 	dequeue_call (c);
 	if (c->headers_sent) {
 		log_event (LOG_LV_INFO, "no-endpoint",
-			   "req=%s why=%s waited_ms=%" G_GUINT64_FORMAT,
-			   c->req.id, place_reason_name (v.reason),
+			   "req=%s why=%s waited_ms=%" G_GUINT64_FORMAT, c->id,
+			   place_reason_name (v.reason),
 			   now_ms - MIN (c->last_failure_ms, now_ms));
 		call_cut (c, "cut");
 		return;
@@ -352,7 +353,7 @@
 		   "headers_sent=%d maybe_run=%u attempts=%u "
 		   "cut_off=%d silent_ms=%" G_GUINT64_FORMAT
 		   " segments=%s remaining_ms=%" G_GUINT64_FORMAT,
-		   c->req.id, failover_action_name (v),
+		   c->id, failover_action_name (v),
 		   c->ep != NULL ? c->ep->info.id : "", c->status, f->sent,
 		   f->not_run, f->response_started, f->possible_runs,
 		   f->attempt_count,
--- a/relayd/continue.c
+++ b/relayd/continue.c
@@ -20,7 +20,7 @@
 cut (struct call *c, const char *why)
 {
 	log_event (LOG_LV_INFO, "continue", "req=%s continued=0 why=\"%s\"",
-		   c->req.id, why);
+		   c->id, why);
 	call_cut (c, "cut");
 }
 
--- a/relayd/front.c
+++ b/relayd/front.c
@@ -96,13 +96,14 @@
 	c->r = r;
 	c->client = conn;
 	c->req = *req;
+	c->id = g_strndup (req->id, req->id_len);
+	/* These point into the request's head. */
+	c->req.id = c->req.key = NULL;
 	c->plan = plan_ref (r->plan);
 	c->route = route;
 	c->service = plan_pick_service (route, g_rand_int (r->rand));
 	c->tier = plan_tier (r->plan, route, account);
-	if (account != NULL) {
-		g_strlcpy (c->account, account->name, sizeof c->account);
-	}
+	c->account = account != NULL ? account->name : "";
 	c->request_line = g_string_new_len (h->method, (gssize)h->method_len);
 	c->is_head = strcmp (c->request_line->str, "HEAD") == 0;
 	g_string_append_c (c->request_line, ' ');
@@ -120,19 +121,19 @@
 	call_admit (c);
 }
 
-void
-front_handle (struct relay *r, struct h1srv_conn *conn, const struct h1_head *h,
-	      const GByteArray *body, uint64_t arrived_ms)
+static void
+handle_request (struct relay *r, struct h1srv_conn *conn,
+		const struct h1_head *h, const GByteArray *body,
+		const struct dia_request *req, const char *id,
+		uint64_t arrived_ms)
 {
 	const struct h1_header *host = h1_find (h, "host");
 	const struct plan_account *account = NULL;
 	const struct plan_route *route;
-	struct dia_request req;
 
-	r->dialect->parse_request (h, &req);
 	if (r->plan == NULL) {
 		front_refuse (
-			r, conn, req.id, 503,
+			r, conn, id, 503,
 			CONFIG_RETRY_AFTER_MS +
 				(uint32_t)g_rand_int_range (
 					r->rand, 0, CONFIG_RETRY_SPREAD_MS),
@@ -144,22 +145,35 @@
 						 h->path_len)
 			     : NULL;
 	if (route == NULL) {
-		front_refuse (r, conn, req.id, 404, 0, "no route");
+		front_refuse (r, conn, id, 404, 0, "no route");
 		return;
 	}
 	if (!route->public) {
-		account = plan_account_by_key (r->plan, req.key);
+		account = plan_account_by_key (r->plan, req->key, req->key_len);
 		if (account == NULL) {
-			front_refuse (r, conn, req.id, 401, 0, "unknown key");
+			front_refuse (r, conn, id, 401, 0, "unknown key");
 			return;
 		}
 	}
-	if (!stop_admits (r, wait_limit_ms (route, &req))) {
-		front_refuse (r, conn, req.id, 503, stop_retry_after_ms (r),
+	if (!stop_admits (r, wait_limit_ms (route, req))) {
+		front_refuse (r, conn, id, 503, stop_retry_after_ms (r),
 			      "stopping");
 		return;
 	}
-	create_call (r, conn, h, body, &req, route, account, arrived_ms);
+	create_call (r, conn, h, body, req, route, account, arrived_ms);
+}
+
+void
+front_handle (struct relay *r, struct h1srv_conn *conn, const struct h1_head *h,
+	      const GByteArray *body, uint64_t arrived_ms)
+{
+	struct dia_request req;
+	char *id;
+
+	r->dialect->parse_request (h, &req);
+	id = g_strndup (req.id, req.id_len);
+	handle_request (r, conn, h, body, &req, id, arrived_ms);
+	g_free (id);
 }
 
 static void
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -41,10 +41,11 @@
 /**
  * struct call - one client request
  * @client: connection of the client, NULL once it disconnected
- * @req: what the request headers say
+ * @req: what the request headers say, but for the texts in them
+ * @id: the request's id, "" where it has none
  * @plan: configuration that the request was admitted under
  * @service: service that was picked for it
- * @account: client account, "" on open routes
+ * @account: name of the client account in @plan, "" on open routes
  * @tier: priority, 0 is the most urgent
  * @request_line: method and path
  * @headers: header lines that are forwarded to an endpoint
@@ -87,10 +88,11 @@
 	struct relay *r;
 	struct h1srv_conn *client;
 	struct dia_request req;
+	char *id;
 	struct plan *plan;
 	const struct plan_route *route;
 	struct plan_service *service;
-	char account[PLAN_NAME_BYTES];
+	const char *account;
 	uint32_t tier;
 	GString *request_line;
 	GString *headers;
@@ -108,7 +110,7 @@
 	struct fleet_ep *ep;
 	struct h1cli *exchange;
 	uint64_t sent_ms;
-	char kv_from[FLEET_NAME_BYTES];
+	char kv_from[FLEET_ADDR_BYTES];
 	char backup_id[FLEET_NAME_BYTES];
 	bool continues;
 	uint64_t confirm_until_ms;
--- a/relayd/startup.c
+++ b/relayd/startup.c
@@ -20,7 +20,7 @@
  */
 struct startup_req {
 	struct h1srv_conn *conn;
-	char id[DIA_ID_BYTES];
+	char *id;
 	GString *head_text;
 	GByteArray *body;
 	uint64_t arrived_ms;
@@ -30,6 +30,7 @@
 static void
 startup_req_free (struct startup_req *q)
 {
+	g_free (q->id);
 	g_string_free (q->head_text, TRUE);
 	g_byte_array_unref (q->body);
 	g_free (q);
@@ -72,7 +73,7 @@
 		return false;
 	q = g_new0 (struct startup_req, 1);
 	q->conn = conn;
-	g_strlcpy (q->id, req.id, sizeof q->id);
+	q->id = g_strndup (req.id, req.id_len);
 	q->head_text = format_head (h);
 	q->body = g_byte_array_new ();
 	g_byte_array_append (q->body, body->data, body->len);
@@ -81,7 +82,7 @@
 	r->startup_bytes += body->len;
 	g_ptr_array_add (r->startup_queue, q);
 	log_event (LOG_LV_INFO, "startup-queue",
-		   "req=%s wait_ms=%" G_GUINT64_FORMAT " queued=%u", req.id,
+		   "req=%s wait_ms=%" G_GUINT64_FORMAT " queued=%u", q->id,
 		   deadline_ms - now_ms, r->startup_queue->len);
 	return true;
 }
--- a/relayd/stop.c
+++ b/relayd/stop.c
@@ -41,11 +41,13 @@
 {
 	struct relay *r = ctx;
 	struct dia_request req = {.id = ""};
+	char *id;
 
 	if (h != NULL)
 		r->dialect->parse_request (h, &req);
-	front_refuse (r, conn, req.id, 503, stop_retry_after_ms (r),
-		      "stopping");
+	id = g_strndup (req.id, req.id_len);
+	front_refuse (r, conn, id, 503, stop_retry_after_ms (r), "stopping");
+	g_free (id);
 }
 
 /* Answers what is still open: requests under way, those that wait for the first
--- a/tests/soak/endpoints.c
+++ b/tests/soak/endpoints.c
@@ -266,7 +266,7 @@
 check_run (struct soak_ep *e, const struct h1_head *h, struct soak_req *r)
 {
 	char *tenant = h1_copy (h1_find (h, "X-Tenant"));
-	char want[16];
+	char want[sizeof ACCOUNT_PREFIX + 16];
 
 	g_snprintf (want, sizeof want, ACCOUNT_PREFIX "%u", r->account);
 	if (h1_find (h, "Authorization") != NULL)
--- a/tests/soak/operator.c
+++ b/tests/soak/operator.c
@@ -184,9 +184,10 @@
 		   "\"health_path\":\"/health\",\"max_connections\":300}],"
 		   "\"tenants\":[");
 	for (int i = 0; i < SOAK_ACCOUNTS; i++) {
-		g_string_append_printf (
-			s, "%s{\"name\":\"acct-%d\",\"api_keys\":[\"key-%d\"",
-			i > 0 ? "," : "", i, i);
+		g_string_append_printf (s,
+					"%s{\"name\":\"" ACCOUNT_PREFIX
+					"%d\",\"api_keys\":[\"key-%d\"",
+					i > 0 ? "," : "", i, i);
 		if (v->more_keys & (1U << i))
 			g_string_append_printf (s, ",\"more-%d\"", i);
 		g_string_append (s, "]}");
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -19,8 +19,10 @@
 
 #define SOAK_MEMBERS 3
 #define SOAK_RELAYS 3
-/* Client accounts are named by this and their number. */
-#define ACCOUNT_PREFIX "acct-"
+/* Client accounts are named by this and their number; names that are cut to 63
+ * bytes become one. */
+#define ACCOUNT_PREFIX                                                         \
+	"client-account-with-a-name-that-is-longer-than-sixty-three-bytes-"
 #define SOAK_ACCOUNTS 3 /* whose keys are in force */
 #define SOAK_USAGE_WINDOW_MS 2000
 #define SOAK_EPS 8
--- a/tests/test_plan.c
+++ b/tests/test_plan.c
@@ -66,8 +66,8 @@
 		if (fault == 5)
 			plan_add_key (p, b, "k1");
 		CU_ASSERT (plan_check (p, NULL) == (fault == 0));
-		CU_ASSERT (fault != 0 || plan_account_by_key (p, "k2") == b);
-		CU_ASSERT (plan_account_by_key (p, "k3") == NULL);
+		CU_ASSERT (fault != 0 || plan_account_by_key (p, "k2", 2) == b);
+		CU_ASSERT (plan_account_by_key (p, "k3", 2) == NULL);
 		plan_unref (p);
 	}
 }
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -69,8 +69,8 @@
 	uint32_t forwarded = 0;
 
 	d->parse_request (&h, &r);
-	CU_ASSERT_STRING_EQUAL (r.id, "r1");
-	CU_ASSERT_STRING_EQUAL (r.key, "k1");
+	CU_ASSERT (r.id_len == 2 && memcmp (r.id, "r1", 2) == 0);
+	CU_ASSERT (r.key_len == 2 && memcmp (r.key, "k1", 2) == 0);
 	CU_ASSERT (r.timeout_ms == 8000 && r.prompt_tokens == 1460 &&
 		   r.max_output_tokens == 80 && r.last_event_id == 7);
 	CU_ASSERT (r.segment_count == 3 && r.segments[0].id == 0x5c1e07a2 &&
@@ -84,9 +84,8 @@
 	h = request ("GET / HTTP/1.1\r\nAuthorization: Basic abc\r\n"
 		     "X-Prefix-Hash: zz:1\r\n\r\n");
 	d->parse_request (&h, &r);
-	CU_ASSERT (r.key[0] == '\0' && r.id[0] == '\0' &&
-		   r.segment_count == 0 && r.last_event_id == -1 &&
-		   r.timeout_ms == 0);
+	CU_ASSERT (r.key_len == 0 && r.id_len == 0 && r.segment_count == 0 &&
+		   r.last_event_id == -1 && r.timeout_ms == 0);
 }
 
 static void
@@ -228,8 +227,8 @@
 		   llm->price_count == 2 && llm->kv_capacity_tokens == 539774 &&
 		   llm->kv_backups);
 	CU_ASSERT (!plan_service (p, "app")->is_engine);
-	CU_ASSERT (plan_account_by_key (p, "k2")->has_tier &&
-		   plan_account_by_key (p, "k2")->tier == 0);
+	CU_ASSERT (plan_account_by_key (p, "k2", 2)->has_tier &&
+		   plan_account_by_key (p, "k2", 2)->tier == 0);
 	plan_unref (p);
 }
 
--- a/tests/test_platform_list.c
+++ b/tests/test_platform_list.c
@@ -179,6 +179,9 @@
 	g_free (held);
 }
 
+#define BYTES_64                                                               \
+	"0123456789012345678901234567890123456789012345678901234567890123"
+
 /* An id that ends its line would add a header of its own to requests, and lines
  * to the log; a text with a zero byte would pass for a shorter one. */
 static void
@@ -199,9 +202,7 @@
 		ENTRY ("i", ",\"service\":\"llm\\u001b\""),
 		ENTRY ("i", ",\"service\":[\"llm\"]"),
 		ENTRY ("i", ",\"state\":\"ready\\u0000\""),
-		ENTRY ("0123456789012345678901234567890123456789012345678901234"
-		       "567890123",
-		       ""),
+		ENTRY (BYTES_64 BYTES_64 BYTES_64 BYTES_64, ""),
 	};
 
 	for (unsigned k = 0; k < G_N_ELEMENTS (odd); k++) {
