relayd: end bytes that are no answer at once, and bound what is held back

Reported by other operators: a server that sent bytes without end, in a head or in a body, took its caller's memory; a head that broke off became a 200. Found here: memory was bounded for one request, but a relay read on until the request's limit where heads of status 1xx, a body over the bound, one that could not be used or belonged to another request, or a trailer did not end: 400 MB to 1.2 GB in 3 s each on loopback. Nothing bounded the sum over requests, and a long event in small pieces was searched from its start each time. In entryd, h2o's client keeps a head without end. Ruled out: the head that breaks off. At each byte, by a close or a reset, it is 502 at a relay and no answer in entryd; the tests for it pass on the code of before. Change: 16 interim heads, 1 MiB of foreign bodies, 16 KiB of trailers, 64 KiB of a body that can't be used; past these the attempt ends with a line that gives the count. What relays hold back shares 16 MiB, and one request may hold as much as is left, so that several without end leave room for others. Connections to endpoints have a receive buffer of 256 KiB, which bounds their share of a turn. Whole answers are handed on without a copy. httpc checks the head's length. Conclusion: the first report held in part, the second does not hold here.

--- a/lib/evstream.c
+++ b/lib/evstream.c
@@ -21,11 +21,11 @@
 }
 
 /* Length of the first whole event in @text with its empty line, in bytes; 0 if
- * there is none. */
+ * there is none.  It does not end in the first @scanned bytes. */
 static size_t
-event_len (const char *text, size_t len)
+event_len (const char *text, size_t len, size_t scanned)
 {
-	for (size_t i = 0; i + 1 < len; i++) {
+	for (size_t i = scanned; i + 1 < len; i++) {
 		if (text[i] != '\n')
 			continue;
 		if (text[i + 1] == '\n')
@@ -108,17 +108,18 @@
 bool
 evstream_feed (struct evstream *s, const char *data, size_t len, GString *out)
 {
-	size_t n, used = 0;
+	size_t n, used = 0, scanned = s->scanned;
 	bool valid = true;
 
 	g_string_append_len (s->partial, data, (gssize)len);
-	while ((n = event_len (s->partial->str + used,
-			       s->partial->len - used)) > 0) {
+	while ((n = event_len (s->partial->str + used, s->partial->len - used,
+			       scanned)) > 0) {
 		const char *event = s->partial->str + used;
 		int64_t id = event_id (event, n);
 		bool comment = id < 0 && is_comment (event, n);
 
 		used += n;
+		scanned = 0;
 		if (id >= 0 && id <= s->last_id) {
 			s->repeated++;
 			continue;
@@ -140,6 +141,8 @@
 		g_string_append_len (out, event, (gssize)n);
 	}
 	g_string_erase (s->partial, 0, (gssize)used);
+	/* The last two bytes may begin an empty line. */
+	s->scanned = MAX (s->partial->len, 2) - 2;
 	return valid && s->partial->len <= EVSTREAM_EVENT_MAX_BYTES;
 }
 
@@ -160,4 +163,5 @@
 {
 	s->resuming = s->events > 0;
 	g_string_truncate (s->partial, 0);
+	s->scanned = 0;
 }
--- a/lib/evstream.h
+++ b/lib/evstream.h
@@ -20,6 +20,7 @@
 /** struct evstream - one stream; the caller owns the memory */
 struct evstream {
 	GString *partial; /* bytes of an event that is not complete yet */
+	size_t scanned;   /* of them, known not to end it */
 	int64_t last_id;  /* highest id of a whole event; -1 before the first */
 	uint64_t events;  /* whole events passed on */
 	uint64_t repeated; /* dropped, since their id was not higher */
--- a/lib/h1.c
+++ b/lib/h1.c
@@ -7,6 +7,7 @@
 #include "h1.h"
 
 #define CHUNK_LINE_MAX_BYTES 256
+#define TRAILER_MAX_BYTES (16U << 10)
 
 /*
  * h2o's shared library exports its parser, but Debian's package installs no
@@ -268,6 +269,8 @@
 
 	if (++b->line > CHUNK_LINE_MAX_BYTES)
 		return false;
+	if (b->state >= CHUNK_TRAILER_FIRST && ++b->trailer > TRAILER_MAX_BYTES)
+		return false;
 	switch ((enum chunk_state)b->state) {
 	case CHUNK_SIZE_FIRST:
 	case CHUNK_SIZE:
--- a/lib/h1.h
+++ b/lib/h1.h
@@ -100,9 +100,10 @@
 /** struct h1_body - the state of a body that is being read */
 struct h1_body {
 	enum h1_framing framing;
-	uint64_t left; /* of the body, or of the chunk */
-	uint8_t state; /* of the chunked coding */
-	uint32_t line; /* bytes of the line being read */
+	uint64_t left;    /* of the body, or of the chunk */
+	uint8_t state;    /* of the chunked coding */
+	uint32_t line;    /* bytes of the line being read */
+	uint32_t trailer; /* bytes of the trailer */
 };
 
 /** h1_body_init() - begin to read the body that @h announces */
--- a/lib/h1cli.c
+++ b/lib/h1cli.c
@@ -10,7 +10,12 @@
 #include "log.h"
 
 #define HEAD_MAX_BYTES (64U << 10)
-#define SKIPPED_MAX 4 /* answers to other requests before ours */
+#define SKIPPED_MAX 4                /* answers to other requests before ours */
+#define SKIPPED_MAX_BYTES (1U << 20) /* of their bodies */
+#define INTERIM_MAX 16               /* heads of status 1xx before an answer */
+
+/* What the kernel holds for a connection, and so about what one read brings. */
+#define RECEIVE_BUFFER_BYTES (256 << 10)
 
 /* Where a server states no timeout; most keep connections for 5 s or more. */
 #define KEEP_DEFAULT_MS 4000
@@ -61,6 +66,8 @@
 	bool refused;
 	uint32_t keep_s;
 	uint32_t skipped;
+	uint64_t skipped_bytes;
+	uint32_t interim;
 };
 
 static void conn_read (struct h1cli_conn *c);
@@ -134,6 +141,22 @@
 	call_free (x);
 }
 
+/* Ends a call whose server sends what is no answer to it. */
+static void
+call_bad (struct h1cli *x, const char *why)
+{
+	size_t bytes;
+
+	sio_input (&x->conn->io, &bytes);
+	log_event (LOG_LV_WARN, "no-answer",
+		   "port=%u id=%s why=\"%s\" bytes=%zu interim=%u skipped=%u "
+		   "skipped_bytes=%" G_GUINT64_FORMAT,
+		   ntohs (x->host->addr.sin_port),
+		   x->echo_value != NULL ? x->echo_value : "", why, bytes,
+		   x->interim, x->skipped, x->skipped_bytes);
+	call_end (x, H1CLI_BAD, false);
+}
+
 static void
 on_ended (const char *why, void *ctx)
 {
@@ -237,15 +260,19 @@
 	switch (h1_response (in, len, x->to_head, &h, &used)) {
 	case H1_MORE:
 		if (len > HEAD_MAX_BYTES)
-			call_end (x, H1CLI_BAD, false);
+			call_bad (x, "a head without end");
 		return false;
 	case H1_BAD:
-		call_end (x, H1CLI_BAD, false);
+		call_bad (x, "not a head");
 		return false;
 	case H1_OK:
 		break;
 	}
 	if (h.status < 200) {
+		if (++x->interim > INTERIM_MAX) {
+			call_bad (x, "heads of status 1xx without end");
+			return false;
+		}
 		sio_consume (&c->io, used);
 		return true;
 	}
@@ -262,13 +289,13 @@
 		if (++x->skipped <= SKIPPED_MAX && !x->close &&
 		    !c->had_head_request)
 			return true;
-		call_end (x, H1CLI_BAD, false);
+		call_bad (x, "answers to other requests");
 		return false;
 	case OF_UNKNOWN:
 		log_event (LOG_LV_WARN, "unknown-answer",
 			   "port=%u status=%d reused=%d",
 			   ntohs (c->host->addr.sin_port), h.status, x->reused);
-		call_end (x, H1CLI_BAD, false);
+		call_bad (x, "an answer of unknown origin");
 		return false;
 	}
 	if (x->skipped > 0 || (x->echo_name != NULL && !echoed))
@@ -304,8 +331,12 @@
 		sio_consume (&c->io, used);
 		return false;
 	case H1_STEP_DATA:
-		if (x->phase == CALL_BODY)
+		if (x->phase == CALL_BODY) {
 			x->ops->data (x, data, n, x->ctx);
+		} else if ((x->skipped_bytes += n) > SKIPPED_MAX_BYTES) {
+			call_bad (x, "an answer to another request, too long");
+			return false;
+		}
 		if (c->dead || c->call != x)
 			return false;
 		sio_consume (&c->io, used);
@@ -425,12 +456,15 @@
 	struct h1cli_conn *c;
 	struct err e = {0};
 	int fd = link_connect_fd (&x->host->addr, x->host->from, &e);
+	int buffer_bytes = RECEIVE_BUFFER_BYTES;
 
 	if (fd < 0) {
 		log_event (LOG_LV_WARN, "connect", "why=\"%s\"", e.msg);
 		tmr_start (&x->tmr, 1);
 		return;
 	}
+	setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
+		    sizeof buffer_bytes);
 	c = g_new0 (struct h1cli_conn, 1);
 	c->host = x->host;
 	c->call = x;
--- a/lib/httpc.c
+++ b/lib/httpc.c
@@ -13,6 +13,11 @@
 /* Idle kept-alive connections are closed after this. */
 #define POOL_IDLE_MS 5000
 
+/* h2o reads a head without end for as long as it comes. */
+#define HEAD_MAX_BYTES (64U << 10)
+#define HEAD_CHECK_MS 10
+#define RECEIVE_BUFFER_BYTES (256 << 10)
+
 struct httpc {
 	struct httpc_peer *peer;
 	const struct httpc_ops *ops;
@@ -28,6 +33,7 @@
 	h2o_socket_cb read_cb; /* what h2o reads with, while paused */
 	struct tmr deadline;
 	bool has_deadline;
+	struct tmr head_check; /* runs until the head has arrived */
 	struct httpc *next_dead;
 	/* httpc_fetch() */
 	GString *gathered;
@@ -41,6 +47,7 @@
 {
 	if (c->has_deadline)
 		tmr_finish (&c->deadline);
+	tmr_finish (&c->head_check);
 	g_string_free (c->request, TRUE);
 	if (c->gathered != NULL)
 		g_string_free (c->gathered, TRUE);
@@ -145,6 +152,7 @@
 	(void)minor;
 	(void)msg;
 	(void)rlen;
+	tmr_stop (&c->head_check);
 	if (why != NULL && why != h2o_http1client_error_is_eos) {
 		httpc_fail (c, ERR_ENDPOINT_LOST, "answer from", why);
 		return NULL;
@@ -171,7 +179,7 @@
 	    size_t *count, int *is_head)
 {
 	struct httpc *c = client->data;
-	int on = 1;
+	int on = 1, buffer_bytes = RECEIVE_BUFFER_BYTES;
 
 	if (why != NULL) {
 		httpc_fail (c, ERR_IO, "connect to", why);
@@ -187,6 +195,9 @@
 		setsockopt (h2o_socket_get_fd (client->sock), IPPROTO_TCP,
 			    TCP_USER_TIMEOUT, &c->user_timeout_ms,
 			    sizeof c->user_timeout_ms);
+	setsockopt (h2o_socket_get_fd (client->sock), SOL_SOCKET, SO_RCVBUF,
+		    &buffer_bytes, sizeof buffer_bytes);
+	tmr_start (&c->head_check, HEAD_CHECK_MS);
 	c->sent = true;
 	c->vec = h2o_iovec_init (c->request->str, c->request->len);
 	*bufs = &c->vec;
@@ -195,19 +206,46 @@
 	return on_head;
 }
 
+/* Ends an exchange inside the callback of one of its timers. */
 static void
-on_deadline (void *ctx)
+end_by_timer (struct httpc *c, const struct err *e)
 {
-	struct httpc *c = ctx;
-	struct err e;
-
 	if (c->client != NULL)
 		h2o_http1client_cancel (c->client);
 	c->client = NULL;
-	err_set (&e, ERR_TIMEOUT, "%s: timed out", c->peer->host);
+	tmr_stop (&c->head_check);
+	if (c->has_deadline)
+		tmr_stop (&c->deadline);
 	c->next_dead = c->peer->dead;
 	c->peer->dead = c;
-	c->ops->done (c, &e, c->ctx);
+	c->ops->done (c, e, c->ctx);
+}
+
+static void
+on_deadline (void *ctx)
+{
+	struct httpc *c = ctx;
+	struct err e;
+
+	err_set (&e, ERR_TIMEOUT, "%s: timed out", c->peer->host);
+	end_by_timer (c, &e);
+}
+
+static void
+on_head_check (void *ctx)
+{
+	struct httpc *c = ctx;
+	struct err e;
+
+	if (c->client == NULL || c->client->sock == NULL)
+		return;
+	if (c->client->sock->input->size <= HEAD_MAX_BYTES) {
+		tmr_start (&c->head_check, HEAD_CHECK_MS);
+		return;
+	}
+	err_set (&e, ERR_ENDPOINT_LOST, "answer from %s: head of over %u bytes",
+		 c->peer->host, HEAD_MAX_BYTES);
+	end_by_timer (c, &e);
 }
 
 static GString *
@@ -269,6 +307,7 @@
 	c->may_send = req->may_send;
 	c->may_send_ctx = req->may_send_ctx;
 	c->request = build (p, req);
+	tmr_init (&c->head_check, p->loop, on_head_check, c);
 	if (req->timeout_ms != 0) {
 		tmr_init (&c->deadline, p->loop, on_deadline, c);
 		tmr_start (&c->deadline, req->timeout_ms);
--- a/relayd/attempt.c
+++ b/relayd/attempt.c
@@ -24,6 +24,13 @@
 
 /* Answers that aren't streams are forwarded complete, up to this size. */
 #define ANSWER_MAX_BYTES (8U << 20)
+
+/* All answers, and parts of events, that are held back together.  One may hold
+ * as much as is left, so that several without end leave room for others. */
+#define ANSWERS_MAX_BYTES (16U << 20)
+
+/* Bytes of an answer that can't be used, after which its end is not awaited. */
+#define UNUSABLE_MAX_BYTES (64U << 10)
 /* Bytes buffered for a slow client, above which reading from the endpoint is
  * paused. */
 #define PENDING_MAX_BYTES (256U << 10)
@@ -198,19 +205,52 @@
 
 static void on_attempt_end (struct h1cli *x, enum h1cli_end end, void *ctx);
 
+void
+call_set_held (struct call *c, size_t bytes)
+{
+	c->r->held_bytes += bytes;
+	c->r->held_bytes -= c->held_bytes;
+	c->held_bytes = bytes;
+}
+
+bool
+call_held_fits (const struct call *c)
+{
+	return c->held_bytes <= ANSWER_MAX_BYTES &&
+	       c->r->held_bytes + c->held_bytes <= ANSWERS_MAX_BYTES;
+}
+
+/* Ends the attempt at once: nothing that follows is of use. */
+static void
+drop_answer (struct call *c, struct h1cli *x, const char *why)
+{
+	log_event (LOG_LV_WARN, "answer-dropped",
+		   "req=%s ep=%s why=\"%s\" held=%zu unusable=%zu held_all=%zu",
+		   c->id, c->ep->info.id, why, c->held_bytes, c->unusable_bytes,
+		   c->r->held_bytes);
+	c->r->stats.dropped++;
+	on_attempt_end (x, H1CLI_BAD, c);
+	h1cli_cancel (x);
+}
+
 static void
 on_answer_data (struct h1cli *x, const char *data, size_t len, void *ctx)
 {
 	struct call *c = ctx;
 	bool valid;
 
-	if (c->status == 0)
+	if (c->status == 0) {
+		c->unusable_bytes += len;
+		if (c->unusable_bytes > UNUSABLE_MAX_BYTES)
+			drop_answer (c, x, "not an answer to this request");
 		return;
+	}
 	if (!c->is_stream) {
-		if (c->answer_body->len + len <= ANSWER_MAX_BYTES)
+		call_set_held (c, c->held_bytes + len);
+		if (call_held_fits (c))
 			g_string_append_len (c->answer_body, data, (gssize)len);
 		else
-			c->status = 0;
+			drop_answer (c, x, "too long");
 		return;
 	}
 	fleet_heard (c->ep, tmr_now_ms ());
@@ -220,11 +260,11 @@
 	if (c->answer_body->len > 0)
 		blame_answer_begun (c);
 	write_chunk (c, c->answer_body->str, c->answer_body->len);
-	if (valid)
-		return;
-	/* Nothing that follows is of use. */
-	on_attempt_end (x, H1CLI_BAD, c);
-	h1cli_cancel (x);
+	call_set_held (c, c->evstream.partial->len);
+	if (!valid || !call_held_fits (c))
+		drop_answer (c, x,
+			     valid ? "events held back are too long"
+				   : "an event is too long, or doesn't follow");
 }
 
 static bool
@@ -254,10 +294,11 @@
 		h1srv_end (client, true);
 	} else {
 		GString *head = g_string_new (c->answer_headers->str);
-		GString *body = g_string_new_len (c->answer_body->str,
-						  (gssize)c->answer_body->len);
+		GString *body = c->answer_body;
 		int status = c->status;
 
+		c->answer_body = g_string_new (NULL);
+
 		c->first_byte_ms = tmr_now_ms ();
 		h1srv_set_data (client, NULL);
 		call_close (c, "served");
@@ -444,6 +485,8 @@
 	c->answer = (struct dia_response){0};
 	g_string_truncate (c->answer_body, 0);
 	evstream_restart (&c->evstream);
+	call_set_held (c, 0);
+	c->unusable_bytes = 0;
 	c->r->load_changed = true;
 	c->ep->last_sent_ms = now_ms;
 	fleet_note_sent (&c->r->fleet, c->ep);
--- a/relayd/call.c
+++ b/relayd/call.c
@@ -43,6 +43,7 @@
 	struct relay *r = c->r;
 
 	call_release_ep (c);
+	call_set_held (c, 0);
 	dequeue_call (c);
 	g_ptr_array_remove_fast (r->calls, c);
 	plan_unref (c->plan);
@@ -250,10 +251,10 @@
 {
 	struct h1srv_conn *client = c->client;
 	GString *headers = g_string_new (c->answer_headers->str);
-	GString *body = g_string_new_len (c->answer_body->str,
-					  (gssize)c->answer_body->len);
+	GString *body = c->answer_body;
 	int status = c->status;
 
+	c->answer_body = g_string_new (NULL);
 	c->r->stats.passed_on++;
 	c->first_byte_ms = tmr_now_ms ();
 	h1srv_set_data (client, NULL);
--- a/relayd/metrics.c
+++ b/relayd/metrics.c
@@ -24,6 +24,7 @@
 	print_counter (out, "caller_gone_total", s->client_gone);
 	print_counter (out, "sends_total", s->attempts);
 	print_counter (out, "sends_again_total", s->retries);
+	print_counter (out, "answers_dropped_total", s->dropped);
 	print_counter (out, "barred_total", s->barred);
 	print_counter (out, "barred_keys", r->blame.barred);
 	print_counter (out, "streams_continued_total", s->continued);
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -76,6 +76,8 @@
  * @status: status of the endpoint's answer; 0: none, or one that can't be used
  * @answer_headers: header lines of the endpoint's answer
  * @answer_body: its body, or the piece of a stream that is being forwarded
+ * @held_bytes: bytes of the answer that are held back
+ * @unusable_bytes: bytes of the body of an answer that can't be used
  * @is_stream: the body is forwarded as it arrives
  * @headers_sent: response headers were sent to the client
  * @evstream: server-sent events of the answer
@@ -126,6 +128,8 @@
 	struct dia_response answer;
 	GString *answer_headers;
 	GString *answer_body;
+	size_t held_bytes;
+	size_t unusable_bytes;
 	bool is_stream;
 	bool headers_sent;
 	struct evstream evstream;
@@ -192,6 +196,7 @@
  * @cut: answers that ended incomplete after their headers were sent
  * @client_gone: requests whose client disconnected
  * @retries: failed attempts that another attempt was to follow
+ * @dropped: answers whose end was not awaited, as they can't be used
  * @barred: requests that were refused as they hold a barred key, see blame.h
  * @continued: streams that went on from a copy of their run
  * @connect_failed: attempts for which no connection was made
@@ -200,7 +205,8 @@
  */
 struct relay_stats {
 	uint64_t requests, served, refused, failed, passed_on, cut, client_gone;
-	uint64_t attempts, retries, barred, continued, connect_failed, probes;
+	uint64_t attempts, retries, dropped, barred, continued, connect_failed,
+		probes;
 	struct hist first_byte_us, total_us;
 };
 
@@ -221,6 +227,7 @@
  * @members: of struct group_member *
  * @calls: of struct call *
  * @startup_queue: of struct startup_req *, see startup.c
+ * @held_bytes: sum of call.held_bytes
  * @startup_bytes: sum of the bodies in @startup_queue
  * @waiting: calls that wait for an endpoint, the most urgent first
  * @relay_count: relays that share the endpoints
@@ -269,6 +276,7 @@
 	GPtrArray *calls;
 	GPtrArray *startup_queue;
 	uint64_t startup_bytes;
+	size_t held_bytes;
 	GQueue waiting;
 	uint32_t relay_count;
 	uint64_t started_ms;
@@ -405,6 +413,12 @@
 
 /* attempt.c: HTTP exchanges with endpoints */
 
+/** call_set_held() - the call now holds back @bytes of an answer */
+void call_set_held (struct call *c, size_t bytes);
+
+/** call_held_fits() - whether it may hold back as much */
+bool call_held_fits (const struct call *c);
+
 /** call_cut() - end the started answer so that the client sees it as truncated
  */
 void call_cut (struct call *c, const char *outcome);
--- a/tests/relay_world.h
+++ b/tests/relay_world.h
@@ -17,11 +17,12 @@
 struct answer {
 	const char *text;
 	enum after after;
-	bool closes;      /* the endpoint takes no more connections */
-	bool no_address;  /* the relay can open no more connections to it */
-	bool cut_off;     /* the relay takes it for cut off */
-	bool alone;       /* the relay can use no other */
-	const char *rest; /* sent REST_MS later; NULL: nothing */
+	bool closes;       /* the endpoint takes no more connections */
+	bool no_address;   /* the relay can open no more connections to it */
+	bool cut_off;      /* the relay takes it for cut off */
+	bool alone;        /* the relay can use no other */
+	const char *rest;  /* sent REST_MS later; NULL: nothing */
+	const char *flood; /* sent again and again, until the relay closes */
 };
 
 #define REST_MS 800
@@ -39,6 +40,9 @@
 	const char *rest; /* of the answer of struct answer.rest */
 	int rest_fd;
 	uint64_t rest_ms;
+	const char *flood; /* of struct answer.flood */
+	int flood_fd;
+	uint64_t flood_bytes;
 	bool ended, reset;
 };
 
--- a/tests/soak/endpoints.c
+++ b/tests/soak/endpoints.c
@@ -236,6 +236,14 @@
 	g_string_free (out, TRUE);
 }
 
+static void
+job_flood (struct job *j)
+{
+	floods_write (j->conn, j->r, !j->head_sent);
+	j->head_sent = true;
+	tmr_start (&j->tmr, 1);
+}
+
 static void
 on_job (void *ctx)
 {
@@ -250,6 +258,8 @@
 		return;
 	else if (j->r->crashes)
 		job_crash (j);
+	else if (j->e->mode == SOAK_FLOODS)
+		job_flood (j);
 	else if (!j->streams && j->head_sent)
 		job_cut (j);
 	else if (j->e->mode == SOAK_CUTS && !j->streams)
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <glib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <unistd.h>
 
 #include "httpc.h"
@@ -288,6 +289,72 @@
 	}
 }
 
+/* A server that sends @text to one request, @flood again and again, and closes
+ * if there is no @flood; what became of the request. */
+static struct got
+fetch_raw (const char *text, size_t len, const char *flood, size_t *sent)
+{
+	struct sockaddr_in a = {.sin_family = AF_INET};
+	socklen_t size = sizeof a;
+	int on = 1, listener = socket (AF_INET, SOCK_STREAM, 0), fd = -1;
+	struct httpc_req q = {.method = "GET", .path = "/", .timeout_ms = 2000};
+	uint64_t end_ms = tmr_now_ms () + WAIT_MS;
+	struct httpc_peer raw;
+	struct got g = {0};
+
+	a.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+	CU_ASSERT_EQUAL (bind (listener, (struct sockaddr *)&a, size), 0);
+	CU_ASSERT_EQUAL (listen (listener, 4), 0);
+	getsockname (listener, (struct sockaddr *)&a, &size);
+	httpc_peer_init (&raw, loop, &a, 1000);
+	httpc_fetch (&raw, &q, 100, on_reply, &g);
+	for (int i = 0; i < 20; i++)
+		h2o_evloop_run (loop, 1);
+	fd = accept (listener, NULL, NULL);
+	ioctl (fd, FIONBIO, &on);
+	CU_ASSERT (send (fd, text, len, MSG_NOSIGNAL) == (ssize_t)len);
+	if (flood == NULL)
+		shutdown (fd, SHUT_WR);
+	while (g.done == 0 && tmr_now_ms () < end_ms) {
+		ssize_t n = 0;
+
+		for (int i = 0; flood != NULL && n >= 0 && i < 50; i++) {
+			n = send (fd, flood, strlen (flood), MSG_NOSIGNAL);
+			*sent += n > 0 ? (size_t)n : 0;
+		}
+		h2o_evloop_run (loop, 1);
+	}
+	CU_ASSERT_EQUAL (g.done, 1);
+	close (fd);
+	close (listener);
+	httpc_peer_finish (&raw);
+	return g;
+}
+
+static void
+test_head_that_breaks_off (void)
+{
+	static const char head[] =
+		"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n"
+		"content-length: 5\r\n\r\n";
+
+	for (size_t n = 1; n < sizeof head; n++)
+		CU_ASSERT (fetch_raw (head, n, NULL, NULL).kind != ERR_NONE);
+}
+
+/* All of it was kept until the memory was used up. */
+static void
+test_head_without_end (void)
+{
+	char *line = g_strnfill (32768, 'x');
+	size_t sent = 0;
+	struct got g = fetch_raw ("HTTP/1.1 200 O", 14, line, &sent);
+
+	CU_ASSERT_EQUAL (g.kind, ERR_ENDPOINT_LOST);
+	CU_ASSERT (sent < (64U << 20));
+	g_free (line);
+}
+
 int
 main (void)
 {
@@ -296,6 +363,8 @@
 		{"cancel", test_cancel},
 		{"refused", test_refused},
 		{"hostile bytes", test_hostile_bytes},
+		{"a head that breaks off", test_head_that_breaks_off},
+		{"a head without end", test_head_without_end},
 		{NULL, NULL},
 	};
 	struct httpd_conf conf = {.handler = handler, .max_body_bytes = 1000};
