--- a/lib/h1.c
+++ b/lib/h1.c
@@ -97,6 +97,22 @@
 	return false;
 }
 
+bool
+h1_has_status_line (const struct h1_header *x)
+{
+	static const char name[] = "HTTP/1.";
+	const char *at = memmem (x->value, x->value_len, name, sizeof name - 1);
+	size_t left;
+
+	if (at == NULL)
+		return false;
+	at += sizeof name - 1;
+	left = x->value_len - (size_t)(at - x->value);
+	return left >= 5 && g_ascii_isdigit (at[0]) && at[1] == ' ' &&
+	       g_ascii_isdigit (at[2]) && g_ascii_isdigit (at[3]) &&
+	       g_ascii_isdigit (at[4]);
+}
+
 static bool
 length_parse (const struct h1_header *x, uint64_t *out)
 {
--- a/lib/h1.h
+++ b/lib/h1.h
@@ -97,6 +97,10 @@
  */
 bool h1_hop_header (const struct h1_head *h, const struct h1_header *x);
 
+/** h1_has_status_line() - whether the value of @x holds a status line, as where
+ * a head broke off in the middle of a header and another head followed */
+bool h1_has_status_line (const struct h1_header *x);
+
 /** struct h1_body - the state of a body that is being read */
 struct h1_body {
 	enum h1_framing framing;
--- a/lib/h1cli.c
+++ b/lib/h1cli.c
@@ -192,24 +192,6 @@
 	.ended = on_ended,
 };
 
-/* Whether @x holds a status line, as where a head broke off in the middle
- * of a header and another head followed. */
-static bool
-holds_status_line (const struct h1_header *x)
-{
-	static const char name[] = "HTTP/1.";
-	const char *at = memmem (x->value, x->value_len, name, sizeof name - 1);
-	size_t left;
-
-	if (at == NULL)
-		return false;
-	at += sizeof name - 1;
-	left = x->value_len - (size_t)(at - x->value);
-	return left >= 5 && g_ascii_isdigit (at[0]) && at[1] == ' ' &&
-	       g_ascii_isdigit (at[2]) && g_ascii_isdigit (at[3]) &&
-	       g_ascii_isdigit (at[4]);
-}
-
 /* enum answer_of - whose request a head answers */
 enum answer_of {
 	OF_OURS,
@@ -234,7 +216,7 @@
 		const struct h1_header *e = &h->headers[i];
 		bool ours;
 
-		if (holds_status_line (e))
+		if (h1_has_status_line (e))
 			return OF_UNKNOWN;
 		if (!h1_is (e, x->echo_name))
 			continue;
@@ -292,9 +274,6 @@
 		call_bad (x, "answers to other requests");
 		return false;
 	case OF_UNKNOWN:
-		log_event (LOG_LV_WARN, "unknown-answer",
-			   "port=%u status=%d reused=%d",
-			   ntohs (c->host->addr.sin_port), h.status, x->reused);
 		call_bad (x, "an answer of unknown origin");
 		return false;
 	}
@@ -479,18 +458,6 @@
 	tmr_start (&x->tmr, connect_ms);
 }
 
-/* Whether nothing has come on an idle connection, neither bytes nor its end,
- * that the loop has not read yet. */
-static bool
-conn_is_quiet (const struct h1cli_conn *c)
-{
-	char byte;
-
-	return recv (h2o_socket_get_fd (c->io.sock), &byte, 1,
-		     MSG_PEEK | MSG_DONTWAIT) < 0 &&
-	       (errno == EAGAIN || errno == EINTR);
-}
-
 /* The connection used last, if it is still likely to stand. */
 static struct h1cli_conn *
 conn_take (struct h1cli_host *h, uint32_t idle_max_ms, const char *id)
@@ -504,7 +471,7 @@
 		next = at->next;
 		if (idle_ms < c->keep_ms && idle_ms >= idle_max_ms)
 			return NULL;
-		if (idle_ms >= c->keep_ms || !conn_is_quiet (c)) {
+		if (idle_ms >= c->keep_ms || !sio_is_quiet (&c->io)) {
 			conn_close (c);
 			continue;
 		}
--- a/lib/h1srv.c
+++ b/lib/h1srv.c
@@ -408,16 +408,6 @@
 	s->listener = NULL;
 }
 
-/* Whether bytes of a request wait in the socket's buffer. */
-static bool
-has_unread (const struct h1srv_conn *c)
-{
-	char byte;
-
-	return recv (h2o_socket_get_fd (c->io.sock), &byte, 1,
-		     MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
 /* Whether the part of a request that was read is not the whole. */
 static bool
 is_partial (const struct h1srv_conn *c)
@@ -435,7 +425,7 @@
 has_request (const struct h1srv_conn *c)
 {
 	return c->state == CONN_BUSY || is_partial (c) ||
-	       (c->state == CONN_HEAD && has_unread (c));
+	       (c->state == CONN_HEAD && !sio_is_quiet (&c->io));
 }
 
 void
--- a/lib/sio.c
+++ b/lib/sio.c
@@ -1,6 +1,7 @@
 /*
  * Stream sockets with an output queue.
  */
+#include <errno.h>
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -79,6 +80,16 @@
 	h2o_buffer_consume (&s->sock->input, len);
 }
 
+bool
+sio_is_quiet (const struct sio *s)
+{
+	char byte;
+
+	return recv (h2o_socket_get_fd (s->sock), &byte, 1,
+		     MSG_PEEK | MSG_DONTWAIT) < 0 &&
+	       (errno == EAGAIN || errno == EINTR);
+}
+
 void
 sio_pause (struct sio *s)
 {
--- a/lib/sio.h
+++ b/lib/sio.h
@@ -71,6 +71,10 @@
 /** sio_consume() - drop the first @len bytes of the input */
 void sio_consume (struct sio *s, size_t len);
 
+/** sio_is_quiet() - whether nothing has come, neither bytes nor the end, that
+ * the loop has not read yet */
+bool sio_is_quiet (const struct sio *s);
+
 /** sio_pause() - stop reading; sio_resume() reads on */
 void sio_pause (struct sio *s);
 
