wal: a log whose end is torn is not taken for one that was never used

Cause: without an identity, a log was discarded if what could be read of it was as a first start writes it. A vote whose record is damaged is cut like a torn end, so that a log that had promised a vote passed for one that had not. Ruled out: a first start that leaves such a log; it syncs the file before its name. Change: only a log that is whole to its last byte is discarded. Conclusion: a damaged log without an identity is refused with its name.

--- a/lib/wal.c
+++ b/lib/wal.c
@@ -109,13 +109,14 @@
 	return ok;
 }
 
-/* Whether the log is as write_first_log() makes it.  A member changes its term
+/* Whether the log is as write_first_log() makes it, whole.  A torn end may have
+ * been a vote.  A member changes its term
  * or vote before it promises anything. */
 static bool
 is_first_log (const struct wal_state *st)
 {
-	return st->base == 0 && st->term <= FIRST_TERM && st->vote == 0 &&
-	       st->entries->len <= FIRST_ENTRIES;
+	return st->cut_bytes == 0 && st->base == 0 && st->term <= FIRST_TERM &&
+	       st->vote == 0 && st->entries->len <= FIRST_ENTRIES;
 }
 
 /* Removes what a wal_create() left that did not come to its end. */
--- a/tests/test_wal_steps.c
+++ b/tests/test_wal_steps.c
@@ -253,6 +253,31 @@
 	}
 }
 
+/* A vote whose record is damaged looks like the torn end of a log. */
+static void
+test_log_with_a_damaged_vote_is_not_discarded (void)
+{
+	char *dir = folder_new ();
+	char *identity = g_build_filename (dir, "identity", NULL);
+	char *log = g_build_filename (dir, "log", NULL);
+	struct wal_state st;
+	struct stat size;
+	struct wal w;
+	struct err e;
+
+	CU_ASSERT_FATAL (start (dir, 7, NULL, &w, &st, NULL, NULL, &e));
+	CU_ASSERT (wal_vote (&w, 2, 7, &e));
+	wal_finish (&w);
+	wal_state_finish (&st);
+	CU_ASSERT (stat (log, &size) == 0);
+	CU_ASSERT (truncate (log, size.st_size - 1) == 0);
+	CU_ASSERT (g_unlink (identity) == 0);
+	CU_ASSERT (is_refused (dir, "log"));
+	g_free (identity);
+	g_free (log);
+	folder_free (dir);
+}
+
 static void
 test_folder_of_another_kind_is_not_discarded (void)
 {
@@ -374,6 +399,8 @@
 		 test_first_start_killed_after_any_step},
 		{"a folder that holds state is not discarded",
 		 test_folder_that_holds_state_is_not_discarded},
+		{"a log with a damaged vote is not discarded",
+		 test_log_with_a_damaged_vote_is_not_discarded},
 		{"a folder of another kind is not discarded",
 		 test_folder_of_another_kind_is_not_discarded},
 		{"a snapshot and a vote are killed after any step",
