relayd: log the key of a struck request and how many strikes count

The line said which request broke its endpoint, but neither the key by which it is barred nor whether the strike counted, so that requests with the same key could not be found in the logs, and one event for several crashes was not seen. No change of logic.

--- a/lib/blame.c
+++ b/lib/blame.c
@@ -302,6 +302,14 @@
 	}
 }
 
+uint32_t
+blame_strikes (const struct blame *b, uint64_t key)
+{
+	const struct blame_entry *e = entry_find (b, key);
+
+	return e != NULL ? e->strike_count : 0;
+}
+
 void
 blame_answered (struct blame *b, const uint64_t *keys, uint32_t count,
 		uint64_t now_ms)
--- a/lib/blame.h
+++ b/lib/blame.h
@@ -154,6 +154,9 @@
 void blame_broke (struct blame *b, const uint64_t *keys, uint32_t count,
 		  uint32_t ep_hash, uint64_t now_ms);
 
+/** blame_strikes() - strikes of @key that count since it was answered last */
+uint32_t blame_strikes (const struct blame *b, uint64_t key);
+
 /** blame_answered() - an answer to a request began */
 void blame_answered (struct blame *b, const uint64_t *keys, uint32_t count,
 		     uint64_t now_ms);
--- a/relayd/blame.c
+++ b/relayd/blame.c
@@ -143,11 +143,13 @@
 	    now_ms > MAX (ep->last_heard_ms, c->sent_ms) + SILENT_MS ||
 	    domain_is_cut (c->r, ep))
 		return;
-	log_event (LOG_LV_INFO, "blame",
-		   "req=%s change=struck ep=%s segments=%u", c->id, ep->info.id,
-		   c->req.segment_count);
 	blame_broke (&c->r->blame, keys, collect_keys (c, keys), ep->ep_hash,
 		     now_ms);
+	log_event (LOG_LV_INFO, "blame",
+		   "req=%s change=struck ep=%s segments=%u "
+		   "key=%016" G_GINT64_MODIFIER "x strikes=%u",
+		   c->id, ep->info.id, c->req.segment_count, c->request_key,
+		   blame_strikes (&c->r->blame, c->request_key));
 }
 
 static void
