--- a/tests/soak/crash.c
+++ b/tests/soak/crash.c
@@ -21,6 +21,12 @@
 #define RATE_MS 2000      /* in which sound ones are counted */
 #define PATIENCE_MS 20000 /* for the crashes */
 
+/* A group of repeats, and the time to the next: all servers are back by then,
+ * and the rules allow no more than LATE_MAX of them. */
+#define GROUP 3
+#define GROUP_GAP_MS 3200
+#define GROUPS 4
+
 #define ACCOUNT 0
 #define FIRST_SEGMENT 7
 #define BAD_SEGMENT 0xbad00U
@@ -32,7 +38,7 @@
 		k->rand, SOAK_STREAM, SOAK_KINDS);
 	struct soak_req *r;
 
-	if (k->crash.what == SOAK_CRASH_REQUEST)
+	if (k->crash.what != SOAK_CRASH_SEGMENT)
 		kind = k->crash.kind;
 	r = callers_new (k,
 			 (uint32_t)g_rand_int_range (k->rand, 0, SOAK_RELAYS),
@@ -40,7 +46,7 @@
 	r->crashes = true;
 	r->first_segment = FIRST_SEGMENT;
 	r->middle_segment = BAD_SEGMENT + k->seed;
-	if (k->crash.what == SOAK_CRASH_REQUEST) {
+	if (k->crash.what != SOAK_CRASH_SEGMENT) {
 		r->path_number = 0;
 		r->last_segment = k->seed;
 	}
@@ -70,9 +76,14 @@
 		start_sound (k);
 	}
 	if (k->crash.next_bad_ms != 0 && now_ms >= k->crash.next_bad_ms) {
+		bool group = k->crash.what == SOAK_CRASH_GROUP;
+
 		k->crash.next_bad_ms =
-			now_ms + (uint64_t)g_rand_int_range (k->rand, 200, 500);
-		start_bad (k);
+			now_ms + (group ? GROUP_GAP_MS
+					: (uint64_t)g_rand_int_range (
+						  k->rand, 200, 500));
+		for (int i = 0; i < (group ? GROUP : 1); i++)
+			start_bad (k);
 	}
 	for (int i = 0; i < SOAK_EPS; i++) {
 		struct soak_ep *e = &k->eps[i];
@@ -144,13 +155,17 @@
 	k->crash.on = true;
 	k->crash.kind = (enum soak_kind[]){SOAK_STREAM, SOAK_RESUMABLE,
 					   SOAK_REPEATABLE}[k->seed / 2 % 3];
+	if (k->crash.what == SOAK_CRASH_GROUP)
+		k->crash.kind = SOAK_REPEATABLE;
 	k->crash.head = k->seed % 2 == 0;
 	k->crash.usual = count_sound (k);
 	k->crash.next_bad_ms = tmr_now_ms ();
 	end_ms = tmr_now_ms () + PATIENCE_MS;
 	while (k->crash.known_ms == 0 && tmr_now_ms () < end_ms)
 		soak_run_for (k, 10, false);
-	end_ms = tmr_now_ms () + 2 * CONTACT_MS;
+	end_ms = tmr_now_ms () + (k->crash.what == SOAK_CRASH_GROUP
+					  ? GROUPS * GROUP_GAP_MS
+					  : 2 * CONTACT_MS);
 	while (tmr_now_ms () < end_ms)
 		soak_run_for (k, 10, false);
 	k->crash.after = count_sound (k);
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -225,6 +225,8 @@
 			k.crash.what = SOAK_CRASH_SEGMENT;
 		else if (c == 'x' && strcmp (optarg, "request") == 0)
 			k.crash.what = SOAK_CRASH_REQUEST;
+		else if (c == 'x' && strcmp (optarg, "group") == 0)
+			k.crash.what = SOAK_CRASH_GROUP;
 		else if (c == 'p')
 			return printf ("%u\n", procs_free_port ()) < 0;
 		else
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -59,6 +59,7 @@
 	SOAK_CRASH_NONE,
 	SOAK_CRASH_SEGMENT, /* each request with a segment */
 	SOAK_CRASH_REQUEST, /* one request that comes again */
+	SOAK_CRASH_GROUP,   /* the same, at all servers within a moment */
 };
 
 /** struct soak_req - a request, as its caller and the endpoints saw it */
--- a/tests/t_blame.c
+++ b/tests/t_blame.c
@@ -9,6 +9,7 @@
 #define LINK_MS 2
 #define SEND_NEWS_MS 20 /* a relay's tick */
 #define POISON_ID 900000
+#define HOT_ID 800000
 
 struct packet {
 	uint64_t due_ms;
@@ -23,6 +24,18 @@
 	return blame_segment_key (POISON_ID + kind);
 }
 
+static uint64_t
+request_key (uint64_t id)
+{
+	return blame_request_key ("POST /x", "account", &id, sizeof id);
+}
+
+uint64_t
+t_blame_repeated_key (void)
+{
+	return request_key (POISON_ID);
+}
+
 uint64_t
 t_blame_first_key (uint32_t first)
 {
@@ -36,7 +49,7 @@
 		if (key == t_blame_poison_key (i))
 			return true;
 	}
-	return s->repeats && strcmp (blame_key_kind (key), "request") == 0;
+	return s->repeats && key == t_blame_repeated_key ();
 }
 
 static void
@@ -82,10 +95,19 @@
 
 void
 t_blame_init (struct t_blame *s, uint32_t seed)
+{
+	t_blame_init_size (s, seed, T_BLAME_RELAYS, T_BLAME_ENDPOINTS);
+}
+
+void
+t_blame_init_size (struct t_blame *s, uint32_t seed, uint32_t relays,
+		   uint32_t endpoints)
 {
 	static const double rates[T_BLAME_FIRSTS] = {40, 23, 6, 1};
 
-	*s = (struct t_blame){.poison_per_s = 3,
+	*s = (struct t_blame){.relay_count = relays,
+			      .endpoint_count = endpoints,
+			      .poison_per_s = 3,
 			      .poison_kinds = 1,
 			      .recovery_ms = 3000,
 			      .bound_crashes = 5,
@@ -94,11 +116,11 @@
 	s->rand = g_rand_new_with_seed (seed);
 	s->calls = g_ptr_array_new ();
 	g_queue_init (&s->packets);
-	for (uint32_t i = 0; i < T_BLAME_RELAYS; i++)
+	for (uint32_t i = 0; i < s->relay_count; i++)
 		node_start (s, &s->relays[i], relay_hash (i));
 	for (uint32_t i = 0; i < T_BLAME_MEMBERS; i++)
 		node_start (s, &s->members[i], 0);
-	for (uint32_t i = 0; i < T_BLAME_ENDPOINTS; i++)
+	for (uint32_t i = 0; i < s->endpoint_count; i++)
 		s->eps[i].hash = g_rand_int (s->rand);
 }
 
@@ -112,7 +134,7 @@
 void
 t_blame_finish (struct t_blame *s)
 {
-	for (uint32_t i = 0; i < T_BLAME_RELAYS; i++)
+	for (uint32_t i = 0; i < s->relay_count; i++)
 		blame_finish (&s->relays[i].b);
 	for (uint32_t i = 0; i < T_BLAME_MEMBERS; i++)
 		blame_finish (&s->members[i].b);
@@ -165,7 +187,7 @@
 	fresh = new_records ();
 	blame_merge (&s->members[p->member].b, r, p->records->len, fresh,
 		     s->now_ms);
-	for (uint32_t i = 0; i < T_BLAME_RELAYS; i++) {
+	for (uint32_t i = 0; i < s->relay_count; i++) {
 		if (i != p->relay)
 			post (s, i, p->member, false, fresh);
 	}
@@ -215,10 +237,12 @@
 {
 	blame_finish (&s->members[member].b);
 	node_start (s, &s->members[member], 0);
-	for (uint32_t i = 0; i < T_BLAME_RELAYS; i++)
+	for (uint32_t i = 0; i < s->relay_count; i++)
 		link_up (s, i, member);
 }
 
+static void place_call (struct t_blame *s, struct t_blame_call *c);
+
 static void
 break_call (struct t_blame *s, guint at)
 {
@@ -228,12 +252,18 @@
 		blame_broke (&s->relays[c->relay].b, c->keys, c->count,
 			     s->eps[c->ep].hash, s->now_ms);
 	g_ptr_array_remove_index_fast (s->calls, at);
-	g_free (c);
+	if (c->poison && s->plain && !c->retried) {
+		c->retried = true;
+		place_call (s, c);
+	} else {
+		g_free (c);
+	}
 }
 
 void
 t_blame_crash (struct t_blame *s, uint32_t ep)
 {
+	s->eps[ep].up_ms = s->now_ms + s->recovery_ms;
 	for (guint i = s->calls->len; i > 0; i--) {
 		struct t_blame_call *c = g_ptr_array_index (s->calls, i - 1);
 
@@ -241,7 +271,6 @@
 			break_call (s, i - 1);
 	}
 	s->eps[ep].hash = g_rand_int (s->rand);
-	s->eps[ep].up_ms = s->now_ms + s->recovery_ms;
 }
 
 void
@@ -259,16 +288,16 @@
 static uint32_t
 choose_endpoint (struct t_blame *s, uint32_t mid)
 {
-	uint32_t ep = mid * 7 % T_BLAME_ENDPOINTS;
+	uint32_t ep = mid * 7 % s->endpoint_count;
 
 	if (g_rand_double (s->rand) < 0.3)
-		ep = (uint32_t)g_rand_int_range (s->rand, 0, T_BLAME_ENDPOINTS);
-	for (uint32_t i = 0; i < T_BLAME_ENDPOINTS; i++) {
+		ep = (uint32_t)g_rand_int_range (s->rand, 0, s->endpoint_count);
+	for (uint32_t i = 0; i < s->endpoint_count; i++) {
 		if (s->eps[ep].up_ms <= s->now_ms)
 			return ep;
-		ep = (ep + 1) % T_BLAME_ENDPOINTS;
+		ep = (ep + 1) % s->endpoint_count;
 	}
-	return T_BLAME_ENDPOINTS;
+	return s->endpoint_count;
 }
 
 static void
@@ -278,6 +307,12 @@
 	uint64_t poison = t_blame_poison_key (c->kind);
 	bool repeat = c->poison && s->repeats;
 
+	if (s->plain || c->hot) {
+		if (repeat)
+			id = POISON_ID;
+		c->keys[c->count++] = request_key (c->hot ? HOT_ID : id);
+		return;
+	}
 	c->keys[c->count++] = t_blame_first_key (c->first);
 	if (c->poison && !repeat && (id >> 32) % 2 != 0)
 		c->keys[c->count++] = poison;
@@ -287,42 +322,35 @@
 		c->keys[c->count++] = poison;
 	if (repeat)
 		id = POISON_ID;
-	c->keys[c->count++] =
-		blame_request_key ("POST /x", "account", &id, sizeof id);
+	c->keys[c->count++] = request_key (id);
 }
 
+/* Sends a call to an endpoint, or ends it. */
 static void
-send_call (struct t_blame *s, uint32_t first, bool poison)
+place_call (struct t_blame *s, struct t_blame_call *c)
 {
-	struct t_blame_call *c = g_new0 (struct t_blame_call, 1);
-	/* Low numbers are more frequent. */
-	uint32_t mid = (uint32_t)(g_rand_double (s->rand) *
-				  g_rand_double (s->rand) * T_BLAME_MIDS);
-	struct blame *b;
+	struct blame *b = &s->relays[c->relay].b;
 	enum blame_verdict v;
 	uint64_t culprit;
 
-	c->first = first;
-	c->poison = poison;
-	c->kind = (uint32_t)g_rand_int_range (s->rand, 0, s->poison_kinds);
-	c->relay = (uint32_t)g_rand_int_range (s->rand, 0, T_BLAME_RELAYS);
-	b = &s->relays[c->relay].b;
-	set_keys (s, c, mid);
-	c->ep = choose_endpoint (s, mid);
+	c->ep = choose_endpoint (s, c->mid);
 	v = blame_check (b, c->keys, c->count, &culprit, s->now_ms);
-	if (!poison && s->count_sound) {
-		s->sent[first]++;
-		s->refused[first] += v == BLAME_REFUSE;
+	s->hot_sent += c->hot && c->ep != s->endpoint_count;
+	s->hot_begun +=
+		c->hot && c->ep != s->endpoint_count && v != BLAME_REFUSE;
+	if (!c->poison && !c->hot && s->count_sound) {
+		s->sent[c->first]++;
+		s->refused[c->first] += v == BLAME_REFUSE;
 	}
-	s->refused_poison += poison && v == BLAME_REFUSE;
-	if (v == BLAME_REFUSE || c->ep == T_BLAME_ENDPOINTS) {
+	s->refused_poison += c->poison && v == BLAME_REFUSE;
+	if (v == BLAME_REFUSE || c->ep == s->endpoint_count) {
 		g_free (c);
 		return;
 	}
 	if (v == BLAME_SEND_AS_TRIAL)
 		blame_trial (b, c->keys, c->count, s->now_ms);
 	s->late[c->kind] +=
-		poison && s->bound_ms[c->kind] != 0 &&
+		c->poison && s->bound_ms[c->kind] != 0 &&
 		s->now_ms > s->bound_ms[c->kind] + T_BLAME_CONTACT_MS;
 	c->sent_ms = s->now_ms;
 	c->begin_ms = s->now_ms + 30 + g_rand_int (s->rand) % 120;
@@ -330,6 +358,25 @@
 	g_ptr_array_add (s->calls, c);
 }
 
+enum call_kind { CALL_SOUND, CALL_HOT, CALL_POISON };
+
+static void
+send_call (struct t_blame *s, uint32_t first, enum call_kind kind)
+{
+	struct t_blame_call *c = g_new0 (struct t_blame_call, 1);
+
+	/* Low numbers are more frequent. */
+	c->mid = (uint32_t)(g_rand_double (s->rand) * g_rand_double (s->rand) *
+			    T_BLAME_MIDS);
+	c->first = first;
+	c->poison = kind == CALL_POISON;
+	c->hot = kind == CALL_HOT;
+	c->kind = (uint32_t)g_rand_int_range (s->rand, 0, s->poison_kinds);
+	c->relay = (uint32_t)g_rand_int_range (s->rand, 0, s->relay_count);
+	set_keys (s, c, c->mid);
+	place_call (s, c);
+}
+
 static void
 begin_answer (struct t_blame *s, guint at)
 {
@@ -382,6 +429,18 @@
 	g_array_free (out, TRUE);
 }
 
+/* Those of a burst are spread over its span. */
+static void
+send_burst (struct t_blame *s)
+{
+	uint64_t at_ms = (s->now_ms - T_BLAME_START_MS) % s->burst_gap_ms;
+
+	for (uint32_t i = 0; i < s->burst_size; i++) {
+		if (at_ms == (uint64_t)i * s->burst_span_ms / s->burst_size)
+			send_call (s, 1, CALL_POISON);
+	}
+}
+
 void
 t_blame_run (struct t_blame *s, uint64_t ms)
 {
@@ -400,12 +459,16 @@
 		step_calls (s);
 		for (uint32_t i = 0; i < T_BLAME_FIRSTS; i++) {
 			if (g_rand_double (s->rand) < s->sound_per_s[i] / 1000)
-				send_call (s, i, false);
+				send_call (s, i, CALL_SOUND);
 		}
+		if (g_rand_double (s->rand) < s->hot_per_s / 1000)
+			send_call (s, 0, CALL_HOT);
 		if (g_rand_double (s->rand) < s->poison_per_s / 1000)
-			send_call (s, 1, true);
-		for (uint32_t i = 0; i < T_BLAME_RELAYS; i++) {
-			if (s->now_ms % SEND_NEWS_MS == i)
+			send_call (s, 1, CALL_POISON);
+		if (s->burst_gap_ms != 0)
+			send_burst (s);
+		for (uint32_t i = 0; i < s->relay_count; i++) {
+			if (s->now_ms % SEND_NEWS_MS == i % SEND_NEWS_MS)
 				send_news (s, i);
 		}
 		for (uint32_t i = 0; i < T_BLAME_MEMBERS; i++)
--- a/tests/t_blame.h
+++ b/tests/t_blame.h
@@ -16,8 +16,10 @@
  */
 
 #define T_BLAME_RELAYS 9
+#define T_BLAME_RELAYS_MAX 300
 #define T_BLAME_MEMBERS 3
 #define T_BLAME_ENDPOINTS 18
+#define T_BLAME_ENDPOINTS_MAX 100
 #define T_BLAME_FIRSTS 4 /* first segments, from very to little used */
 #define T_BLAME_MIDS 40  /* middle segments of each */
 #define T_BLAME_POISONS 4
@@ -31,11 +33,11 @@
 };
 
 struct t_blame_call {
-	uint32_t relay, ep, first, kind;
+	uint32_t relay, ep, first, mid, kind;
 	uint64_t keys[4];
 	uint32_t count;
 	uint64_t sent_ms, begin_ms, end_ms;
-	bool poison, begun;
+	bool poison, hot, begun, retried;
 };
 
 struct t_blame;
@@ -48,8 +50,16 @@
 
 /**
  * struct t_blame - the simulation
+ * @relay_count: relays that get requests
+ * @endpoint_count: endpoints that serve them
+ * @plain: requests have no segments, and a poisonous one is sent again by its
+ *	relay where its endpoint crashes
  * @sound_per_s: sound requests, by first segment
+ * @hot_per_s: sound requests that are all the same one, without segments
  * @poison_per_s: poisonous requests
+ * @burst_gap_ms: they come in bursts, so far from each other; 0: they don't
+ * @burst_span_ms: ... in which those of a burst come
+ * @burst_size: ... as many as this
  * @poison_kinds: how many different poisonous segments there are
  * @repeats: poisonous requests are the same one, without such a segment
  * @recovery_ms: how long a crashed endpoint is away
@@ -62,20 +72,28 @@
  * @trials: trials of sound and poisonous keys
  * @sent: sound requests since the first @bound_ms, by first segment
  * @refused: those of them that were refused
+ * @hot_sent: sound requests that are the same, while an endpoint is up
+ * @hot_begun: those of them that reached an endpoint
  * @bars: sound keys that some node barred
  * @log: prints what changes
  */
 struct t_blame {
+	uint32_t relay_count, endpoint_count;
+	bool plain;
 	double sound_per_s[T_BLAME_FIRSTS];
+	double hot_per_s;
 	double poison_per_s;
+	uint64_t burst_gap_ms;
+	uint32_t burst_span_ms, burst_size;
 	uint32_t poison_kinds;
 	bool repeats;
 	uint64_t recovery_ms;
-	bool cut[T_BLAME_RELAYS][T_BLAME_MEMBERS];
+	bool cut[T_BLAME_RELAYS_MAX][T_BLAME_MEMBERS];
 	uint64_t now_ms;
 	GRand *rand;
-	struct t_blame_node relays[T_BLAME_RELAYS], members[T_BLAME_MEMBERS];
-	struct t_blame_endpoint eps[T_BLAME_ENDPOINTS];
+	struct t_blame_node relays[T_BLAME_RELAYS_MAX];
+	struct t_blame_node members[T_BLAME_MEMBERS];
+	struct t_blame_endpoint eps[T_BLAME_ENDPOINTS_MAX];
 	GPtrArray *calls;
 	GQueue packets;
 	uint32_t bound_crashes;
@@ -85,12 +103,17 @@
 	bool count_sound;
 	uint32_t sent[T_BLAME_FIRSTS], refused[T_BLAME_FIRSTS];
 	uint32_t refused_poison;
+	uint32_t hot_sent, hot_begun;
 	uint32_t bars, poison_bars;
 	uint64_t records;
 	bool log;
 };
 
 void t_blame_init (struct t_blame *s, uint32_t seed);
+
+/** t_blame_init_size() - the same with other numbers of relays and endpoints */
+void t_blame_init_size (struct t_blame *s, uint32_t seed, uint32_t relays,
+			uint32_t endpoints);
 void t_blame_finish (struct t_blame *s);
 
 /** t_blame_run() - go on for @ms */
@@ -111,6 +134,9 @@
 /** t_blame_restart_member() - the member loses its table */
 void t_blame_restart_member (struct t_blame *s, uint32_t member);
 
+/** t_blame_repeated_key() - key of the poisonous request that is repeated */
+uint64_t t_blame_repeated_key (void);
+
 /** t_blame_poison_key() - key of a poisonous segment */
 uint64_t t_blame_poison_key (uint32_t kind);
 
