blame: three crashes under a whole request bar it, however close together

Cause: crashes within 0.4 s counted as one event, of which two strikes were kept, and a bar needs three events, five where the key was answered within the last minute. A request that comes at several relays crashes all endpoints of a small service in one event; the next one comes only when the endpoints are back.

Ruled out: another key (one key is barred, with the endpoints of all events); strikes that are missing or late (each end has its line, all relays bar within 20 ms); a retry that is not checked (refused before its next attempt).

The events tell crashes of another cause from those of a sound request that is in flight at each. An answer tells them apart too: a sound request that is sent often is answered soon after. Segments are judged as before, and requests too, where that is sooner. An end of an endpoint that leaves, or of one in a domain that is cut off, now counts for the whole request, as an answer speaks for it.

Such a bar may be wrong where a whole service ends for another reason, so it is tried at once by the relay of the first strike, after 60 and 360 s again, and not more often; other relays take turns, as two that try at once would exceed the bound. A trial that no endpoint ran does not count as one that failed, and what arrives while one is under way waits for its outcome, 0.5 s at most.

--- a/lib/blame.c
+++ b/lib/blame.c
@@ -10,12 +10,25 @@
 /* A barred key is tried again so long after the last strike or trial. */
 static const uint64_t trial_pause_ms[] = {10000, 60000, 360000};
 
+/* The same for a whole request, which is tried so often only: a false bar ends
+ * soon, and a true one costs few endpoints. */
+static const uint64_t request_pause_ms[] = {2000, 60000, 360000};
+
 /* The relay that reported the first strike tries first, each of the others a
  * step later: it may be gone, or get no such request. */
 #define TRIAL_OTHERS_MS 5000
 #define TRIAL_STEP_MS 1000
 #define TRIAL_STEPS 16
 
+/* The other relays then take turns in the trial of a whole request.  A turn is
+ * longer than news need to reach all, and there are more than relays, as their
+ * hashes may agree. */
+#define TURN_MS 250
+#define TURNS_PER_RELAY 2
+
+/* A request waits so long for the outcome of a trial that is under way. */
+#define TRIAL_WAIT_MS 500
+
 /* A request with several barred keys does not tell which one is sound, so it is
  * only tried where no other came. */
 #define TRIAL_SEVERAL_MS 20000
@@ -51,7 +64,11 @@
 blame_init (struct blame *b, uint32_t self, const struct blame_ops *ops,
 	    void *ctx)
 {
-	*b = (struct blame){.ops = ops, .ctx = ctx, .self = self};
+	*b = (struct blame){.ops = ops,
+			    .ctx = ctx,
+			    .self = self,
+			    .relay_count = 1,
+			    .judge_ms = UINT64_MAX};
 	b->entries = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
 					    g_free);
 	g_queue_init (&b->order);
@@ -68,7 +85,6 @@
 	g_free (b->successes);
 }
 
-/* The lowest bit of a key tells its kind. */
 uint64_t
 blame_segment_key (uint64_t id)
 {
@@ -158,10 +174,12 @@
 
 /* Bars the key, or ends its bar, as its strikes ask for. */
 static void
-entry_judge (struct blame *b, struct blame_entry *e)
+entry_judge (struct blame *b, struct blame_entry *e, uint64_t now_ms)
 {
-	bool bar = blame_entry_should_bar (e);
+	bool bar = blame_entry_should_bar (e, now_ms);
 
+	if (!bar)
+		b->judge_ms = MIN (b->judge_ms, blame_entry_bar_due_ms (e));
 	if (bar == e->barred)
 		return;
 	e->barred = bar;
@@ -171,6 +189,7 @@
 		b->barred--;
 		e->trials = 0;
 		e->trial_ms = 0;
+		e->undecided = false;
 	}
 	b->ops->changed (e->key, bar ? BLAME_BARRED : BLAME_CLEARED,
 			 blame_entry_endpoints (e), b->ctx);
@@ -209,26 +228,51 @@
 		add_news (b, &r, s->at_ms);
 }
 
-/* When this relay may try a request that holds the barred key. */
-static uint64_t
-trial_due_ms (const struct blame *b, const struct blame_entry *e)
+/* Whether this relay may try a request that holds the barred key; @later_ms:
+ * longer pause than usual. */
+static bool
+trial_is_due (const struct blame *b, const struct blame_entry *e,
+	      uint64_t later_ms, uint64_t now_ms)
 {
+	bool is_request = blame_entry_is_request (e);
 	uint32_t pause = MIN (e->trials, G_N_ELEMENTS (trial_pause_ms) - 1);
-	uint64_t due_ms =
-		MAX (e->struck_ms, e->trial_ms) + trial_pause_ms[pause];
+	/* All relays know of the strikes that are kept, so that their turns
+	 * don't overlap. */
+	uint64_t struck_ms = is_request ? e->strikes[e->strike_count - 1].at_ms
+					: e->struck_ms;
+	uint64_t due_ms = MAX (struck_ms, e->trial_ms) + later_ms;
+	uint64_t turns = (uint64_t)b->relay_count * TURNS_PER_RELAY;
+	uint64_t rank = b->self ^ (e->key >> 1);
+
+	if (is_request && e->trials >= G_N_ELEMENTS (request_pause_ms))
+		return false;
+	if (e->undecided)
+		return true;
+	due_ms += is_request ? request_pause_ms[pause] : trial_pause_ms[pause];
+	if (e->strikes[0].origin == b->self && now_ms >= due_ms &&
+	    (!is_request || now_ms < due_ms + TRIAL_OTHERS_MS))
+		return true;
+	due_ms += TRIAL_OTHERS_MS;
+	if (!is_request)
+		return now_ms >= due_ms + rank % TRIAL_STEPS * TRIAL_STEP_MS;
+	return now_ms >= due_ms &&
+	       (now_ms - due_ms) / TURN_MS % turns == rank % turns;
+}
 
-	if (e->strikes[0].origin == b->self)
-		return due_ms;
-	return due_ms + TRIAL_OTHERS_MS +
-	       (b->self ^ (e->key >> 1)) % TRIAL_STEPS * TRIAL_STEP_MS;
+static bool
+trial_is_under_way (const struct blame_entry *e, uint64_t now_ms)
+{
+	return e->trial_ms > e->struck_ms && !e->undecided &&
+	       now_ms < e->trial_ms + TRIAL_WAIT_MS;
 }
 
 enum blame_verdict
 blame_check (struct blame *b, const uint64_t *keys, uint32_t count,
 	     uint64_t *culprit, uint64_t now_ms)
 {
-	uint64_t due_ms = 0;
-	uint32_t barred = 0;
+	struct blame_entry *barred[BLAME_KEYS_MAX];
+	uint32_t n = 0;
+	bool due = true;
 
 	for (uint32_t i = 0; i < count && b->barred > 0; i++) {
 		struct blame_entry *e = entry_find (b, keys[i]);
@@ -237,26 +281,35 @@
 			continue;
 		e->asked_ms = now_ms;
 		*culprit = e->key;
-		due_ms = MAX (due_ms, trial_due_ms (b, e));
-		barred++;
+		barred[n++] = e;
 	}
-	if (barred == 0)
+	if (n == 0)
 		return BLAME_SEND;
-	if (barred > 1)
-		due_ms += TRIAL_SEVERAL_MS;
-	return now_ms >= due_ms ? BLAME_SEND_AS_TRIAL : BLAME_REFUSE;
+	for (uint32_t i = 0; i < n && due; i++)
+		due = trial_is_due (b, barred[i], n > 1 ? TRIAL_SEVERAL_MS : 0,
+				    now_ms);
+	if (due)
+		return BLAME_SEND_AS_TRIAL;
+	return n == 1 && blame_entry_is_request (barred[0]) &&
+			       trial_is_under_way (barred[0], now_ms)
+		       ? BLAME_WAIT
+		       : BLAME_REFUSE;
 }
 
-void
+bool
 blame_trial (struct blame *b, const uint64_t *keys, uint32_t count,
 	     uint64_t now_ms)
 {
+	bool any = false;
+
 	for (uint32_t i = 0; i < count; i++) {
 		struct blame_entry *e = entry_find (b, keys[i]);
 		struct blame_record r = {.key = keys[i], .what = BLAME_TRIAL};
 
 		if (e == NULL || !e->barred)
 			continue;
+		any = true;
+		e->undecided = false;
 		e->trials = (uint8_t)MIN (e->trials + 1U, UINT8_MAX);
 		e->trial_ms = now_ms;
 		r.trials = e->trials;
@@ -264,6 +317,22 @@
 		b->ops->changed (e->key, BLAME_TRIED, blame_entry_endpoints (e),
 				 b->ctx);
 	}
+	return any;
+}
+
+void
+blame_trial_undecided (struct blame *b, const uint64_t *keys, uint32_t count,
+		       bool received)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		struct blame_entry *e = entry_find (b, keys[i]);
+
+		if (e == NULL || !e->barred || !blame_entry_is_request (e))
+			continue;
+		e->undecided = true;
+		if (!received && e->trials > 0)
+			e->trials--;
+	}
 }
 
 /* A key that succeeded lately is not blamed for what another, barred key of the
@@ -298,7 +367,7 @@
 			continue;
 		if (blame_entry_strike (e, now_ms, ep_hash, b->self))
 			add_news (b, &r, now_ms);
-		entry_judge (b, e);
+		entry_judge (b, e, now_ms);
 	}
 }
 
@@ -326,7 +395,7 @@
 			continue;
 		if (blame_entry_clear (e, now_ms))
 			add_news (b, &r, now_ms);
-		entry_judge (b, e);
+		entry_judge (b, e, now_ms);
 	}
 }
 
@@ -348,8 +417,9 @@
 		fresh = blame_entry_clear (e, at_ms);
 	} else {
 		fresh = blame_entry_tried (e, at_ms, r->trials);
+		e->undecided = e->undecided && !fresh;
 	}
-	entry_judge (b, e);
+	entry_judge (b, e, now_ms);
 	return fresh;
 }
 
@@ -426,12 +496,27 @@
 	return e->strike_count == 0 && e->cleared_ms + BLAME_RECENT_MS < now_ms;
 }
 
+/* Bars the keys that nobody answered in time after their strikes. */
+static void
+judge_all (struct blame *b, uint64_t now_ms)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	b->judge_ms = UINT64_MAX;
+	g_hash_table_iter_init (&it, b->entries);
+	while (g_hash_table_iter_next (&it, NULL, &value))
+		entry_judge (b, value, now_ms);
+}
+
 void
 blame_tick (struct blame *b, uint64_t now_ms)
 {
 	GHashTableIter it;
 	gpointer value;
 
+	if (now_ms >= b->judge_ms)
+		judge_all (b, now_ms);
 	if (now_ms < b->expired_ms + EXPIRE_INTERVAL_MS)
 		return;
 	b->expired_ms = now_ms;
--- a/lib/blame.h
+++ b/lib/blame.h
@@ -20,6 +20,9 @@
  * clearings through the members of their group, which keep the same table.
  * Times travel as ages.
  *
+ * A barred key is tried now and then, by one relay at a time, and a few times
+ * only if it stands for a whole request.
+ *
  * Does no I/O; time is passed in.
  */
 
@@ -30,7 +33,7 @@
 #define BLAME_RECORDS_MAX 128
 
 /** BLAME_STRIKES_MAX - most strikes kept for a key */
-#define BLAME_STRIKES_MAX 10
+#define BLAME_STRIKES_MAX 16
 
 /** BLAME_ENTRIES_MAX - most keys in a table */
 #define BLAME_ENTRIES_MAX 1024
@@ -78,6 +81,7 @@
 enum blame_verdict {
 	BLAME_SEND,
 	BLAME_SEND_AS_TRIAL,
+	BLAME_WAIT, /* ask again soon: a trial is under way */
 	BLAME_REFUSE,
 };
 
@@ -96,6 +100,7 @@
 /**
  * struct blame - the table of a relay or member; the caller owns the memory
  * @self: hash of the relay's name; 0: a member, which sends no requests
+ * @relay_count: relays that take turns in trials; the owner keeps it up to date
  * @entries: key to struct blame_entry
  * @order: the entries, in the order in which they are looked at where one has
  *	to make room
@@ -104,11 +109,13 @@
  * @barred: number of barred keys
  * @dropped: news left out because too much waited
  * @expired_ms: when expired entries were looked for last
+ * @judge_ms: when the next key is barred unless it is answered before
  */
 struct blame {
 	const struct blame_ops *ops;
 	void *ctx;
 	uint32_t self;
+	uint32_t relay_count;
 	GHashTable *entries;
 	GQueue order;
 	struct blame_success *successes;
@@ -116,6 +123,7 @@
 	uint32_t barred;
 	uint64_t dropped;
 	uint64_t expired_ms;
+	uint64_t judge_ms;
 };
 
 /** blame_init() - start with an empty table; @ctx is passed to @ops */
@@ -145,10 +153,16 @@
 				uint32_t count, uint64_t *culprit,
 				uint64_t now_ms);
 
-/** blame_trial() - a request was sent after BLAME_SEND_AS_TRIAL */
-void blame_trial (struct blame *b, const uint64_t *keys, uint32_t count,
+/** blame_trial() - a request was sent after BLAME_SEND_AS_TRIAL; Return:
+ * whether any of its keys is barred */
+bool blame_trial (struct blame *b, const uint64_t *keys, uint32_t count,
 		  uint64_t now_ms);
 
+/** blame_trial_undecided() - no endpoint ran the request of a trial; @received:
+ * one refused it */
+void blame_trial_undecided (struct blame *b, const uint64_t *keys,
+			    uint32_t count, bool received);
+
 /** blame_broke() - endpoint @ep_hash broke the connection of a request that was
  * sent to it before an answer began */
 void blame_broke (struct blame *b, const uint64_t *keys, uint32_t count,
@@ -179,7 +193,7 @@
  * blame_record */
 void blame_export (const struct blame *b, GArray *out, uint64_t now_ms);
 
-/** blame_tick() - drop what is too old */
+/** blame_tick() - bar what is due, drop what is too old */
 void blame_tick (struct blame *b, uint64_t now_ms);
 
 #endif
--- a/lib/blame_entry.c
+++ b/lib/blame_entry.c
@@ -10,7 +10,7 @@
 #define EVENT_MS 400
 
 /* Strikes kept of one event. */
-#define EVENT_STRIKES 2
+#define EVENT_STRIKES 3
 
 /* An endpoint that crashed needs longer than this to come back, so that what it
  * breaks within it has another cause. */
@@ -23,6 +23,12 @@
 #define EVENTS_ENDPOINTS 3
 #define EVENTS_DOUBTFUL 5
 
+/* Strikes that bar a whole request, however close together, if no answer to it
+ * begins within CONFIRM_MS after them.  A sound one that is sent often is
+ * answered by then; one that crashes endpoints never is. */
+#define REQUEST_STRIKES 3
+#define CONFIRM_MS 2000
+
 /* A success that clears nothing is passed on only where the last one that is
  * known is older by this. */
 #define CLEAR_NEWS_MS 5000
@@ -57,14 +63,29 @@
 	return n;
 }
 
+/* The lowest bit of a key tells its kind. */
+bool
+blame_entry_is_request (const struct blame_entry *e)
+{
+	return e->key % 2 != 0;
+}
+
+uint64_t
+blame_entry_bar_due_ms (const struct blame_entry *e)
+{
+	if (!blame_entry_is_request (e) || e->strike_count < REQUEST_STRIKES)
+		return UINT64_MAX;
+	return e->strikes[REQUEST_STRIKES - 1].at_ms + CONFIRM_MS;
+}
+
 bool
-blame_entry_should_bar (const struct blame_entry *e)
+blame_entry_should_bar (const struct blame_entry *e, uint64_t now_ms)
 {
 	uint32_t events = count_events (e);
 	bool doubtful = e->cleared_ms != 0 && e->strike_count > 0 &&
 			e->strikes[0].at_ms < e->cleared_ms + BLAME_RECENT_MS;
 
-	if (events >= EVENTS_DOUBTFUL)
+	if (events >= EVENTS_DOUBTFUL || now_ms >= blame_entry_bar_due_ms (e))
 		return true;
 	return events >= EVENTS_MIN && !doubtful &&
 	       blame_entry_endpoints (e) >= EVENTS_ENDPOINTS;
@@ -79,6 +100,7 @@
 	if (at_ms <= e->cleared_ms)
 		return false;
 	e->struck_ms = MAX (e->struck_ms, at_ms);
+	e->undecided = false;
 	for (uint32_t i = 0; i < e->strike_count; i++) {
 		uint64_t x = e->strikes[i].at_ms;
 		uint64_t apart_ms = x > at_ms ? x - at_ms : at_ms - x;
--- a/lib/blame_priv.h
+++ b/lib/blame_priv.h
@@ -21,6 +21,7 @@
  * @struck_ms: time of the newest strike, kept or not
  * @cleared_ms: time of the newest known success; 0: none
  * @trial_ms: when it was tried last
+ * @undecided: this relay tried it last, and no endpoint ran the request
  * @asked_ms: when a request with it was refused here last
  */
 struct blame_entry {
@@ -33,14 +34,22 @@
 	uint64_t trial_ms;
 	uint64_t asked_ms;
 	uint8_t trials;
+	bool undecided;
 	bool barred;
 };
 
 /** blame_entry_endpoints() - number of endpoints that struck it */
 uint32_t blame_entry_endpoints (const struct blame_entry *e);
 
+/** blame_entry_is_request() - whether its key stands for a whole request */
+bool blame_entry_is_request (const struct blame_entry *e);
+
+/** blame_entry_bar_due_ms() - when a whole request is barred unless an answer
+ * to it begins before; UINT64_MAX: its strikes are too few */
+uint64_t blame_entry_bar_due_ms (const struct blame_entry *e);
+
 /** blame_entry_should_bar() - whether its strikes ask for a bar */
-bool blame_entry_should_bar (const struct blame_entry *e);
+bool blame_entry_should_bar (const struct blame_entry *e, uint64_t now_ms);
 
 /**
  * blame_entry_strike() - add a strike
--- a/relayd/blame.c
+++ b/relayd/blame.c
@@ -15,8 +15,8 @@
 #define RETRY_AFTER_MIN_MS 8000
 #define RETRY_AFTER_SPREAD_MS 4000
 
-/* Collects the keys of a request: its shared segments, which are all but the
- * last one, and the request as a whole. */
+/* Collects the keys of a request: first the request as a whole, then its shared
+ * segments, which are all but the last one. */
 static uint32_t
 collect_keys (struct call *c, uint64_t *keys)
 {
@@ -65,33 +65,35 @@
 			   "not run: such requests crash endpoints");
 }
 
-static bool
-is_barred (struct call *c, uint64_t *culprit)
+static enum blame_verdict
+check_call (struct call *c, uint64_t *culprit)
 {
 	uint64_t keys[BLAME_KEYS_MAX];
 
-	return c->r->blame.barred > 0 &&
-	       blame_check (&c->r->blame, keys, collect_keys (c, keys), culprit,
-			    tmr_now_ms ()) == BLAME_REFUSE;
+	if (c->r->blame.barred == 0)
+		return BLAME_SEND;
+	return blame_check (&c->r->blame, keys, collect_keys (c, keys), culprit,
+			    tmr_now_ms ());
 }
 
 bool
 blame_bars_call (struct call *c)
 {
 	uint64_t culprit = 0;
+	enum blame_verdict v = check_call (c, &culprit);
 
-	return is_barred (c, &culprit);
+	return v == BLAME_REFUSE || v == BLAME_WAIT;
 }
 
-bool
-blame_refuses_call (struct call *c)
+enum blame_verdict
+blame_judge_call (struct call *c)
 {
 	uint64_t culprit = 0;
+	enum blame_verdict v = check_call (c, &culprit);
 
-	if (!is_barred (c, &culprit))
-		return false;
-	refuse (c, culprit);
-	return true;
+	if (v == BLAME_REFUSE)
+		refuse (c, culprit);
+	return v;
 }
 
 void
@@ -100,9 +102,9 @@
 	uint64_t keys[BLAME_KEYS_MAX];
 
 	c->answer_begun = false;
-	if (c->r->blame.barred > 0)
-		blame_trial (&c->r->blame, keys, collect_keys (c, keys),
-			     tmr_now_ms ());
+	c->is_blame_trial = c->r->blame.barred > 0 &&
+			    blame_trial (&c->r->blame, keys,
+					 collect_keys (c, keys), tmr_now_ms ());
 }
 
 void
@@ -132,19 +134,43 @@
 	return false;
 }
 
+/* The endpoint neither crashed nor, as far as is known, answered. */
+static void
+end_trial_undecided (struct call *c, bool received)
+{
+	uint64_t keys[BLAME_KEYS_MAX];
+
+	if (!c->is_blame_trial || c->answer_begun)
+		return;
+	c->is_blame_trial = false;
+	blame_trial_undecided (&c->r->blame, keys, collect_keys (c, keys),
+			       received);
+}
+
+void
+blame_attempt_dropped (struct call *c)
+{
+	end_trial_undecided (c, true);
+}
+
 void
 blame_attempt_ended (struct call *c, enum h1cli_end end)
 {
 	const struct fleet_ep *ep = c->ep;
 	uint64_t keys[BLAME_KEYS_MAX], now_ms = tmr_now_ms ();
+	uint32_t count;
 
+	if (end != H1CLI_BROKEN || c->answer.not_executed || c->status >= 300)
+		end_trial_undecided (c, end != H1CLI_UNSENT);
 	if (end != H1CLI_BROKEN || c->answer_begun || c->answer.not_executed ||
-	    c->status >= 300 || ep->leaving ||
-	    now_ms > MAX (ep->last_heard_ms, c->sent_ms) + SILENT_MS ||
-	    domain_is_cut (c->r, ep))
+	    c->status >= 300 ||
+	    now_ms > MAX (ep->last_heard_ms, c->sent_ms) + SILENT_MS)
 		return;
-	blame_broke (&c->r->blame, keys, collect_keys (c, keys), ep->ep_hash,
-		     now_ms);
+	count = collect_keys (c, keys);
+	/* Segments are in many requests that such an end breaks together. */
+	if (ep->leaving || domain_is_cut (c->r, ep))
+		count = 1;
+	blame_broke (&c->r->blame, keys, count, ep->ep_hash, now_ms);
 	log_event (LOG_LV_INFO, "blame",
 		   "req=%s change=struck ep=%s segments=%u "
 		   "key=%016" G_GINT64_MODIFIER "x strikes=%u",
@@ -206,6 +232,7 @@
 {
 	GArray *news;
 
+	r->blame.relay_count = MAX (r->relay_count, 1);
 	blame_tick (&r->blame, now_ms);
 	if (r->blame.news->len == 0)
 		return;
--- a/relayd/call.c
+++ b/relayd/call.c
@@ -60,8 +60,10 @@
 void
 call_release_ep (struct call *c)
 {
-	if (c->exchange != NULL)
+	if (c->exchange != NULL) {
+		blame_attempt_dropped (c);
 		h1cli_cancel (c->exchange);
+	}
 	c->exchange = NULL;
 	if (c->ep == NULL)
 		return;
@@ -214,8 +216,15 @@
 	uint64_t now_ms = tmr_now_ms (), give_up_ms;
 	struct place_result v;
 
-	if (blame_refuses_call (c))
+	switch (blame_judge_call (c)) {
+	case BLAME_REFUSE:
+		return;
+	case BLAME_WAIT:
+		enqueue_call (c);
 		return;
+	default:
+		break;
+	}
 	choose_endpoint (c, &v, now_ms);
 	count_prefill (c, &v);
 	if (v.ep != NULL) {
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -122,6 +122,7 @@
 	double prefill_ms;
 	bool first_byte_seen;
 	bool answer_begun;
+	bool is_blame_trial;
 	uint64_t request_key;
 	/* answer */
 	int status;
@@ -442,9 +443,9 @@
 /** blame_bars_call() - whether the request holds a barred key */
 bool blame_bars_call (struct call *c);
 
-/** blame_refuses_call() - refuse the request, which frees @c, if it holds a
- * barred key; asked before each attempt */
-bool blame_refuses_call (struct call *c);
+/** blame_judge_call() - what becomes of the request, asked before each attempt;
+ * BLAME_REFUSE: it was refused, and @c is freed */
+enum blame_verdict blame_judge_call (struct call *c);
 
 /** blame_attempt_started() - the request is sent */
 void blame_attempt_started (struct call *c);
@@ -452,6 +453,9 @@
 /** blame_answer_begun() - an event, or a whole successful answer, arrived */
 void blame_answer_begun (struct call *c);
 
+/** blame_attempt_dropped() - the attempt is given up before its end */
+void blame_attempt_dropped (struct call *c);
+
 /** blame_attempt_ended() - the attempt is over; called while the endpoint is
  * still that of the call */
 void blame_attempt_ended (struct call *c, enum h1cli_end end);
--- a/tests/t_blame.c
+++ b/tests/t_blame.c
@@ -115,6 +115,7 @@
 	memcpy (s->sound_per_s, rates, sizeof rates);
 	s->rand = g_rand_new_with_seed (seed);
 	s->calls = g_ptr_array_new ();
+	s->waiting = g_ptr_array_new ();
 	g_queue_init (&s->packets);
 	for (uint32_t i = 0; i < s->relay_count; i++)
 		node_start (s, &s->relays[i], relay_hash (i));
@@ -140,7 +141,10 @@
 		blame_finish (&s->members[i].b);
 	for (guint i = 0; i < s->calls->len; i++)
 		g_free (g_ptr_array_index (s->calls, i));
+	for (guint i = 0; i < s->waiting->len; i++)
+		g_free (g_ptr_array_index (s->waiting, i));
 	g_ptr_array_free (s->calls, TRUE);
+	g_ptr_array_free (s->waiting, TRUE);
 	while (s->packets.length > 0)
 		packet_free (g_queue_pop_head (&s->packets));
 	g_rand_free (s->rand);
@@ -335,7 +339,12 @@
 
 	c->ep = choose_endpoint (s, c->mid);
 	v = blame_check (b, c->keys, c->count, &culprit, s->now_ms);
-	s->hot_sent += c->hot && c->ep != s->endpoint_count;
+	s->hot_sent +=
+		c->hot && c->ep != s->endpoint_count && c->came_ms == s->now_ms;
+	if (v == BLAME_WAIT) {
+		g_ptr_array_add (s->waiting, c);
+		return;
+	}
 	s->hot_begun +=
 		c->hot && c->ep != s->endpoint_count && v != BLAME_REFUSE;
 	if (!c->poison && !c->hot && s->count_sound) {
@@ -369,6 +378,7 @@
 	c->mid = (uint32_t)(g_rand_double (s->rand) * g_rand_double (s->rand) *
 			    T_BLAME_MIDS);
 	c->first = first;
+	c->came_ms = s->now_ms;
 	c->poison = kind == CALL_POISON;
 	c->hot = kind == CALL_HOT;
 	c->kind = (uint32_t)g_rand_int_range (s->rand, 0, s->poison_kinds);
@@ -429,6 +439,17 @@
 	g_array_free (out, TRUE);
 }
 
+static void
+place_waiting (struct t_blame *s)
+{
+	GPtrArray *list = s->waiting;
+
+	s->waiting = g_ptr_array_new ();
+	for (guint i = 0; i < list->len; i++)
+		place_call (s, g_ptr_array_index (list, i));
+	g_ptr_array_free (list, TRUE);
+}
+
 /* Those of a burst are spread over its span. */
 static void
 send_burst (struct t_blame *s)
@@ -457,6 +478,8 @@
 			packet_free (p);
 		}
 		step_calls (s);
+		if (s->waiting->len > 0 && s->now_ms % SEND_NEWS_MS == 0)
+			place_waiting (s);
 		for (uint32_t i = 0; i < T_BLAME_FIRSTS; i++) {
 			if (g_rand_double (s->rand) < s->sound_per_s[i] / 1000)
 				send_call (s, i, CALL_SOUND);
--- a/tests/t_blame.h
+++ b/tests/t_blame.h
@@ -36,7 +36,7 @@
 	uint32_t relay, ep, first, mid, kind;
 	uint64_t keys[4];
 	uint32_t count;
-	uint64_t sent_ms, begin_ms, end_ms;
+	uint64_t came_ms, sent_ms, begin_ms, end_ms;
 	bool poison, hot, begun, retried;
 };
 
@@ -94,7 +94,7 @@
 	struct t_blame_node relays[T_BLAME_RELAYS_MAX];
 	struct t_blame_node members[T_BLAME_MEMBERS];
 	struct t_blame_endpoint eps[T_BLAME_ENDPOINTS_MAX];
-	GPtrArray *calls;
+	GPtrArray *calls, *waiting;
 	GQueue packets;
 	uint32_t bound_crashes;
 	uint32_t crashes[T_BLAME_POISONS], late[T_BLAME_POISONS];
