relayd: log how old the configuration in use is, and where it came from

The report of a change that was not in force in time can't be traced from the relays' logs: they give the version of each request, but not since when a newer one was known, from which member, and whether that one was believed. No change of logic.

--- a/relayd/member.c
+++ b/relayd/member.c
@@ -157,6 +157,27 @@
 		   s->drained.count);
 }
 
+static uint64_t
+held_version (const struct relay *r)
+{
+	return r->plan != NULL ? r->plan->version : 0;
+}
+
+/* A member holds a newer configuration than this relay. */
+static void
+note_version (struct relay *r, const struct group_member *m, uint64_t now_ms)
+{
+	if (m->config_version <= held_version (r) ||
+	    r->config_behind_since_ms != 0)
+		return;
+	r->config_behind_since_ms = now_ms;
+	log_event (LOG_LV_INFO, "config-behind",
+		   "version=%" G_GUINT64_FORMAT " newer=%" G_GUINT64_FORMAT
+		   " from=%s believed=%d",
+		   held_version (r), m->config_version, m->addr,
+		   is_authoritative (r, m, now_ms));
+}
+
 static void
 on_state (struct relay *r, struct group_member *m, const struct gmsg_state *s)
 {
@@ -176,13 +197,14 @@
 	for (uint32_t i = 0; i < s->members.count; i++)
 		member_get (r, a[i].addr);
 	apply_drains (r, s);
+	note_version (r, m, now_ms);
 	if (!is_authoritative (r, m, now_ms))
 		return;
 	if (m->list_digest != 0 && m->list_digest == r->list_digest) {
 		r->list_read_ms = MAX (r->list_read_ms, m->list_read_ms);
 		r->list_behind_since_ms = 0;
 	}
-	if (s->version > (r->plan != NULL ? r->plan->version : 0) &&
+	if (s->version > held_version (r) &&
 	    now_ms - r->config_requested_ms > CONFIG_REQUEST_RETRY_MS) {
 		r->config_requested_ms = now_ms;
 		send_request (m, true, false);
@@ -193,12 +215,14 @@
 }
 
 static void
-on_config (struct relay *r, const struct gmsg_plan *g)
+on_config (struct relay *r, const struct group_member *m,
+	   const struct gmsg_plan *g)
 {
+	uint64_t now_ms = tmr_now_ms (), behind_ms = 0;
 	struct err e = {0};
 	struct plan *p;
 
-	if (g->version <= (r->plan != NULL ? r->plan->version : 0))
+	if (g->version <= held_version (r))
 		return;
 	p = r->dialect->parse_plan ((const char *)g->text.data, g->text.len,
 				    &e);
@@ -209,6 +233,9 @@
 	plan_unref (r->plan);
 	r->plan = p;
 	r->config_requested_ms = 0;
+	if (r->config_behind_since_ms != 0)
+		behind_ms = now_ms - r->config_behind_since_ms;
+	r->config_behind_since_ms = 0;
 	if (p->limits.max_header_bytes > 0)
 		r->front.limits.max_header_bytes = p->limits.max_header_bytes;
 	if (p->limits.max_body_bytes > 0)
@@ -218,10 +245,11 @@
 	if (p->limits.idle_timeout_ms > 0)
 		r->front.limits.idle_timeout_ms = p->limits.idle_timeout_ms;
 	log_event (LOG_LV_INFO, "config",
-		   "version=%" G_GUINT64_FORMAT
+		   "version=%" G_GUINT64_FORMAT " from=%s leader=%d "
+		   "behind_ms=%" G_GUINT64_FORMAT
 		   " routes=%u services=%u accounts=%u",
-		   p->version, p->routes->len, p->services->len,
-		   p->accounts->len);
+		   p->version, m->addr, m->is_leader, behind_ms, p->routes->len,
+		   p->services->len, p->accounts->len);
 }
 
 /* Applies a full list, or a delta if it is based on the list in use.  Returns
@@ -437,7 +465,7 @@
 		ok = msg_unpack (gmsg_plan_fields, body, len, &u.plan, &zone,
 				 &e);
 		if (ok)
-			on_config (m->r, &u.plan);
+			on_config (m->r, m, &u.plan);
 	} else if (kind == FRAME_GROUP_LIST) {
 		ok = msg_unpack (gmsg_list_fields, body, len, &u.list, &zone,
 				 &e);
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -233,6 +233,7 @@
  * @waiting: calls that wait for an endpoint, the most urgent first
  * @relay_count: relays that share the endpoints
  * @config_requested_ms: when the configuration was requested last
+ * @config_behind_since_ms: when a member named a newer one first; 0: none did
  * @list_behind_since_ms: since when a member has a newer list; 0: none has
  * @list_requested_ms: when a full list was requested; 0: none is awaited
  * @prefill_total_ms: prefill time requested of engines since the start
@@ -282,6 +283,7 @@
 	uint32_t relay_count;
 	uint64_t started_ms;
 	uint64_t config_requested_ms;
+	uint64_t config_behind_since_ms;
 	uint64_t list_behind_since_ms;
 	uint64_t list_requested_ms;
 	double prefill_total_ms;
