groupd: the right to call the platform is judged when the call is made

Cause: on_tick() read the clock once, flushed the log, which blocks for as long as the disk hangs, and judged the lease by the time of before. The class: an act for the outside that is decided on a time, term or lease read before something that may block.

That the flush is in the loop's thread stays as it is: a member whose disk hangs answers nobody meanwhile.

--- a/groupd/groupd.h
+++ b/groupd/groupd.h
@@ -67,6 +67,8 @@
 	uint64_t call_window;
 	struct gstate_reported reported;
 	uint64_t leader_since_ms; /* 0: this member is not the leader */
+	uint64_t leader_term;     /* to which @leader_since_ms belongs */
+	uint64_t call_term;       /* fencing token of @call */
 	uint64_t retry_at_ms;     /* earliest time of the next attempt */
 };
 
@@ -91,6 +93,7 @@
 	struct h1cli *call;            /* order under way, or NULL */
 	struct scale_pool *call_pool;
 	uint64_t call_sent_ms;
+	uint64_t call_term; /* its fencing token */
 	uint64_t next_check_ms;
 };
 
@@ -277,7 +280,7 @@
  *
  * It must hold the lease, and have led for a little over half a lease.
  */
-bool group_may_act (struct group *g, uint64_t now_ms);
+bool group_may_act (struct group *g);
 
 /* blame.c: requests that crash endpoints */
 
--- a/groupd/main.c
+++ b/groupd/main.c
@@ -115,6 +115,8 @@
 	if (store_recover (g, now_ms)) {
 		raft_tick (&g->raft, now_ms);
 		flush_log (g);
+		/* The disk may have held up the flush for seconds. */
+		now_ms = tmr_now_ms ();
 	}
 	if (!g->storage_down)
 		join_tick (g, now_ms);
--- a/groupd/scale.c
+++ b/groupd/scale.c
@@ -222,7 +222,7 @@
 	sc->next_check_ms = now_ms + CHECK_INTERVAL_MS;
 	demand_update (g, now_ms);
 	scale_order_tick (g, now_ms);
-	if (!group_may_act (g, now_ms)) {
+	if (!group_may_act (g)) {
 		sc->demand_started = false;
 		return;
 	}
--- a/groupd/scale_order.c
+++ b/groupd/scale_order.c
@@ -14,6 +14,14 @@
 #define CONNECT_TIMEOUT_MS 500
 #define ANSWER_TIMEOUT_MS 3000
 
+static bool
+may_send (void *ctx)
+{
+	struct group *g = ctx;
+
+	return g->scaler.call_term == g->raft.term && group_may_act (g);
+}
+
 static void
 on_head (struct h1cli *x, const struct h1_head *h, bool echoed, void *ctx)
 {
@@ -58,6 +66,7 @@
 	.head = on_head,
 	.data = on_data,
 	.done = on_done,
+	.may_send = may_send,
 };
 
 void
@@ -80,6 +89,7 @@
 	req.len = text->len;
 	s->order = (struct capacity_order){count, have, now_ms, 0};
 	g->scaler.call_pool = s;
+	g->scaler.call_term = g->raft.term;
 	g->scaler.call_sent_ms = now_ms;
 	g->scaler.call = h1cli_start (&g->platform, &req, &order_ops, g);
 	g_string_free (text, TRUE);
--- a/groupd/usage_report.c
+++ b/groupd/usage_report.c
@@ -74,6 +74,14 @@
 	g->usage_report.retry_at_ms = 0;
 }
 
+static bool
+may_send (void *ctx)
+{
+	struct group *g = ctx;
+
+	return g->usage_report.call_term == g->raft.term && group_may_act (g);
+}
+
 static void
 on_head (struct h1cli *x, const struct h1_head *h, bool echoed, void *ctx)
 {
@@ -111,6 +119,7 @@
 	.head = on_head,
 	.data = on_data,
 	.done = on_done,
+	.may_send = may_send,
 };
 
 static void
@@ -124,6 +133,7 @@
 	req.bytes = text->str;
 	req.len = text->len;
 	g->usage_report.call_window = w->number;
+	g->usage_report.call_term = g->raft.term;
 	g->usage_report.retry_at_ms = now_ms + RETRY_MS;
 	g->usage_report.call = h1cli_start (&g->platform, &req, &report_ops, g);
 	g_string_free (text, TRUE);
@@ -132,14 +142,20 @@
 /* A new leader waits for half of a lease first, so that no more than two
  * leaders can act within one lease. */
 bool
-group_may_act (struct group *g, uint64_t now_ms)
+group_may_act (struct group *g)
 {
+	/* The caller's time may be from before a write that the disk held up.
+	 */
+	uint64_t now_ms = tmr_now_ms ();
+
 	if (!group_is_leader (g) || g->leaving) {
 		g->usage_report.leader_since_ms = 0;
 		return false;
 	}
-	if (g->usage_report.leader_since_ms == 0)
+	if (g->usage_report.leader_since_ms == 0 ||
+	    g->usage_report.leader_term != g->raft.term)
 		g->usage_report.leader_since_ms = now_ms;
+	g->usage_report.leader_term = g->raft.term;
 	return now_ms >= g->usage_report.leader_since_ms + g->set.lease_ms / 2 +
 				 100 &&
 	       raft_lease_until (&g->raft) > now_ms;
@@ -157,7 +173,7 @@
 	const struct gstate_window *w;
 
 	winsum_drop (&g->usage_report.sums, g->state.sealed_window);
-	if (!group_has_duty (g, "usage") || !group_may_act (g, now_ms))
+	if (!group_has_duty (g, "usage") || !group_may_act (g))
 		return;
 	if (g->usage_report.call != NULL &&
 	    now_ms > g->usage_report.retry_at_ms + ANSWER_TIMEOUT_MS) {
--- a/lib/h1cli.c
+++ b/lib/h1cli.c
@@ -407,7 +407,8 @@
 	if (getsockopt (h2o_socket_get_fd (sock), SOL_SOCKET, SO_ERROR, &error,
 			&size) != 0)
 		error = errno;
-	if (why != NULL || error != 0) {
+	if (why != NULL || error != 0 ||
+	    (x->ops->may_send != NULL && !x->ops->may_send (x->ctx))) {
 		x->refused = error == ECONNREFUSED;
 		call_end (x, H1CLI_UNSENT, false);
 		return;
--- a/lib/h1cli.h
+++ b/lib/h1cli.h
@@ -50,12 +50,16 @@
  * @head: status and headers arrived; @echoed: the echo header was there
  * @data: a piece of the body arrived
  * @done: the exchange ended and is freed after the call
+ * @may_send: asked before the first byte leaves on a new connection, which may
+ *	take long to make; false ends the exchange as H1CLI_UNSENT.  NULL:
+ *always
  */
 struct h1cli_ops {
 	void (*head) (struct h1cli *x, const struct h1_head *h, bool echoed,
 		      void *ctx);
 	void (*data) (struct h1cli *x, const char *data, size_t len, void *ctx);
 	void (*done) (struct h1cli *x, enum h1cli_end end, void *ctx);
+	bool (*may_send) (void *ctx);
 };
 
 /**
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -183,7 +183,11 @@
 	callers_done (r, end);
 }
 
-static const struct h1cli_ops ops = {on_head, on_data, on_done};
+static const struct h1cli_ops ops = {
+	.head = on_head,
+	.data = on_data,
+	.done = on_done,
+};
 
 struct soak_req *
 callers_new (struct soak *k, uint32_t relay, enum soak_kind kind,
--- a/tests/soak/operator.c
+++ b/tests/soak/operator.c
@@ -253,7 +253,11 @@
 	k->reading = !k->reading;
 }
 
-static const struct h1cli_ops op_ops = {op_head, op_data, op_done};
+static const struct h1cli_ops op_ops = {
+	.head = op_head,
+	.data = op_data,
+	.done = op_done,
+};
 
 void
 operator_tick (struct soak *k, uint64_t now_ms)
--- a/tests/test_h1io.c
+++ b/tests/test_h1io.c
@@ -83,7 +83,11 @@
 	o->done = true;
 }
 
-static const struct h1cli_ops cli_ops = {on_head, on_data, on_done};
+static const struct h1cli_ops cli_ops = {
+	.head = on_head,
+	.data = on_data,
+	.done = on_done,
+};
 
 static bool
 is_done (void *ctx)
--- a/tests/test_h1kept.c
+++ b/tests/test_h1kept.c
@@ -60,7 +60,11 @@
 	o->done = true;
 }
 
-static const struct h1cli_ops ops = {on_head, on_data, on_done};
+static const struct h1cli_ops ops = {
+	.head = on_head,
+	.data = on_data,
+	.done = on_done,
+};
 
 struct server {
 	int listener, fd;
@@ -390,6 +394,50 @@
 	server_finish (&s);
 }
 
+static bool may_send_answer;
+
+static bool
+may_send (void *ctx)
+{
+	(void)ctx;
+	return may_send_answer;
+}
+
+/* A right that ends while the connection is made: a deposed leader called the
+ * platform once more after its disk had hung. */
+static void
+test_right_that_ends_before_first_byte (void)
+{
+	static const struct h1cli_ops guarded = {on_head, on_data, on_done,
+						 may_send};
+	static const char text[] = "GET / HTTP/1.1\r\n\r\n";
+	struct h1cli_req req = {
+		.bytes = text, .len = sizeof text - 1, .connect_ms = 500};
+
+	for (int i = 0; i < 2; i++) {
+		uint64_t end_ms = tmr_now_ms () + WAIT_MS;
+		struct outcome o = {.body = g_string_new (NULL)};
+		struct server s;
+
+		server_init (&s);
+		may_send_answer = true;
+		h1cli_start (&s.host, &req, &guarded, &o);
+		may_send_answer = i == 1;
+		while (i == 0 && !o.done && tmr_now_ms () < end_ms)
+			h2o_evloop_run (loop, 2);
+		if (i == 0) {
+			CU_ASSERT_FATAL (o.done);
+			CU_ASSERT (o.end == H1CLI_UNSENT);
+			CU_ASSERT (!o.sent);
+		} else {
+			CU_ASSERT (receive (&s));
+			CU_ASSERT (!o.done);
+		}
+		server_finish (&s);
+		g_string_free (o.body, TRUE);
+	}
+}
+
 int
 main (void)
 {
@@ -400,6 +448,8 @@
 		{"while it is written", test_while_it_is_written},
 		{"head request", test_head_request},
 		{"new connection", test_new_connection},
+		{"right_that_ends_before_first_byte",
+		 test_right_that_ends_before_first_byte},
 		{NULL, NULL}};
 
 	return t_run ("h1kept", cases);
--- a/tests/test_sio.c
+++ b/tests/test_sio.c
@@ -54,7 +54,11 @@
 	t->done = true;
 }
 
-static const struct h1cli_ops ops = {on_head, on_data, on_done};
+static const struct h1cli_ops ops = {
+	.head = on_head,
+	.data = on_data,
+	.done = on_done,
+};
 
 static void
 init (struct fixture *t)
