--- a/groupd/usage_report.c
+++ b/groupd/usage_report.c
@@ -144,8 +144,7 @@
 bool
 group_may_act (struct group *g)
 {
-	/* The caller's time may be from before a write that the disk held up.
-	 */
+	/* The time of the tick is from before the disk held up a write. */
 	uint64_t now_ms = tmr_now_ms ();
 
 	if (!group_is_leader (g) || g->leaving) {
--- a/lib/h1cli.h
+++ b/lib/h1cli.h
@@ -50,9 +50,8 @@
  * @head: status and headers arrived; @echoed: the echo header was there
  * @data: a piece of the body arrived
  * @done: the exchange ended and is freed after the call
- * @may_send: asked before the first byte leaves on a new connection, which may
- *	take long to make; false ends the exchange as H1CLI_UNSENT.  NULL:
- *always
+ * @may_send: asked before the first byte leaves on a new connection; false ends
+ *	the exchange as H1CLI_UNSENT.  NULL: it always may
  */
 struct h1cli_ops {
 	void (*head) (struct h1cli *x, const struct h1_head *h, bool echoed,
--- a/relayd/call.c
+++ b/relayd/call.c
@@ -222,7 +222,8 @@
 	case BLAME_WAIT:
 		enqueue_call (c);
 		return;
-	default:
+	case BLAME_SEND:
+	case BLAME_SEND_AS_TRIAL:
 		break;
 	}
 	choose_endpoint (c, &v, now_ms);
