tests: trials of a barred request, and what their outcomes do

A trial that no endpoint ran is made again at once, all trials together stay within the bound, a request waits for the outcome of one that is under way, and an answer ends the bar.

--- a/tests/test_blame_bound.c
+++ b/tests/test_blame_bound.c
@@ -211,6 +211,93 @@
 	}
 }
 
+static void
+no_change (uint64_t key, enum blame_change change, uint32_t endpoints,
+	   void *ctx)
+{
+	(void)key;
+	(void)change;
+	(void)endpoints;
+	(void)ctx;
+}
+
+#define NOW_MS 10000000
+#define BARRED_MS (NOW_MS + 2000) /* after three strikes at NOW_MS */
+
+/* Three endpoints end together under a whole request, which bars it. */
+static void
+bar (struct blame *b, uint64_t *key)
+{
+	static const struct blame_ops ops = {.changed = no_change};
+
+	blame_init (b, 7, &ops, NULL);
+	*key = blame_request_key ("POST /x", "account", "", 0);
+	for (uint32_t i = 0; i < 3; i++)
+		blame_broke (b, key, 1, 100 + i, NOW_MS);
+	blame_tick (b, BARRED_MS - 1);
+	CU_ASSERT (b->barred == 0);
+	blame_tick (b, BARRED_MS);
+	CU_ASSERT (b->barred == 1);
+}
+
+static enum blame_verdict
+check (struct blame *b, uint64_t key, uint64_t now_ms)
+{
+	uint64_t culprit;
+
+	return blame_check (b, &key, 1, &culprit, now_ms);
+}
+
+/* A trial that met a full endpoint, or none, barred a sound request for another
+ * minute; all trials together stay within the bound. */
+static void
+test_trial_that_no_endpoint_ran (void)
+{
+	struct blame b;
+	uint64_t key;
+
+	bar (&b, &key);
+	CU_ASSERT (check (&b, key, BARRED_MS) == BLAME_SEND_AS_TRIAL);
+	CU_ASSERT (blame_trial (&b, &key, 1, BARRED_MS));
+	CU_ASSERT (check (&b, key, BARRED_MS + 10) == BLAME_WAIT);
+	CU_ASSERT (check (&b, key, BARRED_MS + 600) == BLAME_REFUSE);
+	for (uint32_t i = 0; i < 9; i++) {
+		blame_trial_undecided (&b, &key, 1, false);
+		CU_ASSERT (check (&b, key, BARRED_MS) == BLAME_SEND_AS_TRIAL);
+		blame_trial (&b, &key, 1, BARRED_MS);
+	}
+	for (uint32_t i = 0; i < LATE_MAX - 1; i++) {
+		blame_trial_undecided (&b, &key, 1, true);
+		CU_ASSERT (check (&b, key, BARRED_MS) == BLAME_SEND_AS_TRIAL);
+		blame_trial (&b, &key, 1, BARRED_MS);
+	}
+	blame_trial_undecided (&b, &key, 1, true);
+	CU_ASSERT (check (&b, key, BARRED_MS + 9000000) == BLAME_REFUSE);
+	blame_finish (&b);
+}
+
+/* An answer ends the bar, whether it comes of a trial or of an attempt before;
+ * an endpoint that ends under the trial ends the wait for it. */
+static void
+test_outcome_of_trial (void)
+{
+	struct blame b;
+	uint64_t key;
+
+	bar (&b, &key);
+	blame_trial (&b, &key, 1, BARRED_MS);
+	blame_answered (&b, &key, 1, BARRED_MS + 40);
+	CU_ASSERT (check (&b, key, BARRED_MS + 40) == BLAME_SEND);
+	blame_finish (&b);
+	bar (&b, &key);
+	blame_trial (&b, &key, 1, BARRED_MS);
+	blame_broke (&b, &key, 1, 103, BARRED_MS + 40);
+	CU_ASSERT (check (&b, key, BARRED_MS + 41) == BLAME_REFUSE);
+	CU_ASSERT (check (&b, key, BARRED_MS + 59000) == BLAME_REFUSE);
+	CU_ASSERT (check (&b, key, BARRED_MS + 61000) == BLAME_SEND_AS_TRIAL);
+	blame_finish (&b);
+}
+
 int
 main (void)
 {
@@ -227,6 +314,8 @@
 		 test_sound_request_begins_after_loss_of_service},
 		{"sound_request_begins_beside_other_crashes",
 		 test_sound_request_begins_beside_other_crashes},
+		{"trial_that_no_endpoint_ran", test_trial_that_no_endpoint_ran},
+		{"outcome_of_trial", test_outcome_of_trial},
 		{NULL, NULL},
 	};
 
