--- a/tests/e2e_disks.sh
+++ b/tests/e2e_disks.sh
@@ -26,12 +26,15 @@
 	if [ -n "${ALL:-}" ]; then
 		plays=()
 		gaps=(0 0.2 1 2 5 10)
+		at=0
 		while read -r order; do
-			plays+=("3|$order|${gaps[${#plays[@]} % 6]}|2")
+			for gap in "${gaps[@]}"; do
+				plays+=("3|$order|$gap|2")
+			done
 			plays+=("3|$order|0|0.7")
 		done < <(orders 3 "")
 		while read -r order; do
-			plays+=("5|$order|${gaps[${#plays[@]} % 5]}|2")
+			plays+=("5|$order|${gaps[at++ % ${#gaps[@]}]}|2")
 		done < <(orders 5 "")
 	fi
 	status=0 net=0 batch=0
