blame: news of a trial that come after the end of its bar don't count for the next

Seen in the model of relays and members: a sound request whose service is lost every few seconds was tried at once after each loss, and then once only after 5 s (by the turns of relays), though an endpoint was up.

Cause: a trial is reported by its relay at the next tick. An answer to an earlier request may end the bar at a member before that. The record then set `trials` to 1 on a key that is not barred, nothing reset it, and the next bar began with one trial used: its first one was due 60 s after, at that member and at all relays that it told.

Ruled out: a lost or late grant (the leader answered none of the asks; its table said trials=1 and due 60 s after, printed on a scratch copy).

Change: a trial that is not newer than the last answer is not taken over, and a bar begins with no trials where the last one is older than the first strike that it stands on.

Before: test_trial_of_a_bar_that_ended fails; after: passes (1412 of 1412 asserts of test_blame, 272 of 272 of test_blame_bound).

Conclusion: the count of trials belongs to one bar, whatever the order of news.

--- a/lib/blame.c
+++ b/lib/blame.c
@@ -185,6 +185,9 @@
 	e->barred = bar;
 	if (bar) {
 		b->barred++;
+		/* News of a trial may arrive after the bar that it was of. */
+		if (e->trial_ms < e->strikes[0].at_ms)
+			e->trials = 0;
 	} else {
 		b->barred--;
 		e->trials = 0;
--- a/lib/blame_entry.c
+++ b/lib/blame_entry.c
@@ -157,7 +157,8 @@
 bool
 blame_entry_tried (struct blame_entry *e, uint64_t at_ms, uint8_t trials)
 {
-	if (trials <= e->trials && at_ms <= e->trial_ms + EVENT_MS)
+	if (at_ms <= e->cleared_ms ||
+	    (trials <= e->trials && at_ms <= e->trial_ms + EVENT_MS))
 		return false;
 	e->trials = MAX (e->trials, trials);
 	e->trial_ms = MAX (e->trial_ms, at_ms);
--- a/tests/test_blame.c
+++ b/tests/test_blame.c
@@ -460,6 +460,50 @@
 	g_array_free (out, TRUE);
 }
 
+static uint32_t
+count_trials (const struct blame *b, uint64_t now_ms)
+{
+	GArray *all = g_array_new (FALSE, FALSE, sizeof (struct blame_record));
+	uint32_t n = 0;
+
+	blame_export (b, all, now_ms);
+	for (guint i = 0; i < all->len; i++)
+		n += g_array_index (all, struct blame_record, i).what ==
+		     BLAME_TRIAL;
+	g_array_free (all, TRUE);
+	return n;
+}
+
+/* A trial that was heard of after its bar had ended counted for the next one,
+ * whose first trial was a minute late. */
+static void
+test_trial_of_a_bar_that_ended (void)
+{
+	struct blame_record r = {.key = blame_request_key ("x", "a", "", 0)};
+	struct blame b;
+	uint64_t now_ms = 1000000;
+
+	blame_init (&b, 0, &quiet_ops, NULL);
+	for (uint32_t round = 0; round < 4; round++) {
+		r.what = BLAME_STRIKE;
+		for (r.ep_hash = 1; r.ep_hash <= 3; r.ep_hash++)
+			blame_merge (&b, &r, 1, NULL, now_ms + r.ep_hash);
+		now_ms += 2100;
+		blame_tick (&b, now_ms);
+		CU_ASSERT (b.barred == 1);
+		CU_ASSERT (count_trials (&b, now_ms) == 0);
+		r.what = round == 1 ? BLAME_TRIAL : BLAME_CLEAR;
+		r.trials = 1;
+		blame_merge (&b, &r, 1, NULL, now_ms);
+		CU_ASSERT (count_trials (&b, now_ms) == (round == 1));
+		r.what = round == 1 ? BLAME_CLEAR : BLAME_TRIAL;
+		blame_merge (&b, &r, 1, NULL, now_ms + round * 5);
+		CU_ASSERT (b.barred == 0);
+		now_ms += 5000;
+	}
+	blame_finish (&b);
+}
+
 int
 main (void)
 {
@@ -487,6 +531,7 @@
 		{"merge_order_does_not_matter",
 		 test_merge_order_does_not_matter},
 		{"bounds_and_expiry", test_bounds_and_expiry},
+		{"trial_of_a_bar_that_ended", test_trial_of_a_bar_that_ended},
 		{NULL, NULL},
 	};
 
