blame: the leader grants the trial of a barred request to a relay that can use it

Cause: three strikes bar it, and the trial that ends a wrong bar waited 5 s for the relay of the first strike, which may never get such a request again, then for turns by hash, two of 0.25 s a relay: 150 s a round with 300 relays. A right that is dealt out by time or hash goes to a process that may have no use for it.

Change: a relay that has such a request, and an endpoint for it, sends `wanted` with its other news. The request waits meanwhile, and goes on at once when the grant or the end of the bar arrives. Two more kinds of record; versions that don't know them ignore them.

Two checks of test_blame_bound now have the grant that a trial needs; their bounds are the same.

--- a/groupd/blame.c
+++ b/groupd/blame.c
@@ -54,8 +54,25 @@
 	}
 }
 
+/* Answers a relay that asks for the trial of a barred key. */
+static void
+grant_trials (struct group *g, struct link *to, const struct gmsg_blame *m)
+{
+	for (uint32_t i = 0; i < m->records.count; i++) {
+		const struct blame_record *wanted =
+			&((const struct blame_record *)m->records.items)[i];
+		struct blame_record answer;
+		struct gmsg_blame out = {{&answer, 1}};
+
+		if (wanted->what == BLAME_WANTED && group_may_act (g) &&
+		    blame_grant (&g->blame, wanted, &answer, tmr_now_ms ()))
+			link_send (to, FRAME_GROUP_BLAME, gmsg_blame_fields,
+				   &out);
+	}
+}
+
 void
-group_blame_receive (struct group *g, const struct link *from,
+group_blame_receive (struct group *g, struct link *from,
 		     const struct gmsg_blame *m, uint64_t now_ms)
 {
 	GArray *fresh =
@@ -79,6 +96,7 @@
 	}
 	msgpack_sbuffer_destroy (&packed);
 	g_array_free (fresh, TRUE);
+	grant_trials (g, from, m);
 }
 
 void
--- a/groupd/groupd.h
+++ b/groupd/groupd.h
@@ -290,7 +290,7 @@
 
 /** group_blame_receive() - merge records of the relay on @from, and forward
  * what is new to the other relays */
-void group_blame_receive (struct group *g, const struct link *from,
+void group_blame_receive (struct group *g, struct link *from,
 			  const struct gmsg_blame *m, uint64_t now_ms);
 
 /** group_blame_send_all() - send the table to a relay whose link is up */
--- a/lib/blame.c
+++ b/lib/blame.c
@@ -7,32 +7,6 @@
 
 #include "blame_priv.h"
 
-/* A barred key is tried again so long after the last strike or trial. */
-static const uint64_t trial_pause_ms[] = {10000, 60000, 360000};
-
-/* The same for a whole request, which is tried so often only: a false bar ends
- * soon, and a true one costs few endpoints. */
-static const uint64_t request_pause_ms[] = {2000, 60000, 360000};
-
-/* The relay that reported the first strike tries first, each of the others a
- * step later: it may be gone, or get no such request. */
-#define TRIAL_OTHERS_MS 5000
-#define TRIAL_STEP_MS 1000
-#define TRIAL_STEPS 16
-
-/* The other relays then take turns in the trial of a whole request.  A turn is
- * longer than news need to reach all, and there are more than relays, as their
- * hashes may agree. */
-#define TURN_MS 250
-#define TURNS_PER_RELAY 2
-
-/* A request waits so long for the outcome of a trial that is under way. */
-#define TRIAL_WAIT_MS 500
-
-/* A request with several barred keys does not tell which one is sound, so it is
- * only tried where no other came. */
-#define TRIAL_SEVERAL_MS 20000
-
 /* A strike counts for so long, and a bar so long after the last request. */
 #define STRIKE_MAX_AGE_MS 300000
 #define BAR_MAX_AGE_MS 600000
@@ -57,6 +31,7 @@
 	MSG_FIELD (4, MSG_U32, struct blame_record, origin),
 	MSG_FIELD (5, MSG_U32, struct blame_record, age_ms),
 	MSG_FIELD (6, MSG_U8, struct blame_record, trials),
+	MSG_FIELD (7, MSG_U32, struct blame_record, ask_id),
 	MSG_FIELD_END,
 };
 
@@ -121,12 +96,14 @@
 		return "expired";
 	case BLAME_TRIED:
 		return "tried";
+	case BLAME_GRANTED_TRIAL:
+		return "granted";
 	}
 	return "?";
 }
 
-static struct blame_entry *
-entry_find (const struct blame *b, uint64_t key)
+struct blame_entry *
+blame_find_entry (const struct blame *b, uint64_t key)
 {
 	return g_hash_table_lookup (b->entries, &key);
 }
@@ -158,7 +135,7 @@
 static struct blame_entry *
 entry_get (struct blame *b, uint64_t key)
 {
-	struct blame_entry *e = entry_find (b, key);
+	struct blame_entry *e = blame_find_entry (b, key);
 
 	if (e != NULL)
 		return e;
@@ -193,13 +170,16 @@
 		e->trials = 0;
 		e->trial_ms = 0;
 		e->undecided = false;
+		e->unanswered_ms = 0;
+		e->granted_ms = 0;
+		e->granted_until_ms = 0;
 	}
 	b->ops->changed (e->key, bar ? BLAME_BARRED : BLAME_CLEARED,
 			 blame_entry_endpoints (e), b->ctx);
 }
 
-static void
-add_news (struct blame *b, const struct blame_record *r, uint64_t at_ms)
+void
+blame_add_news (struct blame *b, const struct blame_record *r, uint64_t at_ms)
 {
 	struct blame_news news = {*r, at_ms};
 
@@ -228,114 +208,7 @@
 	s = success_slot (b, e->key);
 	if (s->key == e->key && s->at_ms + BLAME_RECENT_MS > now_ms &&
 	    blame_entry_clear (e, s->at_ms))
-		add_news (b, &r, s->at_ms);
-}
-
-/* Whether this relay may try a request that holds the barred key; @later_ms:
- * longer pause than usual. */
-static bool
-trial_is_due (const struct blame *b, const struct blame_entry *e,
-	      uint64_t later_ms, uint64_t now_ms)
-{
-	bool is_request = blame_entry_is_request (e);
-	uint32_t pause = MIN (e->trials, G_N_ELEMENTS (trial_pause_ms) - 1);
-	/* All relays know of the strikes that are kept, so that their turns
-	 * don't overlap. */
-	uint64_t struck_ms = is_request ? e->strikes[e->strike_count - 1].at_ms
-					: e->struck_ms;
-	uint64_t due_ms = MAX (struck_ms, e->trial_ms) + later_ms;
-	uint64_t turns = (uint64_t)b->relay_count * TURNS_PER_RELAY;
-	uint64_t rank = b->self ^ (e->key >> 1);
-
-	if (is_request && e->trials >= G_N_ELEMENTS (request_pause_ms))
-		return false;
-	if (e->undecided)
-		return true;
-	due_ms += is_request ? request_pause_ms[pause] : trial_pause_ms[pause];
-	if (e->strikes[0].origin == b->self && now_ms >= due_ms &&
-	    (!is_request || now_ms < due_ms + TRIAL_OTHERS_MS))
-		return true;
-	due_ms += TRIAL_OTHERS_MS;
-	if (!is_request)
-		return now_ms >= due_ms + rank % TRIAL_STEPS * TRIAL_STEP_MS;
-	return now_ms >= due_ms &&
-	       (now_ms - due_ms) / TURN_MS % turns == rank % turns;
-}
-
-static bool
-trial_is_under_way (const struct blame_entry *e, uint64_t now_ms)
-{
-	return e->trial_ms > e->struck_ms && !e->undecided &&
-	       now_ms < e->trial_ms + TRIAL_WAIT_MS;
-}
-
-enum blame_verdict
-blame_check (struct blame *b, const uint64_t *keys, uint32_t count,
-	     uint64_t *culprit, uint64_t now_ms)
-{
-	struct blame_entry *barred[BLAME_KEYS_MAX];
-	uint32_t n = 0;
-	bool due = true;
-
-	for (uint32_t i = 0; i < count && b->barred > 0; i++) {
-		struct blame_entry *e = entry_find (b, keys[i]);
-
-		if (e == NULL || !e->barred)
-			continue;
-		e->asked_ms = now_ms;
-		*culprit = e->key;
-		barred[n++] = e;
-	}
-	if (n == 0)
-		return BLAME_SEND;
-	for (uint32_t i = 0; i < n && due; i++)
-		due = trial_is_due (b, barred[i], n > 1 ? TRIAL_SEVERAL_MS : 0,
-				    now_ms);
-	if (due)
-		return BLAME_SEND_AS_TRIAL;
-	return n == 1 && blame_entry_is_request (barred[0]) &&
-			       trial_is_under_way (barred[0], now_ms)
-		       ? BLAME_WAIT
-		       : BLAME_REFUSE;
-}
-
-bool
-blame_trial (struct blame *b, const uint64_t *keys, uint32_t count,
-	     uint64_t now_ms)
-{
-	bool any = false;
-
-	for (uint32_t i = 0; i < count; i++) {
-		struct blame_entry *e = entry_find (b, keys[i]);
-		struct blame_record r = {.key = keys[i], .what = BLAME_TRIAL};
-
-		if (e == NULL || !e->barred)
-			continue;
-		any = true;
-		e->undecided = false;
-		e->trials = (uint8_t)MIN (e->trials + 1U, UINT8_MAX);
-		e->trial_ms = now_ms;
-		r.trials = e->trials;
-		add_news (b, &r, now_ms);
-		b->ops->changed (e->key, BLAME_TRIED, blame_entry_endpoints (e),
-				 b->ctx);
-	}
-	return any;
-}
-
-void
-blame_trial_undecided (struct blame *b, const uint64_t *keys, uint32_t count,
-		       bool received)
-{
-	for (uint32_t i = 0; i < count; i++) {
-		struct blame_entry *e = entry_find (b, keys[i]);
-
-		if (e == NULL || !e->barred || !blame_entry_is_request (e))
-			continue;
-		e->undecided = true;
-		if (!received && e->trials > 0)
-			e->trials--;
-	}
+		blame_add_news (b, &r, s->at_ms);
 }
 
 /* A key that succeeded lately is not blamed for what another, barred key of the
@@ -354,7 +227,7 @@
 	bool has_barred = false;
 
 	for (uint32_t i = 0; i < count; i++) {
-		const struct blame_entry *e = entry_find (b, keys[i]);
+		const struct blame_entry *e = blame_find_entry (b, keys[i]);
 
 		has_barred = has_barred || (e != NULL && e->barred);
 	}
@@ -369,7 +242,7 @@
 		if (is_explained (e, has_barred, now_ms))
 			continue;
 		if (blame_entry_strike (e, now_ms, ep_hash, b->self))
-			add_news (b, &r, now_ms);
+			blame_add_news (b, &r, now_ms);
 		entry_judge (b, e, now_ms);
 	}
 }
@@ -377,7 +250,7 @@
 uint32_t
 blame_strikes (const struct blame *b, uint64_t key)
 {
-	const struct blame_entry *e = entry_find (b, key);
+	const struct blame_entry *e = blame_find_entry (b, key);
 
 	return e != NULL ? e->strike_count : 0;
 }
@@ -393,11 +266,11 @@
 		*success_slot (b, keys[i]) =
 			(struct blame_success){keys[i], now_ms};
 		if (g_hash_table_size (b->entries) > 0)
-			e = entry_find (b, keys[i]);
+			e = blame_find_entry (b, keys[i]);
 		if (e == NULL || e->strike_count == 0)
 			continue;
 		if (blame_entry_clear (e, now_ms))
-			add_news (b, &r, now_ms);
+			blame_add_news (b, &r, now_ms);
 		entry_judge (b, e, now_ms);
 	}
 }
@@ -410,6 +283,8 @@
 	struct blame_entry *e;
 	bool fresh = false;
 
+	if (r->what == BLAME_GRANTED)
+		blame_receive_grant (b, r, now_ms);
 	if (r->what < BLAME_STRIKE || r->what > BLAME_TRIAL)
 		return false;
 	e = entry_get (b, r->key);
@@ -421,6 +296,8 @@
 	} else {
 		fresh = blame_entry_tried (e, at_ms, r->trials);
 		e->undecided = e->undecided && !fresh;
+		if (fresh)
+			e->unanswered_ms = 0;
 	}
 	entry_judge (b, e, now_ms);
 	return fresh;
--- a/lib/blame.h
+++ b/lib/blame.h
@@ -21,7 +21,9 @@
  * Times travel as ages.
  *
  * A barred key is tried now and then, by one relay at a time, and a few times
- * only if it stands for a whole request.
+ * only if it stands for a whole request.  For those a relay asks the members,
+ * and the leader grants each trial to one relay.  Without a leader the relays
+ * take turns.
  *
  * Does no I/O; time is passed in.
  */
@@ -40,9 +42,11 @@
 
 /** enum blame_what - what a record says of its key */
 enum blame_what {
-	BLAME_STRIKE = 1, /* an endpoint broke off before an answer began */
-	BLAME_CLEAR = 2,  /* an answer began */
-	BLAME_TRIAL = 3,  /* a request was sent though the key is barred */
+	BLAME_STRIKE = 1,  /* an endpoint broke off before an answer began */
+	BLAME_CLEAR = 2,   /* an answer began */
+	BLAME_TRIAL = 3,   /* a request was sent though the key is barred */
+	BLAME_WANTED = 4,  /* a relay asks for the right to try it */
+	BLAME_GRANTED = 5, /* the answer of the leader */
 };
 
 /**
@@ -50,9 +54,10 @@
  * @key: see blame_segment_key() and blame_request_key()
  * @what: an enum blame_what; others are ignored
  * @ep_hash: of a strike: hash of the endpoint's id
- * @origin: of a strike: hash of the relay's name
+ * @origin: of a strike, a wanted or a granted trial: hash of the relay's name
  * @age_ms: how long ago it happened
  * @trials: of a trial: how many there were with it
+ * @ask_id: of a wanted trial: chosen by the relay; the grant repeats it
  */
 struct blame_record {
 	uint64_t key;
@@ -61,6 +66,7 @@
 	uint32_t origin;
 	uint32_t age_ms;
 	uint8_t trials;
+	uint32_t ask_id;
 };
 
 /** blame_record_fields - wire format of struct blame_record */
@@ -69,9 +75,10 @@
 /** enum blame_change - a changed belief about a key */
 enum blame_change {
 	BLAME_BARRED,
-	BLAME_CLEARED, /* it was barred */
-	BLAME_EXPIRED, /* it was barred */
-	BLAME_TRIED,   /* a relay sends a request that holds it */
+	BLAME_CLEARED,       /* it was barred */
+	BLAME_EXPIRED,       /* it was barred */
+	BLAME_TRIED,         /* a relay sends a request that holds it */
+	BLAME_GRANTED_TRIAL, /* the leader lets a relay do so */
 };
 
 /** blame_change_name() - "barred", ... */
@@ -81,7 +88,8 @@
 enum blame_verdict {
 	BLAME_SEND,
 	BLAME_SEND_AS_TRIAL,
-	BLAME_WAIT, /* ask again soon: a trial is under way */
+	BLAME_SEND_IF_GRANTED, /* call blame_want() if an endpoint takes it */
+	BLAME_WAIT,            /* check again soon: a trial is under way */
 	BLAME_REFUSE,
 };
 
@@ -153,6 +161,20 @@
 				uint32_t count, uint64_t *culprit,
 				uint64_t now_ms);
 
+/** blame_want() - ask for the trial of a request after BLAME_SEND_IF_GRANTED */
+void blame_want (struct blame *b, const uint64_t *keys, uint32_t count,
+		 uint64_t now_ms);
+
+/**
+ * blame_grant() - of the leader: answer a relay that wants a trial
+ * @wanted: its record, which blame_merge() has seen
+ * @answer: set to the record for that relay
+ *
+ * Return: whether it is granted; one relay at a time holds a grant of a key.
+ */
+bool blame_grant (struct blame *b, const struct blame_record *wanted,
+		  struct blame_record *answer, uint64_t now_ms);
+
 /** blame_trial() - a request was sent after BLAME_SEND_AS_TRIAL; Return:
  * whether any of its keys is barred */
 bool blame_trial (struct blame *b, const uint64_t *keys, uint32_t count,
--- a/lib/blame_priv.h
+++ b/lib/blame_priv.h
@@ -23,6 +23,10 @@
  * @trial_ms: when it was tried last
  * @undecided: this relay tried it last, and no endpoint ran the request
  * @asked_ms: when a request with it was refused here last
+ * @wanted_ms: when this relay asked for a trial last
+ * @unanswered_ms: when it first did so since the last trial; 0: it did not
+ * @granted_ms: of the leader: when it granted a trial last
+ * @granted_until_ms: until when this relay may try it
  */
 struct blame_entry {
 	uint64_t key;
@@ -33,11 +37,26 @@
 	uint64_t cleared_ms;
 	uint64_t trial_ms;
 	uint64_t asked_ms;
+	uint64_t wanted_ms;
+	uint64_t unanswered_ms;
+	uint64_t granted_ms;
+	uint64_t granted_until_ms;
 	uint8_t trials;
 	bool undecided;
 	bool barred;
 };
 
+/** blame_find_entry() - what is known of @key; NULL: nothing */
+struct blame_entry *blame_find_entry (const struct blame *b, uint64_t key);
+
+/** blame_add_news() - report @r to the members at the next occasion */
+void blame_add_news (struct blame *b, const struct blame_record *r,
+		     uint64_t at_ms);
+
+/** blame_receive_grant() - the leader answers a blame_want() of this relay */
+void blame_receive_grant (struct blame *b, const struct blame_record *r,
+			  uint64_t now_ms);
+
 /** blame_entry_endpoints() - number of endpoints that struck it */
 uint32_t blame_entry_endpoints (const struct blame_entry *e);
 
--- a/relayd/blame.c
+++ b/relayd/blame.c
@@ -82,7 +82,8 @@
 	uint64_t culprit = 0;
 	enum blame_verdict v = check_call (c, &culprit);
 
-	return v == BLAME_REFUSE || v == BLAME_WAIT;
+	return v == BLAME_REFUSE || v == BLAME_WAIT ||
+	       v == BLAME_SEND_IF_GRANTED;
 }
 
 enum blame_verdict
@@ -96,6 +97,17 @@
 	return v;
 }
 
+void
+blame_want_trial (struct call *c)
+{
+	uint64_t keys[BLAME_KEYS_MAX];
+
+	blame_want (&c->r->blame, keys, collect_keys (c, keys), tmr_now_ms ());
+	log_event (LOG_LV_INFO, "blame",
+		   "req=%s change=wanted key=%016" G_GINT64_MODIFIER "x", c->id,
+		   c->request_key);
+}
+
 void
 blame_attempt_started (struct call *c)
 {
@@ -182,12 +194,14 @@
 on_changed (uint64_t key, enum blame_change change, uint32_t endpoints,
 	    void *ctx)
 {
-	(void)ctx;
 	log_event (LOG_LV_INFO, "blame",
 		   "change=%s kind=%s key=%016" G_GINT64_MODIFIER
 		   "x endpoints=%u",
 		   blame_change_name (change), blame_key_kind (key), key,
 		   endpoints);
+	/* Requests may wait for it. */
+	if (change == BLAME_CLEARED || change == BLAME_GRANTED_TRIAL)
+		call_place_waiting (ctx);
 }
 
 void
--- a/relayd/call.c
+++ b/relayd/call.c
@@ -214,9 +214,10 @@
 call_place (struct call *c)
 {
 	uint64_t now_ms = tmr_now_ms (), give_up_ms;
+	enum blame_verdict verdict = blame_judge_call (c);
 	struct place_result v;
 
-	switch (blame_judge_call (c)) {
+	switch (verdict) {
 	case BLAME_REFUSE:
 		return;
 	case BLAME_WAIT:
@@ -224,10 +225,16 @@
 		return;
 	case BLAME_SEND:
 	case BLAME_SEND_AS_TRIAL:
+	case BLAME_SEND_IF_GRANTED:
 		break;
 	}
 	choose_endpoint (c, &v, now_ms);
 	count_prefill (c, &v);
+	if (v.ep != NULL && verdict == BLAME_SEND_IF_GRANTED) {
+		blame_want_trial (c);
+		enqueue_call (c);
+		return;
+	}
 	if (v.ep != NULL) {
 		dequeue_call (c);
 		attempt_start (c, &v);
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -449,6 +449,10 @@
  * BLAME_REFUSE: it was refused, and @c is freed */
 enum blame_verdict blame_judge_call (struct call *c);
 
+/** blame_want_trial() - ask for the right to send the request, which holds a
+ * barred key */
+void blame_want_trial (struct call *c);
+
 /** blame_attempt_started() - the request is sent */
 void blame_attempt_started (struct call *c);
 
--- a/tests/soak/crash.c
+++ b/tests/soak/crash.c
@@ -27,10 +27,24 @@
 #define GROUP_GAP_MS 3200
 #define GROUPS 4
 
+/* Servers that are back so late find the request barred; relays know them a
+ * moment later, and then nearly all must be served. */
+#define CURED_GAP_MS 100
+#define CURED_UP_AGAIN_MS 3000
+#define CURED_KNOWN_MS 1000
+#define CURED_SHARE 0.95
+
 #define ACCOUNT 0
 #define FIRST_SEGMENT 7
 #define BAD_SEGMENT 0xbad00U
 
+static void
+repeat_request (struct soak_req *r)
+{
+	r->path_number = 0;
+	r->last_segment = r->k->seed;
+}
+
 static void
 start_bad (struct soak *k)
 {
@@ -40,16 +54,32 @@
 
 	if (k->crash.what != SOAK_CRASH_SEGMENT)
 		kind = k->crash.kind;
-	r = callers_new (k,
-			 (uint32_t)g_rand_int_range (k->rand, 0, SOAK_RELAYS),
-			 kind, ACCOUNT);
+	/* One that is cured comes at other relays then. */
+	r = callers_new (
+		k,
+		k->crash.what == SOAK_CRASH_CURED
+			? 0
+			: (uint32_t)g_rand_int_range (k->rand, 0, SOAK_RELAYS),
+		kind, ACCOUNT);
 	r->crashes = true;
 	r->first_segment = FIRST_SEGMENT;
 	r->middle_segment = BAD_SEGMENT + k->seed;
-	if (k->crash.what != SOAK_CRASH_SEGMENT) {
-		r->path_number = 0;
-		r->last_segment = k->seed;
-	}
+	if (k->crash.what != SOAK_CRASH_SEGMENT)
+		repeat_request (r);
+	callers_start (r);
+}
+
+static void
+start_cured (struct soak *k)
+{
+	struct soak_req *r = callers_new (
+		k, (uint32_t)g_rand_int_range (k->rand, 1, SOAK_RELAYS),
+		k->crash.kind, ACCOUNT);
+
+	r->sound = true;
+	r->first_segment = FIRST_SEGMENT;
+	r->middle_segment = BAD_SEGMENT + k->seed;
+	repeat_request (r);
 	callers_start (r);
 }
 
@@ -68,20 +98,36 @@
 	callers_start (r);
 }
 
+static uint64_t
+next_bad_gap_ms (struct soak *k)
+{
+	switch (k->crash.what) {
+	case SOAK_CRASH_GROUP:
+		return GROUP_GAP_MS;
+	case SOAK_CRASH_CURED:
+		return CURED_GAP_MS;
+	case SOAK_CRASH_NONE:
+	case SOAK_CRASH_SEGMENT:
+	case SOAK_CRASH_REQUEST:
+		break;
+	}
+	return (uint64_t)g_rand_int_range (k->rand, 200, 500);
+}
+
 void
 crash_tick (struct soak *k, uint64_t now_ms)
 {
 	if (now_ms >= k->crash.next_sound_ms) {
 		k->crash.next_sound_ms = now_ms + 25;
-		start_sound (k);
+		if (k->crash.what != SOAK_CRASH_CURED)
+			start_sound (k);
+		else if (k->crash.known_ms != 0)
+			start_cured (k);
 	}
 	if (k->crash.next_bad_ms != 0 && now_ms >= k->crash.next_bad_ms) {
-		bool group = k->crash.what == SOAK_CRASH_GROUP;
+		bool group = k->crash.what >= SOAK_CRASH_GROUP;
 
-		k->crash.next_bad_ms =
-			now_ms + (group ? GROUP_GAP_MS
-					: (uint64_t)g_rand_int_range (
-						  k->rand, 200, 500));
+		k->crash.next_bad_ms = now_ms + next_bad_gap_ms (k);
 		for (int i = 0; i < (group ? GROUP : 1); i++)
 			start_bad (k);
 	}
@@ -95,19 +141,31 @@
 
 /* All its connections are reset, its listener closes, and it comes back under
  * another id. */
+static void
+ep_down (struct soak_ep *e)
+{
+	bool cured = e->k->crash.what == SOAK_CRASH_CURED;
+
+	e->crashing = false;
+	e->up_at_ms = tmr_now_ms () + (cured ? CURED_UP_AGAIN_MS : UP_AGAIN_MS);
+	world_ep_down (e);
+}
+
 void
 crash_ep (struct soak_ep *e)
 {
 	struct soak *k = e->k;
-	uint64_t now_ms = tmr_now_ms ();
 
-	e->crashing = false;
-	e->up_at_ms = now_ms + UP_AGAIN_MS;
-	world_ep_down (e);
-	if (++k->crash.crashes == (k->crash.what == SOAK_CRASH_SEGMENT
+	ep_down (e);
+	if (++k->crash.crashes != (k->crash.what == SOAK_CRASH_SEGMENT
 					   ? SEGMENT_CRASHES
 					   : REQUEST_CRASHES))
-		k->crash.known_ms = now_ms;
+		return;
+	k->crash.known_ms = tmr_now_ms ();
+	/* The route may move to another service meanwhile, which would answer
+	 * before the request is barred. */
+	for (int i = 0; i < SOAK_EPS && k->crash.what == SOAK_CRASH_CURED; i++)
+		ep_down (&k->eps[i]);
 }
 
 void
@@ -126,9 +184,10 @@
 	k->crash.late++;
 }
 
-/* Sound requests that are served, of those that begin in a while. */
+/* Sound requests that are served, of those that begin in a while, whose number
+ * is added to @sent. */
 static uint32_t
-count_sound (struct soak *k)
+count_sound (struct soak *k, uint32_t *sent)
 {
 	uint64_t from_ms = tmr_now_ms (), to_ms = from_ms + RATE_MS;
 	uint32_t served = 0;
@@ -141,24 +200,58 @@
 	while (g_hash_table_iter_next (&it, NULL, &value)) {
 		const struct soak_req *r = value;
 
-		served += r->sound && r->ok && r->begun_ms >= from_ms &&
-			  r->begun_ms < to_ms;
+		if (!r->sound || r->begun_ms < from_ms || r->begun_ms >= to_ms)
+			continue;
+		(*sent)++;
+		served += r->ok;
 	}
 	return served;
 }
 
+/* All servers end under a request that is sound from then on: it is served at
+ * relays that reported none of the ends, once servers are back. */
+static void
+cured_play (struct soak *k)
+{
+	uint64_t end_ms = tmr_now_ms () + PATIENCE_MS;
+	GHashTableIter it;
+	void *value;
+
+	k->crash.next_bad_ms = tmr_now_ms ();
+	while (k->crash.known_ms == 0 && tmr_now_ms () < end_ms)
+		soak_run_for (k, 10, false);
+	k->crash.next_bad_ms = 0;
+	g_hash_table_iter_init (&it, k->reqs);
+	while (g_hash_table_iter_next (&it, NULL, &value))
+		((struct soak_req *)value)->crashes = false;
+	soak_run_for (k, CURED_UP_AGAIN_MS + CURED_KNOWN_MS, false);
+	k->crash.after = count_sound (k, &k->crash.usual);
+	if (k->crash.known_ms == 0)
+		soak_wrong (k, "%u endpoints crashed", k->crash.crashes);
+	if (k->crash.after < k->crash.usual * CURED_SHARE)
+		soak_wrong (k,
+			    "%u of %u requests are served that crash nothing "
+			    "any more",
+			    k->crash.after, k->crash.usual);
+}
+
 void
 crash_play (struct soak *k)
 {
 	uint64_t end_ms;
+	uint32_t sent = 0;
 
 	k->crash.on = true;
 	k->crash.kind = (enum soak_kind[]){SOAK_STREAM, SOAK_RESUMABLE,
 					   SOAK_REPEATABLE}[k->seed / 2 % 3];
-	if (k->crash.what == SOAK_CRASH_GROUP)
+	if (k->crash.what >= SOAK_CRASH_GROUP)
 		k->crash.kind = SOAK_REPEATABLE;
 	k->crash.head = k->seed % 2 == 0;
-	k->crash.usual = count_sound (k);
+	if (k->crash.what == SOAK_CRASH_CURED) {
+		cured_play (k);
+		return;
+	}
+	k->crash.usual = count_sound (k, &sent);
 	k->crash.next_bad_ms = tmr_now_ms ();
 	end_ms = tmr_now_ms () + PATIENCE_MS;
 	while (k->crash.known_ms == 0 && tmr_now_ms () < end_ms)
@@ -168,7 +261,7 @@
 					  : 2 * CONTACT_MS);
 	while (tmr_now_ms () < end_ms)
 		soak_run_for (k, 10, false);
-	k->crash.after = count_sound (k);
+	k->crash.after = count_sound (k, &sent);
 	if (k->crash.crashes == 0)
 		soak_wrong (k, "no endpoint crashed");
 	if (k->crash.late > LATE_MAX)
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -227,6 +227,8 @@
 			k.crash.what = SOAK_CRASH_REQUEST;
 		else if (c == 'x' && strcmp (optarg, "group") == 0)
 			k.crash.what = SOAK_CRASH_GROUP;
+		else if (c == 'x' && strcmp (optarg, "cured") == 0)
+			k.crash.what = SOAK_CRASH_CURED;
 		else if (c == 'p')
 			return printf ("%u\n", procs_free_port ()) < 0;
 		else
@@ -244,9 +246,11 @@
 	if (k.crash.on)
 		printf ("seed %u: %u crashes; %u requests that crash reached "
 			"endpoints, %u of them late; sound ones served %u, "
-			"before %u\n",
+			"%s %u\n",
 			k.seed, k.crash.crashes, k.crash.reached, k.crash.late,
-			k.crash.after, k.crash.usual);
+			k.crash.after,
+			k.crash.what == SOAK_CRASH_CURED ? "of" : "before",
+			k.crash.usual);
 	if (k.quiet.begun_wall_ms != 0)
 		printf ("seed %u: %u silences; relays sent %u again, endpoints "
 			"ran %u again; %u refused, %u errors; %u used again "
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -60,6 +60,7 @@
 	SOAK_CRASH_SEGMENT, /* each request with a segment */
 	SOAK_CRASH_REQUEST, /* one request that comes again */
 	SOAK_CRASH_GROUP,   /* the same, at all servers within a moment */
+	SOAK_CRASH_CURED,   /* the same, and then it is sound */
 };
 
 /** struct soak_req - a request, as its caller and the endpoints saw it */
@@ -203,7 +204,8 @@
 		uint32_t crashes, reached, late;
 		uint64_t known_ms; /* what crashes them is to be known */
 		uint64_t next_sound_ms, next_bad_ms;
-		uint32_t usual, after; /* sound requests served */
+		uint32_t usual, after; /* sound requests served; where a cause
+					  is cured, those sent and served */
 	} crash;
 	struct {
 		bool on;
--- a/tests/t_blame.c
+++ b/tests/t_blame.c
@@ -175,6 +175,22 @@
 	return g_array_new (FALSE, FALSE, sizeof (struct blame_record));
 }
 
+static void
+answer_wanted (struct t_blame *s, const struct packet *p,
+	       const struct blame_record *wanted)
+{
+	struct blame_record answer;
+	GArray *out;
+
+	if (p->member != s->leader ||
+	    !blame_grant (&s->members[p->member].b, wanted, &answer, s->now_ms))
+		return;
+	out = new_records ();
+	g_array_append_val (out, answer);
+	post (s, p->relay, p->member, false, out);
+	g_array_free (out, TRUE);
+}
+
 static void
 deliver (struct t_blame *s, const struct packet *p)
 {
@@ -191,6 +207,10 @@
 	fresh = new_records ();
 	blame_merge (&s->members[p->member].b, r, p->records->len, fresh,
 		     s->now_ms);
+	for (uint32_t i = 0; i < p->records->len; i++) {
+		if (r[i].what == BLAME_WANTED)
+			answer_wanted (s, p, &r[i]);
+	}
 	for (uint32_t i = 0; i < s->relay_count; i++) {
 		if (i != p->relay)
 			post (s, i, p->member, false, fresh);
@@ -341,6 +361,10 @@
 	v = blame_check (b, c->keys, c->count, &culprit, s->now_ms);
 	s->hot_sent +=
 		c->hot && c->ep != s->endpoint_count && c->came_ms == s->now_ms;
+	if (v == BLAME_SEND_IF_GRANTED && c->ep != s->endpoint_count) {
+		blame_want (b, c->keys, c->count, s->now_ms);
+		v = BLAME_WAIT;
+	}
 	if (v == BLAME_WAIT) {
 		g_ptr_array_add (s->waiting, c);
 		return;
--- a/tests/t_blame.h
+++ b/tests/t_blame.h
@@ -63,6 +63,7 @@
  * @poison_kinds: how many different poisonous segments there are
  * @repeats: poisonous requests are the same one, without such a segment
  * @recovery_ms: how long a crashed endpoint is away
+ * @leader: member that grants trials; T_BLAME_MEMBERS: none does
  * @cut: links between a relay and a member that carry nothing
  * @bound_crashes: after so many of a poisonous segment few more may come
  * @crashes: by each poisonous segment, or by the repeated request
@@ -88,6 +89,7 @@
 	uint32_t poison_kinds;
 	bool repeats;
 	uint64_t recovery_ms;
+	uint32_t leader;
 	bool cut[T_BLAME_RELAYS_MAX][T_BLAME_MEMBERS];
 	uint64_t now_ms;
 	GRand *rand;
--- a/tests/test_blame_bound.c
+++ b/tests/test_blame_bound.c
@@ -248,6 +248,20 @@
 	return blame_check (b, &key, 1, &culprit, now_ms);
 }
 
+/* The relay asks for the trial, and it is granted. */
+static void
+grant (struct blame *b, uint64_t key, uint64_t now_ms)
+{
+	struct blame_record r = {.key = key,
+				 .what = BLAME_GRANTED,
+				 .origin = b->self,
+				 .ask_id = (uint32_t)now_ms};
+
+	CU_ASSERT (check (b, key, now_ms) == BLAME_SEND_IF_GRANTED);
+	blame_want (b, &key, 1, now_ms);
+	blame_merge (b, &r, 1, NULL, now_ms);
+}
+
 /* A trial that met a full endpoint, or none, barred a sound request for another
  * minute; all trials together stay within the bound. */
 static void
@@ -257,6 +271,7 @@
 	uint64_t key;
 
 	bar (&b, &key);
+	grant (&b, key, BARRED_MS);
 	CU_ASSERT (check (&b, key, BARRED_MS) == BLAME_SEND_AS_TRIAL);
 	CU_ASSERT (blame_trial (&b, &key, 1, BARRED_MS));
 	CU_ASSERT (check (&b, key, BARRED_MS + 10) == BLAME_WAIT);
@@ -294,6 +309,7 @@
 	blame_broke (&b, &key, 1, 103, BARRED_MS + 40);
 	CU_ASSERT (check (&b, key, BARRED_MS + 41) == BLAME_REFUSE);
 	CU_ASSERT (check (&b, key, BARRED_MS + 59000) == BLAME_REFUSE);
+	grant (&b, key, BARRED_MS + 61000);
 	CU_ASSERT (check (&b, key, BARRED_MS + 61000) == BLAME_SEND_AS_TRIAL);
 	blame_finish (&b);
 }
