fakes: a slot that its caller left is given to the next request at once

Cause: when a caller left a stream that ran, the stand-in for engines took it out of the batch and then armed its timer by the running ones only. With none left, those that waited began with the next arrival, or never.

Ruled out: the caller's end is not seen (the stream is counted as cancelled).

Change: the next step is due at once while a slot is free and one waits.

Conclusion: a fault of the stand-in; no product code is touched.

--- a/fakes/engine_batch.c
+++ b/fakes/engine_batch.c
@@ -224,6 +224,9 @@
 {
 	uint64_t at = UINT64_MAX;
 
+	/* A slot that its caller left is free at once. */
+	if (b->waiting->len > 0 && b->running->len < b->conf->slots)
+		return 0;
 	for (uint32_t i = 0; i < b->running->len; i++) {
 		const struct batch_seq *s = b->running->pdata[i];
 
