e2e_fakes: tell by the stand-in's state which request it served first

Cause: the check compared the times at which two curl processes wrote their files, 31 ms apart at the stand-in. On a busy machine the first one may get to write after the second.

Change: each request is a stream that holds the only slot until it is stopped. While priority 1 runs, the stand-in says that 5 still waits, and then the other way round. The caller that leaves has a stand-in of its own, so that its count of cancelled requests stays exact.

Conclusion: the check is as strict, and no longer judges the scheduler.

--- a/tests/e2e_fakes.sh
+++ b/tests/e2e_fakes.sh
@@ -52,32 +52,41 @@
 	[ "$(seen "$1" waiting)" -ge "$2" ]
 }
 
-# Waiting requests start by priority; the order of arrival is the reverse.
+# Waiting requests start by priority; the order of arrival is the reverse.  Each
+# stream holds the only slot until it is stopped, so that the stand-in's own
+# count tells who still waits.
 start_fake p engine -o slots=1 -o itl_us=30000 -o base_us=1000
-start first curl -sN "$(port_of p)/v1/completions" \
-	-d '{"model":"m1","stream":true,"x_tokens":30}'
+stream () {
+	start "$1" curl -sN -o "$TMP/$1.txt" "$(port_of p)/v1/completions" \
+		-d "{\"model\":\"m1\",\"stream\":true,\"x_tokens\":1000000,\"priority\":$2}"
+}
+stream first 0
 wait_for 5 running p 1
-for prio in 5 1; do
-	start "prio$prio" curl -sN -o "$TMP/prio$prio.txt" -w '%{time_total}' \
-		"$(port_of p)/v1/completions" \
-		-d "{\"model\":\"m1\",\"x_tokens\":1,\"priority\":$prio}"
-	wait_for 5 waiting p "$((prio == 5 ? 1 : 2))"
-done
+stream prio5 5
+wait_for 5 waiting p 1
+stream prio1 1
+wait_for 5 waiting p 2
+stop first
+wait_for 10 test -s "$TMP/prio1.txt"
+check "priority 1 was served before 5" test "$(seen p waiting)" = 1
+stop prio1
 wait_for 10 test -s "$TMP/prio5.txt"
-check "priority 1 was served before 5" test "$TMP/prio1.txt" -ot "$TMP/prio5.txt"
+check "priority 5 was served then" test "$(seen p waiting)" = 0
+stop prio5
 
 # A caller that leaves while it waits costs nothing: it is seen to be gone when
 # its turn comes.  The stream that it waits for takes three seconds, so that it
 # still runs when the caller arrives on a busy machine.
-start again curl -sN "$(port_of p)/v1/completions" \
+start_fake w engine -o slots=1 -o itl_us=30000 -o base_us=1000
+start again curl -sN "$(port_of w)/v1/completions" \
 	-d '{"model":"m1","stream":true,"x_tokens":100}'
-wait_for 5 running p 1
-start leaver curl -sN "$(port_of p)/v1/completions" \
+wait_for 5 running w 1
+start leaver curl -sN "$(port_of w)/v1/completions" \
 	-d '{"model":"m1","x_tokens":5}'
-wait_for 5 waiting p 1
+wait_for 5 waiting w 1
 stop leaver
 cancelled () {
-	[ "$(seen p cancelled)" -ge 1 ]
+	[ "$(seen w cancelled)" -ge 1 ]
 }
 wait_for 8 cancelled
 
