platform: without a list of client accounts, requests need no key

Seen by callers: after a configuration without client accounts, which is acknowledged, each route that is not public answers 401.

Cause: the relay asked for a key wherever the route is not public; whether the configuration has the list was not kept. The protocol asks for a key only if it does.

Ruled out: refusing such a configuration, as nothing in the protocol calls it invalid.

Change: needs_keys says whether the list is there. An empty list, or a null one, lets nobody in, as before. The config line of relays gives it.

Before: 3 of 10 cases of test_relay_keys get 401; after: all 10 pass, and the endpoint sees neither a key nor a forged account. e2e_relay passes.

--- a/lib/plan.h
+++ b/lib/plan.h
@@ -160,6 +160,7 @@
  *	filled by plan_check()
  * @account_name_bytes: sum over @accounts
  * @duplicate_key: two accounts have one key
+ * @needs_keys: requests need an API key, but for those of public routes
  * @tier_count: highest tier of a route plus one; set by plan_check()
  * @limits: limits on client requests
  */
@@ -173,6 +174,7 @@
 	GHashTable *hosts;
 	size_t account_name_bytes;
 	bool duplicate_key;
+	bool needs_keys;
 	uint32_t tier_count;
 	struct plan_limits limits;
 };
--- a/relayd/front.c
+++ b/relayd/front.c
@@ -148,7 +148,7 @@
 		front_refuse (r, conn, id, 404, 0, "no route");
 		return;
 	}
-	if (!route->public) {
+	if (!route->public && r->plan->needs_keys) {
 		account = plan_account_by_key (r->plan, req->key, req->key_len);
 		if (account == NULL) {
 			front_refuse (r, conn, id, 401, 0, "unknown key");
--- a/relayd/member.c
+++ b/relayd/member.c
@@ -247,9 +247,9 @@
 	log_event (LOG_LV_INFO, "config",
 		   "version=%" G_GUINT64_FORMAT " from=%s leader=%d "
 		   "behind_ms=%" G_GUINT64_FORMAT
-		   " routes=%u services=%u accounts=%u",
+		   " routes=%u services=%u accounts=%u needs_keys=%d",
 		   p->version, m->addr, m->is_leader, behind_ms, p->routes->len,
-		   p->services->len, p->accounts->len);
+		   p->services->len, p->accounts->len, p->needs_keys);
 }
 
 /* Applies a full list, or a delta if it is based on the list in use.  Returns
