relayd, groupd: bytes count as life of a link; one configuration request at a time

Cause: a relay closed a link on which no whole message came for 1.5 s, and asked another member each 0.3 s while the first answer was still arriving. A text that takes longer than that over the relay's link was sent by all members at once, never ended, and began anew on new links; the link stayed full.

Change: a link is silent when no byte came on it, at relays and members. The relay asks one member, and another one only when nothing came on that link for 500 ms, it went down, or it sent four states without the answer. A newer version that is named meanwhile is asked for once the first one is there.

--- a/groupd/groupd.h
+++ b/groupd/groupd.h
@@ -36,7 +36,6 @@
 	struct group *g;
 	char addr[RAFT_NAME_BYTES];
 	struct link *link;
-	uint64_t last_rx_ms;    /* when @link last received a frame */
 	uint64_t last_named_ms; /* when the address was last known to be used */
 };
 
@@ -45,7 +44,6 @@
 	struct link *link;
 	bool is_relay;
 	uint64_t member_id; /* sender of the raft messages on it, 0: none */
-	uint64_t last_rx_ms;
 	uint64_t sent_digest; /* of the endpoint list sent last, 0: none */
 	bool list_requested;  /* the full endpoint list is to be sent */
 	uint64_t loads_sent_ms;
--- a/groupd/peer.c
+++ b/groupd/peer.c
@@ -56,7 +56,7 @@
 		return NULL;
 	m = g_new0 (struct member_link, 1);
 	m->g = g;
-	m->last_rx_ms = m->last_named_ms = tmr_now_ms ();
+	m->last_named_ms = tmr_now_ms ();
 	g_strlcpy (m->addr, addr, sizeof m->addr);
 	g_ptr_array_add (g->members, m);
 	m->link = link_connect (g->d.loop, &g->self, &to, &member_ops, m);
@@ -445,7 +445,6 @@
 	struct member_link *m = ctx;
 
 	(void)l;
-	m->last_rx_ms = tmr_now_ms ();
 	log_event (LOG_LV_INFO, "member-up", "addr=%s", m->addr);
 }
 
@@ -455,7 +454,6 @@
 {
 	struct member_link *m = ctx;
 
-	m->last_rx_ms = tmr_now_ms ();
 	handle_frame (m->g, l, kind, body, len);
 }
 
@@ -480,14 +478,14 @@
 {
 	struct group *g = ctx;
 	struct accepted_link *a = g_new0 (struct accepted_link, 1);
+	uint64_t now_ms = tmr_now_ms ();
 
 	a->link = l;
 	a->is_relay = strcmp (link_peer_role (l), "relay") == 0;
-	a->last_rx_ms = tmr_now_ms ();
 	g_ptr_array_add (g->accepted, a);
-	send_state (g, l, a->last_rx_ms);
+	send_state (g, l, now_ms);
 	if (a->is_relay)
-		group_blame_send_all (g, l, a->last_rx_ms);
+		group_blame_send_all (g, l, now_ms);
 }
 
 static void
@@ -495,10 +493,7 @@
 		void *ctx)
 {
 	struct group *g = ctx;
-	struct accepted_link *a = accepted_find (g, l);
 
-	if (a != NULL)
-		a->last_rx_ms = tmr_now_ms ();
 	handle_frame (g, l, kind, body, len);
 }
 
@@ -563,8 +558,8 @@
 			g_ptr_array_remove_index_fast (g->members, i - 1);
 			member_free (m);
 		} else if (link_is_up (m->link) &&
-			   now_ms > m->last_rx_ms + LINK_TIMEOUT_MS) {
-			m->last_rx_ms = now_ms;
+			   now_ms > link_received_ms (m->link) +
+					    LINK_TIMEOUT_MS) {
 			link_close (m->link, "silent");
 		}
 	}
--- a/lib/link.c
+++ b/lib/link.c
@@ -74,6 +74,7 @@
 	GByteArray *queued;
 	GByteArray *flight;
 	uint64_t bytes_sent;
+	uint64_t received_ms;
 	struct tmr tmr;
 	uint32_t retry_ms;
 	uint32_t busy; /* callbacks on the stack */
@@ -366,6 +367,7 @@
 		link_fail (l, why);
 		return;
 	}
+	l->received_ms = tmr_now_ms ();
 	l->busy++;
 	/* The connection may end, and another begin, inside a callback. */
 	while (!l->dead && l->sock == sock) {
@@ -581,6 +583,12 @@
 	return l->data;
 }
 
+uint64_t
+link_received_ms (const struct link *l)
+{
+	return l->received_ms;
+}
+
 uint64_t
 link_bytes_sent (const struct link *l)
 {
--- a/lib/link.h
+++ b/lib/link.h
@@ -112,6 +112,13 @@
 /** link_close() - drop the connection; a connecting link tries again later */
 void link_close (struct link *l, const char *why);
 
+/**
+ * link_received_ms() - when bytes last arrived, on the clock of tmr_now_ms()
+ *
+ * Part of a frame counts: a large one on a narrow link takes long.
+ */
+uint64_t link_received_ms (const struct link *l);
+
 /** link_bytes_sent() - bytes handed to sockets since the link was made */
 uint64_t link_bytes_sent (const struct link *l);
 
--- a/relayd/member.c
+++ b/relayd/member.c
@@ -7,8 +7,8 @@
 
 #include "relayd.h"
 
-/* A link on which no message arrives for this long is closed, as the peer may
- * be unreachable; members send their state at least every
+/* A link on which no byte arrives for this long is closed, as the peer may be
+ * unreachable; members send their state at least every
  * GROUP_STATE_FOLLOWER_MS.
  */
 #define LINK_SILENCE_MAX_MS 1500
@@ -16,10 +16,18 @@
 /* Connections to an address end once no member named it for this long. */
 #define MEMBER_FORGET_MS 60000
 
-/* A request without an answer is repeated after this time, to another member.
- * Full lists take longer: a member sends them one after the other, so that
+/* The configuration is requested of another member when this long nothing came
+ * on the link of the one that was asked: two answers at a time over one narrow
+ * link are both late. */
+#define CONFIG_STALL_MS 500
+
+/* So many states that a member sent after a request stand for a lost one: it
+ * answers before it sends them. */
+#define CONFIG_STATES_MAX 4
+
+/* A request for the full list without an answer is repeated after this time, to
+ * another member.  A member sends full lists one after the other, so that
  * hundreds of relays that start together are served in a second or two. */
-#define CONFIG_REQUEST_RETRY_MS 300
 #define LIST_REQUEST_RETRY_MS 1200
 
 /* How long to wait for a delta before requesting the full list; it arrives
@@ -73,6 +81,8 @@
 static void
 member_free (struct group_member *m)
 {
+	if (m->r->config_source == m)
+		m->r->config_source = NULL;
 	link_free (m->link);
 	g_free (m);
 }
@@ -178,6 +188,33 @@
 		   is_authoritative (r, m, now_ms));
 }
 
+/* Whether the member that was asked for the configuration may still answer. */
+static bool
+config_is_coming (const struct relay *r, uint64_t now_ms)
+{
+	const struct group_member *m = r->config_source;
+
+	return m != NULL && link_is_up (m->link) &&
+	       r->config_source_states < CONFIG_STATES_MAX &&
+	       now_ms < MAX (r->config_requested_ms,
+			     link_received_ms (m->link)) +
+				CONFIG_STALL_MS;
+}
+
+static void
+request_config (struct relay *r, struct group_member *m, uint64_t now_ms)
+{
+	if (config_is_coming (r, now_ms))
+		return;
+	r->config_source = m;
+	r->config_source_states = 0;
+	r->config_requested_ms = now_ms;
+	send_request (m, true, false);
+	log_event (LOG_LV_INFO, "config-request",
+		   "version=%" G_GUINT64_FORMAT " to=%s", m->config_version,
+		   m->addr);
+}
+
 static void
 on_state (struct relay *r, struct group_member *m, const struct gmsg_state *s)
 {
@@ -204,11 +241,10 @@
 		r->list_read_ms = MAX (r->list_read_ms, m->list_read_ms);
 		r->list_behind_since_ms = 0;
 	}
-	if (s->version > held_version (r) &&
-	    now_ms - r->config_requested_ms > CONFIG_REQUEST_RETRY_MS) {
-		r->config_requested_ms = now_ms;
-		send_request (m, true, false);
-	}
+	if (m == r->config_source)
+		r->config_source_states++;
+	if (s->version > held_version (r))
+		request_config (r, m, now_ms);
 	if (m->list_digest != 0 && m->list_digest != r->list_digest &&
 	    m->list_read_ms > r->list_read_ms)
 		on_newer_list (m, now_ms);
@@ -222,6 +258,8 @@
 	struct err e = {0};
 	struct plan *p;
 
+	if (m == r->config_source)
+		r->config_source = NULL;
 	if (g->version <= held_version (r))
 		return;
 	p = r->dialect->parse_plan ((const char *)g->text.data, g->text.len,
@@ -232,7 +270,6 @@
 	}
 	plan_unref (r->plan);
 	r->plan = p;
-	r->config_requested_ms = 0;
 	if (r->config_behind_since_ms != 0)
 		behind_ms = now_ms - r->config_behind_since_ms;
 	r->config_behind_since_ms = 0;
@@ -374,7 +411,7 @@
 
 		list[i] = (struct loads_member){
 			m->addr, m->is_leader,
-			link_is_up (m->link) ? m->last_frame_ms : 0};
+			link_is_up (m->link) ? link_received_ms (m->link) : 0};
 	}
 	at = loads_choose_member (list, count, now_ms);
 	if (at < count)
@@ -454,7 +491,6 @@
 	} u;
 	bool ok = true;
 
-	m->last_frame_ms = tmr_now_ms ();
 	msgpack_zone_init (&zone, MSGPACK_ZONE_CHUNK_SIZE);
 	if (kind == FRAME_GROUP_STATE) {
 		ok = msg_unpack (gmsg_state_fields, body, len, &u.state, &zone,
@@ -494,7 +530,6 @@
 	struct group_member *m = ctx;
 
 	(void)l;
-	m->last_frame_ms = tmr_now_ms ();
 	log_event (LOG_LV_INFO, "member-up", "addr=%s", m->addr);
 	relay_blame_send_all (m);
 }
@@ -554,8 +589,8 @@
 			g_ptr_array_remove_index_fast (r->members, i - 1);
 			member_free (m);
 		} else if (link_is_up (m->link) &&
-			   now_ms > m->last_frame_ms + LINK_SILENCE_MAX_MS) {
-			m->last_frame_ms = now_ms;
+			   now_ms > link_received_ms (m->link) +
+					    LINK_SILENCE_MAX_MS) {
 			link_close (m->link, "silent");
 		}
 	}
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -160,7 +160,6 @@
 
 /**
  * struct group_member - a member of the group, as its messages describe it
- * @last_frame_ms: when a message arrived last
  * @last_named_ms: when the settings or a member named its address last
  * @hears_leader: it is the leader, or hears from it
  * @is_load_target: this relay reports its loads to it, see
@@ -178,7 +177,6 @@
 	struct relay *r;
 	char addr[RAFT_NAME_BYTES];
 	struct link *link;
-	uint64_t last_frame_ms;
 	uint64_t last_named_ms;
 	bool hears_leader, is_leader;
 	bool is_load_target;
@@ -232,7 +230,9 @@
  * @startup_bytes: sum of the bodies in @startup_queue
  * @waiting: calls that wait for an endpoint, the most urgent first
  * @relay_count: relays that share the endpoints
- * @config_requested_ms: when the configuration was requested last
+ * @config_source: member that the configuration was requested of, or NULL
+ * @config_source_states: states that it sent since
+ * @config_requested_ms: when that was
  * @config_behind_since_ms: when a member named a newer one first; 0: none did
  * @list_behind_since_ms: since when a member has a newer list; 0: none has
  * @list_requested_ms: when a full list was requested; 0: none is awaited
@@ -282,6 +282,8 @@
 	GQueue waiting;
 	uint32_t relay_count;
 	uint64_t started_ms;
+	struct group_member *config_source;
+	uint32_t config_source_states;
 	uint64_t config_requested_ms;
 	uint64_t config_behind_since_ms;
 	uint64_t list_behind_since_ms;
