relayd, groupd: configurations go to relays in compressed chunks

What callers saw: a route that had been added was not served at some relays, or was served by the service of an older version; and the change after a large one was acknowledged two seconds late.

Cause: a text travelled as one message to each relay. A transfer that broke off began anew at byte 0.

Ruled out: that serving many relays costs a leader its term by their work.

Change: relays ask for chunks of 64 kB of text, compressed one by one, 64 kB on the wire ahead, of one member at a time, and go on at their offset at another one (planfetch, plantext). A version is fetched to its end while newer ones come; members keep its text for that. A text that can't be parsed is not fetched again. Members and relays of versions before are answered, and taken, as before.

--- a/groupd/groupd.h
+++ b/groupd/groupd.h
@@ -18,6 +18,7 @@
 #include "h1srv.h"
 #include "link.h"
 #include "loads.h"
+#include "plantext.h"
 #include "raft.h"
 #include "set_daemons.h"
 #include "capacity.h"
@@ -43,7 +44,7 @@
 struct accepted_link {
 	struct link *link;
 	bool is_relay;
-	uint64_t member_id; /* sender of the raft messages on it, 0: none */
+	uint64_t member_id;   /* sender of the raft messages on it, 0: none */
 	uint64_t sent_digest; /* of the endpoint list sent last, 0: none */
 	bool list_requested;  /* the full endpoint list is to be sent */
 	uint64_t loads_sent_ms;
@@ -134,6 +135,7 @@
 	struct loads loads;
 	struct plan *plan; /* parsed configuration of @state, or NULL */
 	struct scaler scaler;
+	struct plantext_store texts; /* configurations that relays fetch */
 	struct blame blame;
 	uint64_t blame_budget_ms; /* when @blame_forwarded was 0 */
 	uint32_t blame_forwarded; /* strikes sent to relays since then */
--- a/lib/frame.c
+++ b/lib/frame.c
@@ -41,6 +41,7 @@
 		[FRAME_GROUP_LOAD] = "group_load",
 		[FRAME_GROUP_OTHERS] = "group_others",
 		[FRAME_GROUP_BLAME] = "group_blame",
+		[FRAME_GROUP_CHUNK] = "group_chunk",
 	};
 
 	return kind < FRAME_KINDS ? names[kind] : NULL;
--- a/lib/frame.h
+++ b/lib/frame.h
@@ -63,6 +63,7 @@
 	FRAME_GROUP_LOAD = 36,   /* relay to leader */
 	FRAME_GROUP_OTHERS = 37, /* leader to relay */
 	FRAME_GROUP_BLAME = 38,  /* both ways */
+	FRAME_GROUP_CHUNK = 39,
 };
 
 /** FRAME_KINDS - every kind is a lower number */
--- a/lib/gmsg.c
+++ b/lib/gmsg.c
@@ -38,6 +38,9 @@
 	MSG_FIELD (1, MSG_BOOL, struct gmsg_request, plan),
 	MSG_FIELD (2, MSG_BOOL, struct gmsg_request, list_subscribe),
 	MSG_FIELD (3, MSG_BOOL, struct gmsg_request, list_unsubscribe),
+	MSG_FIELD (4, MSG_BOOL, struct gmsg_request, chunked),
+	MSG_FIELD (5, MSG_U64, struct gmsg_request, version),
+	MSG_FIELD (6, MSG_U32, struct gmsg_request, offset),
 	MSG_FIELD_END,
 };
 
--- a/lib/gmsg.h
+++ b/lib/gmsg.h
@@ -74,11 +74,20 @@
  * @plan: send the configuration
  * @list_subscribe: send the full endpoint list, and deltas from then on
  * @list_unsubscribe: send no more deltas; another member sends them
+ * @chunked: with @plan: send the chunk of the configuration's text that starts
+ *at
+ *	@offset, in place of the whole text in one message.  Members of older
+ *	versions send that.
+ * @version: version of that text; 0: the newest
+ * @offset: see above
  */
 struct gmsg_request {
 	bool plan;
 	bool list_subscribe;
 	bool list_unsubscribe;
+	bool chunked;
+	uint64_t version;
+	uint32_t offset;
 };
 
 /**
--- /dev/null
+++ b/relayd/config.c
@@ -0,0 +1,219 @@
+/*
+ * The configuration: which member its text is fetched from, and what changes
+ * when a newer one is taken into use.
+ */
+#include "relayd.h"
+
+static uint64_t
+held_version (const struct relay *r)
+{
+	return r->plan != NULL ? r->plan->version : 0;
+}
+
+static bool
+is_wanted (const struct relay *r, uint64_t version)
+{
+	return version > held_version (r) &&
+	       version != r->config.unusable_version;
+}
+
+/* Sends what may be requested of the member that is the source. */
+static void
+send_requests (struct relay *r, struct group_member *m)
+{
+	struct gmsg_request a = {.plan = true, .chunked = true};
+
+	while (planfetch_next (&r->config.fetch, &a.version, &a.offset)) {
+		r->config.requests++;
+		link_send (m->link, FRAME_GROUP_ASK, gmsg_request_fields, &a);
+	}
+}
+
+static const struct group_member *
+source_of (const struct relay *r)
+{
+	return r->config.fetch.source;
+}
+
+static bool
+is_coming (const struct relay *r, uint64_t now_ms)
+{
+	const struct group_member *m = source_of (r);
+	uint64_t received_ms = 0;
+
+	if (m != NULL && link_is_up (m->link))
+		received_ms = link_received_ms (m->link);
+	return planfetch_is_coming (&r->config.fetch, received_ms, now_ms);
+}
+
+static void
+ask (struct relay *r, struct group_member *m, uint64_t now_ms)
+{
+	const struct planfetch *f = &r->config.fetch;
+
+	planfetch_ask (&r->config.fetch, m, now_ms);
+	log_event (LOG_LV_INFO, "config-request",
+		   "newer=%" G_GUINT64_FORMAT
+		   " to=%s version=%" G_GUINT64_FORMAT
+		   " offset=%u of=%u stall_ms=%u",
+		   m->config_version, m->addr, f->version, f->text->len,
+		   f->text_bytes, f->stall_ms);
+	send_requests (r, m);
+}
+
+/* Asks a member that holds a newer configuration, another one than the last
+ * where there is one.  Relays begin at different members, so that the load of
+ * a transfer that many of them lost is spread. */
+static void
+ask_any (struct relay *r, uint64_t now_ms)
+{
+	const struct group_member *last = source_of (r);
+	struct group_member *found = NULL;
+
+	for (guint i = 0; i < r->members->len; i++) {
+		struct group_member *m = g_ptr_array_index (
+			r->members, (r->name_hash + i) % r->members->len);
+
+		if (!link_is_up (m->link) ||
+		    !is_wanted (r, m->config_version) ||
+		    !member_is_authoritative (r, m, now_ms))
+			continue;
+		found = m;
+		if (m != last)
+			break;
+	}
+	if (found != NULL)
+		ask (r, found, now_ms);
+}
+
+void
+config_note_state (struct relay *r, struct group_member *m, uint64_t now_ms)
+{
+	bool believed = member_is_authoritative (r, m, now_ms);
+
+	planfetch_note_state (&r->config.fetch, m);
+	if (!is_wanted (r, m->config_version))
+		return;
+	if (r->config.behind_since_ms == 0) {
+		r->config.behind_since_ms = now_ms;
+		log_event (LOG_LV_INFO, "config-behind",
+			   "version=%" G_GUINT64_FORMAT
+			   " newer=%" G_GUINT64_FORMAT " from=%s believed=%d",
+			   held_version (r), m->config_version, m->addr,
+			   believed);
+	}
+	if (believed && source_of (r) == NULL)
+		ask (r, m, now_ms);
+}
+
+void
+config_tick (struct relay *r, uint64_t now_ms)
+{
+	if (source_of (r) != NULL && !is_coming (r, now_ms))
+		ask_any (r, now_ms);
+}
+
+void
+config_member_down (struct relay *r, struct group_member *m)
+{
+	if (source_of (r) != m)
+		return;
+	planfetch_drop_source (&r->config.fetch, m);
+	ask_any (r, tmr_now_ms ());
+}
+
+static void
+apply_limits (struct relay *r, const struct plan *p)
+{
+	if (p->limits.max_header_bytes > 0)
+		r->front.limits.max_header_bytes = p->limits.max_header_bytes;
+	if (p->limits.max_body_bytes > 0)
+		r->front.limits.max_body_bytes = p->limits.max_body_bytes;
+	if (p->limits.header_timeout_ms > 0)
+		r->front.limits.header_timeout_ms = p->limits.header_timeout_ms;
+	if (p->limits.idle_timeout_ms > 0)
+		r->front.limits.idle_timeout_ms = p->limits.idle_timeout_ms;
+}
+
+/* Takes the text of a version into use, and asks for a newer one if a member
+ * has named it meanwhile. */
+static void
+use_text (struct relay *r, const struct group_member *m, uint64_t version,
+	  const char *text, size_t len)
+{
+	uint64_t now_ms = tmr_now_ms (), behind_ms = 0;
+	struct err e = {0};
+	struct plan *p = r->dialect->parse_plan (text, len, &e);
+
+	if (p == NULL) {
+		r->config.unusable_version = version;
+		log_event (LOG_LV_ERROR, "config", "why=\"%s\"", e.msg);
+		return;
+	}
+	plan_unref (r->plan);
+	r->plan = p;
+	apply_limits (r, p);
+	if (r->config.behind_since_ms != 0)
+		behind_ms = now_ms - r->config.behind_since_ms;
+	r->config.behind_since_ms = 0;
+	log_event (LOG_LV_INFO, "config",
+		   "version=%" G_GUINT64_FORMAT " from=%s leader=%d "
+		   "behind_ms=%" G_GUINT64_FORMAT " bytes=%u"
+		   " routes=%u services=%u accounts=%u needs_keys=%d",
+		   p->version, m->addr, m->is_leader, behind_ms, (unsigned)len,
+		   p->routes->len, p->services->len, p->accounts->len,
+		   p->needs_keys);
+}
+
+void
+config_receive_whole (struct relay *r, struct group_member *m,
+		      const struct gmsg_plan *g)
+{
+	r->config.wire_bytes += g->text.len;
+	if (!is_wanted (r, g->version))
+		return;
+	use_text (r, m, g->version, (const char *)g->text.data, g->text.len);
+	planfetch_reset (&r->config.fetch);
+	ask_any (r, tmr_now_ms ());
+}
+
+void
+config_receive_chunk (struct relay *r, struct group_member *m,
+		      const struct plantext_chunk *c, uint32_t wire_bytes)
+{
+	struct planfetch *f = &r->config.fetch;
+	struct err e = {0};
+
+	r->config.wire_bytes += wire_bytes;
+	switch (planfetch_receive (f, m, c, held_version (r), wire_bytes,
+				   tmr_now_ms (), &e)) {
+	case PLANFETCH_IGNORED:
+		break;
+	case PLANFETCH_MORE:
+		if (source_of (r) == m)
+			send_requests (r, m);
+		break;
+	case PLANFETCH_WHOLE:
+		use_text (r, m, f->version, (const char *)f->text->data,
+			  f->text->len);
+		planfetch_reset (f);
+		ask_any (r, tmr_now_ms ());
+		break;
+	case PLANFETCH_BROKEN:
+		log_event (LOG_LV_ERROR, "config-chunk", "from=%s why=\"%s\"",
+			   m->addr, e.msg);
+		break;
+	}
+}
+
+void
+config_init (struct relay *r)
+{
+	planfetch_init (&r->config.fetch);
+}
+
+void
+config_finish (struct relay *r)
+{
+	planfetch_finish (&r->config.fetch);
+}
--- a/relayd/member.c
+++ b/relayd/member.c
@@ -16,15 +16,6 @@
 /* Connections to an address end once no member named it for this long. */
 #define MEMBER_FORGET_MS 60000
 
-/* The configuration is requested of another member when this long nothing came
- * on the link of the one that was asked: two answers at a time over one narrow
- * link are both late. */
-#define CONFIG_STALL_MS 500
-
-/* So many states that a member sent after a request stand for a lost one: it
- * answers before it sends them. */
-#define CONFIG_STATES_MAX 4
-
 /* A request for the full list without an answer is repeated after this time, to
  * another member.  A member sends full lists one after the other, so that
  * hundreds of relays that start together are served in a second or two. */
@@ -81,8 +72,7 @@
 static void
 member_free (struct group_member *m)
 {
-	if (m->r->config_source == m)
-		m->r->config_source = NULL;
+	planfetch_drop_source (&m->r->config.fetch, m);
 	link_free (m->link);
 	g_free (m);
 }
@@ -102,11 +92,9 @@
 	}
 }
 
-/* Whether configuration and list of a member may be applied, see
- * MEMBER_NO_LEADER_WAIT_MS. */
-static bool
-is_authoritative (struct relay *r, const struct group_member *m,
-		  uint64_t now_ms)
+bool
+member_is_authoritative (const struct relay *r, const struct group_member *m,
+			 uint64_t now_ms)
 {
 	if (m->hears_leader ||
 	    now_ms - r->started_ms > MEMBER_NO_LEADER_WAIT_MS)
@@ -115,9 +103,9 @@
 }
 
 static void
-send_request (struct group_member *m, bool plan, bool list)
+send_list_request (struct group_member *m)
 {
-	struct gmsg_request a = {.plan = plan, .list_subscribe = list};
+	struct gmsg_request a = {.list_subscribe = true};
 
 	link_send (m->link, FRAME_GROUP_ASK, gmsg_request_fields, &a);
 }
@@ -130,7 +118,7 @@
 	if (now_ms < r->list_requested_ms + LIST_REQUEST_RETRY_MS)
 		return;
 	r->list_requested_ms = now_ms;
-	send_request (m, false, true);
+	send_list_request (m);
 }
 
 /* A member has a newer list.  The delta may be on its way from the member that
@@ -167,54 +155,6 @@
 		   s->drained.count);
 }
 
-static uint64_t
-held_version (const struct relay *r)
-{
-	return r->plan != NULL ? r->plan->version : 0;
-}
-
-/* A member holds a newer configuration than this relay. */
-static void
-note_version (struct relay *r, const struct group_member *m, uint64_t now_ms)
-{
-	if (m->config_version <= held_version (r) ||
-	    r->config_behind_since_ms != 0)
-		return;
-	r->config_behind_since_ms = now_ms;
-	log_event (LOG_LV_INFO, "config-behind",
-		   "version=%" G_GUINT64_FORMAT " newer=%" G_GUINT64_FORMAT
-		   " from=%s believed=%d",
-		   held_version (r), m->config_version, m->addr,
-		   is_authoritative (r, m, now_ms));
-}
-
-/* Whether the member that was asked for the configuration may still answer. */
-static bool
-config_is_coming (const struct relay *r, uint64_t now_ms)
-{
-	const struct group_member *m = r->config_source;
-
-	return m != NULL && link_is_up (m->link) &&
-	       r->config_source_states < CONFIG_STATES_MAX &&
-	       now_ms < MAX (r->config_requested_ms,
-			     link_received_ms (m->link)) +
-				CONFIG_STALL_MS;
-}
-
-static void
-request_config (struct relay *r, struct group_member *m, uint64_t now_ms)
-{
-	if (config_is_coming (r, now_ms))
-		return;
-	r->config_source = m;
-	r->config_source_states = 0;
-	r->config_requested_ms = now_ms;
-	send_request (m, true, false);
-	log_event (LOG_LV_INFO, "config-request",
-		   "version=%" G_GUINT64_FORMAT " to=%s", m->config_version,
-		   m->addr);
-}
-
 static void
 on_state (struct relay *r, struct group_member *m, const struct gmsg_state *s)
 {
@@ -234,61 +174,18 @@
 	for (uint32_t i = 0; i < s->members.count; i++)
 		member_get (r, a[i].addr);
 	apply_drains (r, s);
-	note_version (r, m, now_ms);
-	if (!is_authoritative (r, m, now_ms))
+	config_note_state (r, m, now_ms);
+	if (!member_is_authoritative (r, m, now_ms))
 		return;
 	if (m->list_digest != 0 && m->list_digest == r->list_digest) {
 		r->list_read_ms = MAX (r->list_read_ms, m->list_read_ms);
 		r->list_behind_since_ms = 0;
 	}
-	if (m == r->config_source)
-		r->config_source_states++;
-	if (s->version > held_version (r))
-		request_config (r, m, now_ms);
 	if (m->list_digest != 0 && m->list_digest != r->list_digest &&
 	    m->list_read_ms > r->list_read_ms)
 		on_newer_list (m, now_ms);
 }
 
-static void
-on_config (struct relay *r, const struct group_member *m,
-	   const struct gmsg_plan *g)
-{
-	uint64_t now_ms = tmr_now_ms (), behind_ms = 0;
-	struct err e = {0};
-	struct plan *p;
-
-	if (m == r->config_source)
-		r->config_source = NULL;
-	if (g->version <= held_version (r))
-		return;
-	p = r->dialect->parse_plan ((const char *)g->text.data, g->text.len,
-				    &e);
-	if (p == NULL) {
-		log_event (LOG_LV_ERROR, "config", "why=\"%s\"", e.msg);
-		return;
-	}
-	plan_unref (r->plan);
-	r->plan = p;
-	if (r->config_behind_since_ms != 0)
-		behind_ms = now_ms - r->config_behind_since_ms;
-	r->config_behind_since_ms = 0;
-	if (p->limits.max_header_bytes > 0)
-		r->front.limits.max_header_bytes = p->limits.max_header_bytes;
-	if (p->limits.max_body_bytes > 0)
-		r->front.limits.max_body_bytes = p->limits.max_body_bytes;
-	if (p->limits.header_timeout_ms > 0)
-		r->front.limits.header_timeout_ms = p->limits.header_timeout_ms;
-	if (p->limits.idle_timeout_ms > 0)
-		r->front.limits.idle_timeout_ms = p->limits.idle_timeout_ms;
-	log_event (LOG_LV_INFO, "config",
-		   "version=%" G_GUINT64_FORMAT " from=%s leader=%d "
-		   "behind_ms=%" G_GUINT64_FORMAT
-		   " routes=%u services=%u accounts=%u needs_keys=%d",
-		   p->version, m->addr, m->is_leader, behind_ms, p->routes->len,
-		   p->services->len, p->accounts->len, p->needs_keys);
-}
-
 /* Applies a full list, or a delta if it is based on the list in use.  Returns
  * whether the list in use is now the one that was sent. */
 static bool
@@ -323,7 +220,7 @@
 		return;
 	}
 	if (read_ms <= r->list_read_ms || g->age_ms > LIST_MAX_AGE_MS ||
-	    !is_authoritative (r, m, now_ms))
+	    !member_is_authoritative (r, m, now_ms))
 		return;
 	applied = apply_list (r, g, now_ms);
 	if (applied || g->base_digest == r->list_digest) {
@@ -485,6 +382,7 @@
 	union {
 		struct gmsg_state state;
 		struct gmsg_plan plan;
+		struct plantext_chunk chunk;
 		struct gmsg_list list;
 		struct loads_msg loads;
 		struct gmsg_blame blame;
@@ -501,7 +399,12 @@
 		ok = msg_unpack (gmsg_plan_fields, body, len, &u.plan, &zone,
 				 &e);
 		if (ok)
-			on_config (m->r, m, &u.plan);
+			config_receive_whole (m->r, m, &u.plan);
+	} else if (kind == FRAME_GROUP_CHUNK) {
+		ok = msg_unpack (plantext_chunk_fields, body, len, &u.chunk,
+				 &zone, &e);
+		if (ok)
+			config_receive_chunk (m->r, m, &u.chunk, (uint32_t)len);
 	} else if (kind == FRAME_GROUP_LIST) {
 		ok = msg_unpack (gmsg_list_fields, body, len, &u.list, &zone,
 				 &e);
@@ -547,6 +450,7 @@
 	m->r->list_requested_ms = 0; /* the request may have been sent to it */
 	log_event (LOG_LV_INFO, "member-down", "addr=%s why=\"%s\"", m->addr,
 		   why);
+	config_member_down (m->r, m);
 }
 
 static const struct link_ops member_ops = {
@@ -559,6 +463,7 @@
 member_init (struct relay *r)
 {
 	r->members = g_ptr_array_new ();
+	config_init (r);
 	r->unreported_segments =
 		g_array_new (FALSE, FALSE, sizeof (struct load_segment));
 	connect_seeds (r);
@@ -570,6 +475,7 @@
 	for (guint i = 0; i < r->members->len; i++)
 		member_free (g_ptr_array_index (r->members, i));
 	g_ptr_array_free (r->members, TRUE);
+	config_finish (r);
 	g_array_free (r->unreported_segments, TRUE);
 }
 
@@ -579,6 +485,7 @@
 	uint32_t relays = 0;
 
 	connect_seeds (r);
+	config_tick (r, now_ms);
 	report_load (r, now_ms);
 	for (guint i = r->members->len; i > 0; i--) {
 		struct group_member *m = g_ptr_array_index (r->members, i - 1);
--- a/relayd/metrics.c
+++ b/relayd/metrics.c
@@ -37,6 +37,9 @@
 		       fleet_ready_count (&r->fleet, now_ms));
 	print_counter (out, "list_age_ms", now_ms - r->list_read_ms);
 	print_counter (out, "version", r->plan != NULL ? r->plan->version : 0);
+	print_counter (out, "config_requests_total", r->config.requests);
+	print_counter (out, "config_received_bytes_total",
+		       r->config.wire_bytes);
 	frame_print_sent ("dh_relay_sent_bytes_total", r->sent_bytes, out);
 	hist_print (&s->first_byte_us, "dh_relay_first_byte_seconds", "", 1e6,
 		    out);
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -23,6 +23,7 @@
 #include "loads.h"
 #include "place.h"
 #include "plan.h"
+#include "planfetch.h"
 #include "set_daemons.h"
 #include "rbudget.h"
 #include "stopplan.h"
@@ -189,6 +190,22 @@
 	uint64_t usage_sent_ms;
 };
 
+/**
+ * struct config_news - newer configurations, and the transfer of one
+ * @fetch: the transfer
+ * @behind_since_ms: when a member named a newer one first; 0: none did
+ * @unusable_version: version whose text can't be parsed here
+ * @requests: chunks that were requested
+ * @wire_bytes: bytes of chunks and whole texts that arrived
+ */
+struct config_news {
+	struct planfetch fetch;
+	uint64_t behind_since_ms;
+	uint64_t unusable_version;
+	uint64_t requests;
+	uint64_t wire_bytes;
+};
+
 /**
  * struct relay_stats - counters since the start
  * @passed_on: unsuccessful answers of endpoints that were forwarded
@@ -230,10 +247,7 @@
  * @startup_bytes: sum of the bodies in @startup_queue
  * @waiting: calls that wait for an endpoint, the most urgent first
  * @relay_count: relays that share the endpoints
- * @config_source: member that the configuration was requested of, or NULL
- * @config_source_states: states that it sent since
- * @config_requested_ms: when that was
- * @config_behind_since_ms: when a member named a newer one first; 0: none did
+ * @config: what is known of newer configurations
  * @list_behind_since_ms: since when a member has a newer list; 0: none has
  * @list_requested_ms: when a full list was requested; 0: none is awaited
  * @prefill_total_ms: prefill time requested of engines since the start
@@ -282,10 +296,7 @@
 	GQueue waiting;
 	uint32_t relay_count;
 	uint64_t started_ms;
-	struct group_member *config_source;
-	uint32_t config_source_states;
-	uint64_t config_requested_ms;
-	uint64_t config_behind_since_ms;
+	struct config_news config;
 	uint64_t list_behind_since_ms;
 	uint64_t list_requested_ms;
 	double prefill_total_ms;
@@ -493,6 +504,34 @@
 void member_finish (struct relay *r);
 void member_tick (struct relay *r, uint64_t now_ms);
 
+/** member_is_authoritative() - whether configuration and list of a member may
+ * be applied, see MEMBER_NO_LEADER_WAIT_MS */
+bool member_is_authoritative (const struct relay *r,
+			      const struct group_member *m, uint64_t now_ms);
+
+/* config.c: the configuration, fetched from the members */
+void config_init (struct relay *r);
+void config_finish (struct relay *r);
+
+/** config_note_state() - a member's state arrived and is noted in @m */
+void config_note_state (struct relay *r, struct group_member *m,
+			uint64_t now_ms);
+
+/** config_member_down() - the link to @m ended */
+void config_member_down (struct relay *r, struct group_member *m);
+
+/** config_receive_whole() - take a text that a member of an older version sent
+ * in one message */
+void config_receive_whole (struct relay *r, struct group_member *m,
+			   const struct gmsg_plan *g);
+
+/** config_receive_chunk() - take a part of a text; its frame had @wire_bytes */
+void config_receive_chunk (struct relay *r, struct group_member *m,
+			   const struct plantext_chunk *c, uint32_t wire_bytes);
+
+/** config_tick() - ask another member where nothing comes from the first */
+void config_tick (struct relay *r, uint64_t now_ms);
+
 /* usage.c: usage of client accounts, reported to the group */
 void usage_init (struct relay *r);
 void usage_finish (struct relay *r);
