relayd: the full endpoint list is requested of one member at a time

What callers would see: a relay that starts behind a narrow link isn't ready for long, at the size that is planned for.

Ruled out: links closed as silent, which bytes as life has ended before; the list's size itself (4,700 endpoints are 184 kB).

Change: lib/source holds which member was asked and when another one is; configurations and lists share it.

The stand-in fake-narrow charged bytes sent without a limit to the time after it; corrected.

Conclusion: the list costs its bytes once; it is still one message, not compressed, and not continued after a reset.

--- a/fakes/fetchers.c
+++ b/fakes/fetchers.c
@@ -59,7 +59,7 @@
 send_requests (struct fetcher *f)
 {
 	struct gmsg_request a = {.plan = true, .chunked = true};
-	const struct peer *p = f->fetch.source;
+	const struct peer *p = f->fetch.source.peer;
 
 	while (planfetch_next (&f->fetch, &a.version, &a.offset))
 		link_send (p->link, FRAME_GROUP_ASK, gmsg_request_fields, &a);
@@ -71,7 +71,8 @@
 	struct fetcher *f = p->f;
 	struct gmsg_request whole = {.plan = true};
 
-	if (s->version <= f->version || f->waits || f->fetch.source != NULL)
+	if (s->version <= f->version || f->waits ||
+	    f->fetch.source.peer != NULL)
 		return;
 	if (f->all->whole != 0) {
 		f->waits = link_send (p->link, FRAME_GROUP_ASK,
@@ -146,7 +147,7 @@
 	(void)l;
 	(void)why;
 	p->f->waits = false;
-	planfetch_drop_source (&p->f->fetch, p);
+	source_drop (&p->f->fetch.source, p);
 }
 
 static const struct link_ops ops = {on_up, on_frame, on_down};
--- a/fakes/narrow.c
+++ b/fakes/narrow.c
@@ -133,7 +133,8 @@
 		if (part > 0 && !to->ended)
 			sio_write (&to->io, data, part);
 		if (1 - i == 0) {
-			p->dialer->credit_bytes -= (double)part;
+			if (p->door->n->rate_bytes_per_s > 0)
+				p->dialer->credit_bytes -= (double)part;
 			p->dialer->bytes += part;
 			p->bytes += part;
 		}
--- a/lib/planfetch.c
+++ b/lib/planfetch.c
@@ -10,7 +10,7 @@
 {
 	memset (f, 0, sizeof *f);
 	f->text = g_byte_array_new ();
-	f->stall_ms = PLANFETCH_STALL_MS;
+	source_init (&f->source);
 }
 
 void
@@ -26,24 +26,11 @@
 	planfetch_init (f);
 }
 
-bool
-planfetch_is_coming (const struct planfetch *f, uint64_t received_ms,
-		     uint64_t now_ms)
-{
-	return f->source != NULL && received_ms != 0 &&
-	       f->states < PLANFETCH_STATES_MAX &&
-	       now_ms < MAX (f->asked_ms, received_ms) + f->stall_ms;
-}
-
 void
-planfetch_ask (struct planfetch *f, const void *source, uint64_t now_ms)
+planfetch_ask (struct planfetch *f, const void *peer, uint64_t now_ms)
 {
-	if (f->source != NULL)
-		f->stall_ms = MIN (f->stall_ms * 2, PLANFETCH_STALL_MAX_MS);
-	f->source = source;
+	source_ask (&f->source, peer, now_ms);
 	f->asked_to = f->text->len;
-	f->asked_ms = now_ms;
-	f->states = 0;
 }
 
 bool
@@ -52,7 +39,7 @@
 	uint32_t under_way = f->asked_to - f->text->len;
 	uint32_t window = 1;
 
-	if (f->source == NULL)
+	if (f->source.peer == NULL)
 		return false;
 	if (f->version != 0) {
 		if (f->asked_to >= f->text_bytes)
@@ -68,20 +55,6 @@
 	return true;
 }
 
-void
-planfetch_note_state (struct planfetch *f, const void *from)
-{
-	if (from == f->source)
-		f->states++;
-}
-
-void
-planfetch_drop_source (struct planfetch *f, const void *source)
-{
-	if (f->source == source)
-		f->source = NULL;
-}
-
 static bool
 is_sound (const struct plantext_chunk *c)
 {
@@ -130,11 +103,7 @@
 	}
 	f->asked_to = MAX (f->asked_to, f->text->len);
 	f->wire_bytes = wire_bytes;
-	f->stall_ms = PLANFETCH_STALL_MS;
-	if (from == f->source) {
-		f->asked_ms = now_ms;
-		f->states = 0;
-	}
+	source_progress (&f->source, from, now_ms);
 	if (f->text->len < f->text_bytes)
 		return PLANFETCH_MORE;
 	if (plantext_digest (f->text->data, f->text->len) == f->digest)
--- a/relayd/config.c
+++ b/relayd/config.c
@@ -32,18 +32,7 @@
 static const struct group_member *
 source_of (const struct relay *r)
 {
-	return r->config.fetch.source;
-}
-
-static bool
-is_coming (const struct relay *r, uint64_t now_ms)
-{
-	const struct group_member *m = source_of (r);
-	uint64_t received_ms = 0;
-
-	if (m != NULL && link_is_up (m->link))
-		received_ms = link_received_ms (m->link);
-	return planfetch_is_coming (&r->config.fetch, received_ms, now_ms);
+	return r->config.fetch.source.peer;
 }
 
 static void
@@ -57,7 +46,7 @@
 		   " to=%s version=%" G_GUINT64_FORMAT
 		   " offset=%u of=%u stall_ms=%u",
 		   m->config_version, m->addr, f->version, f->text->len,
-		   f->text_bytes, f->stall_ms);
+		   f->text_bytes, f->source.stall_ms);
 	send_requests (r, m);
 }
 
@@ -91,7 +80,7 @@
 {
 	bool believed = member_is_authoritative (r, m, now_ms);
 
-	planfetch_note_state (&r->config.fetch, m);
+	source_note_state (&r->config.fetch.source, m);
 	if (!is_wanted (r, m->config_version))
 		return;
 	if (r->config.behind_since_ms == 0) {
@@ -109,7 +98,8 @@
 void
 config_tick (struct relay *r, uint64_t now_ms)
 {
-	if (source_of (r) != NULL && !is_coming (r, now_ms))
+	if (source_of (r) != NULL &&
+	    !member_is_answering (&r->config.fetch.source, now_ms))
 		ask_any (r, now_ms);
 }
 
@@ -118,7 +108,7 @@
 {
 	if (source_of (r) != m)
 		return;
-	planfetch_drop_source (&r->config.fetch, m);
+	source_drop (&r->config.fetch.source, m);
 	ask_any (r, tmr_now_ms ());
 }
 
--- a/relayd/member.c
+++ b/relayd/member.c
@@ -16,11 +16,6 @@
 /* Connections to an address end once no member named it for this long. */
 #define MEMBER_FORGET_MS 60000
 
-/* A request for the full list without an answer is repeated after this time, to
- * another member.  A member sends full lists one after the other, so that
- * hundreds of relays that start together are served in a second or two. */
-#define LIST_REQUEST_RETRY_MS 1200
-
 /* How long to wait for a delta before requesting the full list; it arrives
  * within some milliseconds of the state that announces the newer list. */
 #define DELTA_WAIT_MS 200
@@ -72,7 +67,8 @@
 static void
 member_free (struct group_member *m)
 {
-	planfetch_drop_source (&m->r->config.fetch, m);
+	source_drop (&m->r->config.fetch.source, m);
+	source_drop (&m->r->list_source, m);
 	link_free (m->link);
 	g_free (m);
 }
@@ -92,6 +88,17 @@
 	}
 }
 
+bool
+member_is_answering (const struct source *s, uint64_t now_ms)
+{
+	const struct group_member *m = s->peer;
+
+	return m != NULL &&
+	       source_is_answering (
+		       s, link_is_up (m->link) ? link_received_ms (m->link) : 0,
+		       now_ms);
+}
+
 bool
 member_is_authoritative (const struct relay *r, const struct group_member *m,
 			 uint64_t now_ms)
@@ -115,9 +122,9 @@
 {
 	struct relay *r = m->r;
 
-	if (now_ms < r->list_requested_ms + LIST_REQUEST_RETRY_MS)
+	if (member_is_answering (&r->list_source, now_ms))
 		return;
-	r->list_requested_ms = now_ms;
+	source_ask (&r->list_source, m, now_ms);
 	send_list_request (m);
 }
 
@@ -175,6 +182,7 @@
 		member_get (r, a[i].addr);
 	apply_drains (r, s);
 	config_note_state (r, m, now_ms);
+	source_note_state (&r->list_source, m);
 	if (!member_is_authoritative (r, m, now_ms))
 		return;
 	if (m->list_digest != 0 && m->list_digest == r->list_digest) {
@@ -211,6 +219,8 @@
 	uint64_t read_ms = now_ms - MIN (g->age_ms, now_ms);
 	bool applied;
 
+	if (g->base_digest == 0 && m == r->list_source.peer)
+		source_init (&r->list_source);
 	if (g->digest == r->list_digest) {
 		struct gmsg_request a = {.list_unsubscribe = true};
 
@@ -235,7 +245,8 @@
 		   fleet_ready_count (&r->fleet, now_ms));
 	if (applied) {
 		r->list_read_ms = read_ms;
-		r->list_requested_ms = r->list_behind_since_ms = 0;
+		r->list_behind_since_ms = 0;
+		source_init (&r->list_source);
 	} else {
 		request_list (m, now_ms);
 	}
@@ -447,7 +458,7 @@
 	m->clock_offset_ms = 0;
 	m->usage_sent_change = 0;
 	m->is_load_target = false;
-	m->r->list_requested_ms = 0; /* the request may have been sent to it */
+	source_drop (&m->r->list_source, m);
 	log_event (LOG_LV_INFO, "member-down", "addr=%s why=\"%s\"", m->addr,
 		   why);
 	config_member_down (m->r, m);
@@ -463,6 +474,7 @@
 member_init (struct relay *r)
 {
 	r->members = g_ptr_array_new ();
+	source_init (&r->list_source);
 	config_init (r);
 	r->unreported_segments =
 		g_array_new (FALSE, FALSE, sizeof (struct load_segment));
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -249,7 +249,7 @@
  * @relay_count: relays that share the endpoints
  * @config: what is known of newer configurations
  * @list_behind_since_ms: since when a member has a newer list; 0: none has
- * @list_requested_ms: when a full list was requested; 0: none is awaited
+ * @list_source: member that the full list was requested of
  * @prefill_total_ms: prefill time requested of engines since the start
  * @unreported_segments: of struct load_segment, not yet reported
  * @load_changed: the load changed since the last report
@@ -298,7 +298,7 @@
 	uint64_t started_ms;
 	struct config_news config;
 	uint64_t list_behind_since_ms;
-	uint64_t list_requested_ms;
+	struct source list_source;
 	double prefill_total_ms;
 	GArray *unreported_segments;
 	bool load_changed;
@@ -509,6 +509,9 @@
 bool member_is_authoritative (const struct relay *r,
 			      const struct group_member *m, uint64_t now_ms);
 
+/** member_is_answering() - source_is_answering() for a member of the group */
+bool member_is_answering (const struct source *s, uint64_t now_ms);
+
 /* config.c: the configuration, fetched from the members */
 void config_init (struct relay *r);
 void config_finish (struct relay *r);
--- a/tests/test_planfetch.c
+++ b/tests/test_planfetch.c
@@ -79,7 +79,7 @@
 static void
 send_requests (struct world *w)
 {
-	struct member *m = (struct member *)w->f.source;
+	struct member *m = (struct member *)w->f.source.peer;
 	struct asked a;
 
 	while (planfetch_next (&w->f, &a.version, &a.offset))
@@ -113,7 +113,7 @@
 					       &c));
 	w->moved += c.data.len;
 	got = planfetch_receive (&w->f, m, &c, 0, c.data.len, w->now_ms, &e);
-	if (got == PLANFETCH_MORE && w->f.source == m)
+	if (got == PLANFETCH_MORE && w->f.source.peer == m)
 		send_requests (w);
 	return got;
 }
@@ -184,17 +184,20 @@
 	ask (&w, 0);
 	for (int i = 0; i < 9; i++)
 		answer (&w, 0);
-	CU_ASSERT (planfetch_is_coming (&w.f, w.now_ms, w.now_ms + 499));
-	CU_ASSERT (!planfetch_is_coming (&w.f, w.now_ms, w.now_ms + 500));
+	CU_ASSERT (source_is_answering (&w.f.source, w.now_ms, w.now_ms + 499));
+	CU_ASSERT (
+		!source_is_answering (&w.f.source, w.now_ms, w.now_ms + 500));
 	/* Bytes of other messages count. */
-	CU_ASSERT (planfetch_is_coming (&w.f, w.now_ms + 400, w.now_ms + 800));
-	CU_ASSERT (!planfetch_is_coming (&w.f, 0, w.now_ms)); /* link down */
+	CU_ASSERT (source_is_answering (&w.f.source, w.now_ms + 400,
+					w.now_ms + 800));
+	CU_ASSERT (!source_is_answering (&w.f.source, 0,
+					 w.now_ms)); /* link down */
 	w.now_ms += 500;
 	ask (&w, 1);
-	CU_ASSERT (w.f.stall_ms == 2 * PLANFETCH_STALL_MS);
+	CU_ASSERT (w.f.source.stall_ms == 2 * SOURCE_STALL_MS);
 	/* The late answer counts, and that of the second one is left out. */
 	CU_ASSERT (answer (&w, 0) == PLANFETCH_MORE);
-	CU_ASSERT (w.f.stall_ms == PLANFETCH_STALL_MS);
+	CU_ASSERT (w.f.source.stall_ms == SOURCE_STALL_MS);
 	CU_ASSERT (answer (&w, 1) == PLANFETCH_IGNORED);
 	send_requests (&w);
 	CU_ASSERT (answer_all (&w, 1) == PLANFETCH_WHOLE);
@@ -215,7 +218,7 @@
 		ask (&w, i % 2);
 		got = answer (&w, i % 2);
 		g_array_set_size (w.members[i % 2].asked, 0);
-		planfetch_drop_source (&w.f, &w.members[i % 2]);
+		source_drop (&w.f.source, &w.members[i % 2]);
 		CU_ASSERT_FATAL (i < 20);
 	}
 	check_text (&w, 7);
@@ -230,12 +233,13 @@
 
 	world_init (&w);
 	ask (&w, 0);
-	for (int i = 0; i < PLANFETCH_STATES_MAX; i++) {
-		CU_ASSERT (planfetch_is_coming (&w.f, w.now_ms, w.now_ms));
-		planfetch_note_state (&w.f, &w.members[1]);
-		planfetch_note_state (&w.f, &w.members[0]);
+	for (int i = 0; i < SOURCE_STATES_MAX; i++) {
+		CU_ASSERT (
+			source_is_answering (&w.f.source, w.now_ms, w.now_ms));
+		source_note_state (&w.f.source, &w.members[1]);
+		source_note_state (&w.f.source, &w.members[0]);
 	}
-	CU_ASSERT (!planfetch_is_coming (&w.f, w.now_ms, w.now_ms));
+	CU_ASSERT (!source_is_answering (&w.f.source, w.now_ms, w.now_ms));
 	world_finish (&w);
 }
 
@@ -271,7 +275,7 @@
 	member_hold (&w.members[1], 9, TEXT_BYTES / 2);
 	ask (&w, 0);
 	answer (&w, 0);
-	planfetch_drop_source (&w.f, &w.members[0]);
+	source_drop (&w.f.source, &w.members[0]);
 	ask (&w, 1);
 	CU_ASSERT (answer_all (&w, 1) == PLANFETCH_WHOLE);
 	check_text (&w, 9);
