entryd: part of a large document counts as life of the control link

What callers would see: an entry instance behind a narrow link acts on an old inventory for good.

Ruled out: several members at a time over the link; an entry has one.

Change: bytes on the link count.

Conclusion: parts are not compressed and begin anew after a reset; listed.

--- a/entryd/conf.c
+++ b/entryd/conf.c
@@ -425,13 +425,16 @@
 void
 conf_tick (struct entry *e, uint64_t now_ms)
 {
-	uint64_t patience_ms = e->control != NULL && link_is_up (e->control)
-				       ? CONTROL_SILENCE_MS
-				       : CONTROL_SILENCE_MS / 5;
+	bool up = e->control != NULL && link_is_up (e->control);
+	uint64_t patience_ms = up ? CONTROL_SILENCE_MS : CONTROL_SILENCE_MS / 5;
+	/* Part of a large document counts as a sign of life. */
+	uint64_t heard_ms =
+		up ? MAX (e->control_heard_ms, link_received_ms (e->control))
+		   : e->control_heard_ms;
 
 	commands_fail (e, now_ms, "no answer from control in time");
 	key_tell_control (e, now_ms);
-	if (e->control_turn || now_ms - e->control_heard_ms > patience_ms) {
+	if (e->control_turn || now_ms - heard_ms > patience_ms) {
 		commands_fail (e, 0, "control member is silent");
 		connect_next (e);
 	} else if (e->resync && link_is_up (e->control)) {
