h1srv: a body that is too long is told the limit

An operator's configuration over 3 MiB was refused with 413 and nothing else. What a group can't carry is refused before it is acknowledged; now the answer names the limit in bytes.

test_h1io fails without the change (one assertion).

--- a/lib/h1srv.c
+++ b/lib/h1srv.c
@@ -161,12 +161,19 @@
 conn_refuse (struct h1srv_conn *c, int status, const char *why)
 {
 	char *id = conn_request_id (c);
+	char *body =
+		status == 413
+			? g_strdup_printf ("{\"error\":\"%s: limit %u "
+					   "bytes\"}\n",
+					   why, c->srv->limits.max_body_bytes)
+			: g_strdup ("");
 
 	log_event (LOG_LV_INFO, "bad-request", "req=%s status=%d why=\"%s\"",
 		   id != NULL ? id : "", status, why);
 	g_free (id);
 	conn_begin_refusal (c);
-	h1srv_answer (c, status, NULL, "", 0);
+	h1srv_answer (c, status, NULL, body, strlen (body));
+	g_free (body);
 }
 
 /* What is left of the limit, which may have changed since it was started: a
--- a/tests/test_h1io.c
+++ b/tests/test_h1io.c
@@ -490,6 +490,8 @@
 		CU_ASSERT (run_until (read_all, &r));
 		CU_ASSERT (strncmp (r.got->str, rows[i].status, 12) == 0);
 		CU_ASSERT (s.requests == 0);
+		CU_ASSERT (strstr (rows[i].status, "413") == NULL ||
+			   strstr (r.got->str, "limit ") != NULL);
 		g_string_free (r.got, TRUE);
 		service_finish (&s, r.fd);
 	}
