planjob: as many steps a turn of the loop as fit into 40 ms

One step a turn let a relay whose turns are long, as under overload, take some 30 turns for 850 kB: a change would be late for the number of its turns, not for its work. Found by reading, not seen in a run.

Change: steps go on for 40 ms.

Conclusion: a turn is bounded by time, a step by its input.

--- a/lib/planjob.c
+++ b/lib/planjob.c
@@ -20,11 +20,15 @@
 on_timer (void *ctx)
 {
 	struct planjob *j = ctx;
+	uint64_t until_ms = tmr_now_ms () + j->turn_ms;
 
-	if (j->dialect->plan_step (j->reader))
-		job_end (j);
-	else
-		tmr_start (&j->tmr, 0);
+	do {
+		if (j->dialect->plan_step (j->reader)) {
+			job_end (j);
+			return;
+		}
+	} while (tmr_now_ms () < until_ms);
+	tmr_start (&j->tmr, 0);
 }
 
 void
@@ -34,7 +38,10 @@
 			    void *ctx),
 	      void *ctx)
 {
-	*j = (struct planjob){.dialect = dialect, .done = done, .ctx = ctx};
+	*j = (struct planjob){.turn_ms = PLANJOB_TURN_MS,
+			      .dialect = dialect,
+			      .done = done,
+			      .ctx = ctx};
 	tmr_init (&j->tmr, loop, on_timer, j);
 }
 
--- a/lib/planjob.h
+++ b/lib/planjob.h
@@ -18,8 +18,14 @@
  * returns */
 #define PLANJOB_AT_ONCE_BYTES (64U << 10)
 
+/** PLANJOB_TURN_MS - a turn of the loop parses for so long at most, and a step:
+ * less than heartbeats and the events of streams can wait, and long enough that
+ * a busy loop with long turns doesn't hold up a change */
+#define PLANJOB_TURN_MS 40
+
 /** struct planjob - on memory the caller owns */
 struct planjob {
+	uint32_t turn_ms; /* PLANJOB_TURN_MS */
 	const struct dialect *dialect;
 	struct tmr tmr;
 	GBytes *text;
--- a/tests/test_planjob.c
+++ b/tests/test_planjob.c
@@ -62,10 +62,12 @@
 }
 
 static void
-run (struct outcome *o, GBytes *text)
+run (struct outcome *o, GBytes *text, uint32_t turn_ms)
 {
 	memset (o, 0, sizeof *o);
 	planjob_init (&o->job, loop, &platform_dialect, on_done, o);
+	CU_ASSERT (o->job.turn_ms == PLANJOB_TURN_MS);
+	o->job.turn_ms = turn_ms;
 	tmr_init (&o->tick, loop, on_tick, o);
 	tmr_start (&o->tick, 0);
 	planjob_start (&o->job, text);
@@ -83,7 +85,7 @@
 	GBytes *text = make_text (LARGE_BYTES, "");
 	struct outcome o;
 
-	run (&o, text);
+	run (&o, text, 0);
 	CU_ASSERT_FATAL (o.plan != NULL);
 	CU_ASSERT (o.plan->version == 7 && o.plan->routes->len > 10000);
 	/* A turn of the loop between any two steps, each of STEP_BYTES. */
@@ -98,7 +100,7 @@
 	GBytes *text = make_text (1000, "");
 	struct outcome o;
 
-	run (&o, text);
+	run (&o, text, PLANJOB_TURN_MS);
 	CU_ASSERT_FATAL (o.plan != NULL);
 	CU_ASSERT (o.ticks == 0);
 	plan_unref (o.plan);
@@ -123,7 +125,7 @@
 			GBytes *text = make_text (len, rows[i].tail);
 			struct outcome o;
 
-			run (&o, text);
+			run (&o, text, PLANJOB_TURN_MS);
 			CU_ASSERT ((o.plan != NULL) == rows[i].good);
 			CU_ASSERT (rows[i].good ||
 				   o.err.kind == ERR_BAD_REQUEST);
@@ -144,14 +146,14 @@
 	struct outcome o;
 	GBytes *bad = g_bytes_new (data, len - 1);
 
-	run (&o, bad);
+	run (&o, bad, PLANJOB_TURN_MS);
 	CU_ASSERT (o.plan == NULL && o.err.kind == ERR_BAD_REQUEST);
 	g_bytes_unref (bad);
 	g_string_append (same, ",{\"name\":\"again\",\"host\":\"h\",\"path_"
 			       "prefix\":\"/0/\",\"kind\":\"idempotent\","
 			       "\"timeout_ms\":1,\"service\":\"s\"}]}");
 	bad = g_string_free_to_bytes (same);
-	run (&o, bad);
+	run (&o, bad, PLANJOB_TURN_MS);
 	CU_ASSERT (o.plan == NULL);
 	g_bytes_unref (bad);
 	g_bytes_unref (text);
@@ -166,6 +168,7 @@
 		struct outcome o = {0};
 
 		planjob_init (&o.job, loop, &platform_dialect, on_done, &o);
+		o.job.turn_ms = 0;
 		planjob_start (&o.job, text);
 		for (int i = 0; i < turns && !o.done; i++)
 			h2o_evloop_run (loop, 2);
