--- a/groupd/groupd.h
+++ b/groupd/groupd.h
@@ -302,6 +302,16 @@
 /** group_blame_send_all() - send the table to a relay whose link is up */
 void group_blame_send_all (struct group *g, struct link *l, uint64_t now_ms);
 
+/* config.c: configurations that relays fetch */
+
+/** group_config_init() - no relay has asked yet */
+void group_config_init (struct group *g);
+void group_config_finish (struct group *g);
+
+/** group_config_send() - send what the relay on @l asks for with @a */
+void group_config_send (struct group *g, struct link *l,
+			const struct gmsg_request *a, uint64_t now_ms);
+
 /* scale.c: orders of endpoints */
 
 /** scale_init() - no pools are known yet */
--- a/groupd/peer.c
+++ b/groupd/peer.c
@@ -255,31 +255,6 @@
 	msgpack_sbuffer_destroy (&full);
 }
 
-static void
-send_plan_chunk (struct group *g, struct link *l, const struct gmsg_request *a,
-		 uint64_t now_ms)
-{
-	struct plantext_chunk c;
-
-	if (plantext_store_chunk (&g->texts, a->version, a->offset,
-				  g->state.version, g->state.text, now_ms, &c))
-		link_send (l, FRAME_GROUP_CHUNK, plantext_chunk_fields, &c);
-}
-
-/* For relays of older versions. */
-static void
-send_plan (struct group *g, struct link *l)
-{
-	struct gmsg_plan m = {.version = g->state.version};
-	gsize len = 0;
-
-	if (g->state.text == NULL)
-		return;
-	m.text.data = g_bytes_get_data (g->state.text, &len);
-	m.text.len = (uint32_t)len;
-	link_send (l, FRAME_GROUP_PLAN, gmsg_plan_fields, &m);
-}
-
 /* Relays choose endpoints by the loads of their peers, so loads are sent within
  * a fraction of the time that the prefill of a prompt takes. */
 static uint64_t
@@ -417,10 +392,8 @@
 	} else if (kind == FRAME_GROUP_ASK && a != NULL) {
 		ok = msg_unpack (gmsg_request_fields, body, len, &u.request,
 				 &zone, &e);
-		if (ok && u.request.plan && u.request.chunked)
-			send_plan_chunk (g, l, &u.request, now_ms);
-		else if (ok && u.request.plan)
-			send_plan (g, l);
+		if (ok && u.request.plan)
+			group_config_send (g, l, &u.request, now_ms);
 		if (ok && u.request.list_subscribe)
 			a->list_requested = true;
 		if (ok && u.request.list_unsubscribe)
@@ -539,7 +512,7 @@
 	g->accepted = g_ptr_array_new ();
 	loads_init (&g->loads);
 	group_blame_init (g);
-	plantext_store_init (&g->texts);
+	group_config_init (g);
 	g->server = link_listen (g->d.loop, &g->self, &g->peer_addr,
 				 &accepted_ops, g, e);
 	if (g->server == NULL)
@@ -560,7 +533,7 @@
 	g_ptr_array_free (g->accepted, TRUE);
 	loads_finish (&g->loads);
 	group_blame_finish (g);
-	plantext_store_finish (&g->texts);
+	group_config_finish (g);
 }
 
 static void
--- a/relayd/member.c
+++ b/relayd/member.c
@@ -109,23 +109,16 @@
 	return false;
 }
 
-static void
-send_list_request (struct group_member *m)
-{
-	struct gmsg_request a = {.list_subscribe = true};
-
-	link_send (m->link, FRAME_GROUP_ASK, gmsg_request_fields, &a);
-}
-
 static void
 request_list (struct group_member *m, uint64_t now_ms)
 {
+	struct gmsg_request a = {.list_subscribe = true};
 	struct relay *r = m->r;
 
 	if (member_is_answering (&r->list_source, now_ms))
 		return;
 	source_ask (&r->list_source, m, now_ms);
-	send_list_request (m);
+	link_send (m->link, FRAME_GROUP_ASK, gmsg_request_fields, &a);
 }
 
 /* A member has a newer list.  The delta may be on its way from the member that
