--- a/fakes/narrow.c
+++ b/fakes/narrow.c
@@ -13,10 +13,10 @@
 #define MEMBERS_MAX 16
 #define TICK_MS 5
 
-/* What a path holds on its way, each connection. */
+/* Bytes that are buffered for each connection. */
 #define WINDOW_BYTES (32U << 10)
 
-/* What a dialer's link may send at once after a pause. */
+/* Longest burst after a pause, in time at the link's rate. */
 #define BURST_MS 10
 
 struct narrow;
@@ -158,7 +158,7 @@
 {
 	struct end *e = ctx;
 
-	/* What is limited moves with the tick, in turns. */
+	/* Limited connections move with the tick, round robin. */
 	if (e == &e->pipe->ends[0] || !e->pipe->dialer->is_narrow)
 		pipe_move (e->pipe);
 	else if (e->open && e->pipe->ends[0].open) {
--- a/groupd/config.c
+++ b/groupd/config.c
@@ -15,7 +15,7 @@
 	plantext_store_finish (&g->texts);
 }
 
-/* For relays of versions that fetch no chunks. */
+/* For relays of older versions, which do not request chunks. */
 static void
 send_whole (struct group *g, struct link *l)
 {
--- a/lib/gmsg.h
+++ b/lib/gmsg.h
@@ -74,12 +74,10 @@
  * @plan: send the configuration
  * @list_subscribe: send the full endpoint list, and deltas from then on
  * @list_unsubscribe: send no more deltas; another member sends them
- * @chunked: with @plan: send the chunk of the configuration's text that starts
- *at
- *	@offset, in place of the whole text in one message.  Members of older
- *	versions send that.
+ * @chunked: with @plan: send one chunk of the configuration's text, not the
+ *whole text in one message.  Members of older versions ignore this field.
  * @version: version of that text; 0: the newest
- * @offset: see above
+ * @offset: where the chunk starts
  */
 struct gmsg_request {
 	bool plan;
--- a/lib/planfetch.h
+++ b/lib/planfetch.h
@@ -19,11 +19,11 @@
  * them.
  */
 
-/** PLANFETCH_WINDOW_BYTES - bytes on the wire that are asked for at a time;
- * what a member sends besides waits for so many */
+/** PLANFETCH_WINDOW_BYTES - bytes on the wire that are requested ahead; other
+ * messages on that link queue behind them */
 #define PLANFETCH_WINDOW_BYTES (64U << 10)
 
-/** PLANFETCH_WINDOW_CHUNKS - the same in chunks, however small */
+/** PLANFETCH_WINDOW_CHUNKS - most chunks that are requested ahead */
 #define PLANFETCH_WINDOW_CHUNKS 16
 
 /**
@@ -48,7 +48,7 @@
 
 /** enum planfetch_result - what a chunk did */
 enum planfetch_result {
-	PLANFETCH_IGNORED, /* it was not waited for */
+	PLANFETCH_IGNORED, /* not the next one: a duplicate, or outdated */
 	PLANFETCH_MORE,    /* more are to be requested */
 	PLANFETCH_WHOLE,   /* planfetch.text is complete */
 	PLANFETCH_BROKEN,  /* the transfer begins anew */
--- a/lib/planjob.h
+++ b/lib/planjob.h
@@ -18,9 +18,9 @@
  * returns */
 #define PLANJOB_AT_ONCE_BYTES (64U << 10)
 
-/** PLANJOB_TURN_MS - a turn of the loop parses for so long at most, and a step:
- * less than heartbeats and the events of streams can wait, and long enough that
- * a busy loop with long turns doesn't hold up a change */
+/** PLANJOB_TURN_MS - longest time that one turn of the loop parses, plus a
+ * step: short enough for heartbeats and the events of streams, long enough that
+ * a busy loop needs few turns for a large text */
 #define PLANJOB_TURN_MS 40
 
 /** struct planjob - on memory the caller owns */
--- a/lib/plantext.c
+++ b/lib/plantext.c
@@ -7,7 +7,6 @@
 
 #include "plantext.h"
 
-/* A chunk that does not shrink is sent as it is. */
 #define COMPRESSION_LEVEL 1
 
 const struct msg_field plantext_chunk_fields[] = {
@@ -50,6 +49,7 @@
 	g_free (t);
 }
 
+/* Returns a part that does not shrink as it is. */
 static GBytes *
 compress_part (const uint8_t *part, uint32_t len)
 {
@@ -113,7 +113,7 @@
 	return NULL;
 }
 
-/* Takes the place of the text that was not asked for the longest. */
+/* Replaces the least recently requested text. */
 static struct plantext *
 store_add (struct plantext_store *s, uint64_t version, GBytes *text)
 {
--- a/lib/source.h
+++ b/lib/source.h
@@ -10,14 +10,14 @@
  * never share a narrow link.
  */
 
-/** SOURCE_STALL_MS - another peer is asked when not a byte came on the link of
- * the first one for so long; twice as long after each one that was asked in
- * vain, up to SOURCE_STALL_MAX_MS */
+/** SOURCE_STALL_MS - another peer is asked when no byte arrived on the link of
+ * the first one for this long.  Doubled after each peer that did not answer, up
+ * to SOURCE_STALL_MAX_MS */
 #define SOURCE_STALL_MS 500
 #define SOURCE_STALL_MAX_MS 4000
 
-/** SOURCE_STATES_MAX - so many states that a peer sent after a request stand
- * for a lost one, since it answers before it sends them */
+/** SOURCE_STATES_MAX - a request is taken for lost once the peer sent this many
+ * states after it, since it answers before it sends them */
 #define SOURCE_STATES_MAX 4
 
 /**
--- a/relayd/config.c
+++ b/relayd/config.c
@@ -50,9 +50,9 @@
 	send_requests (r, m);
 }
 
-/* Asks a member that holds a newer configuration, another one than the last
- * where there is one.  Relays begin at different members, so that the load of
- * a transfer that many of them lost is spread. */
+/* Asks a member that holds a newer configuration, preferably not the one that
+ * was asked last.  Each relay starts its search at a different member, to
+ * spread the load when many of them lose a member at once. */
 static void
 ask_any (struct relay *r, uint64_t now_ms)
 {
