place: engines of different speeds

Callers saw streams that pause for longer than their objective: of short streams that may pause for 150 ms, 46 in 100 on engines of 0.7 of the speed and 11 in 100 on those of 1.7. Placement took all engines for equal; a quarter of these streams ran on slow ones.

Ruled out: the wait for a slot and the prompt itself; the pauses come from prefill chunks beside decode steps.

--- a/groupd/peer.c
+++ b/groupd/peer.c
@@ -270,16 +270,21 @@
 	GArray *list = g_array_new (FALSE, FALSE, sizeof (struct load));
 	GArray *parts =
 		g_array_new (FALSE, FALSE, sizeof (struct load_segment));
+	GArray *speeds = g_array_new (FALSE, FALSE, sizeof (struct load_speed));
 	struct loads_msg m = {0};
 
+	loads_peer_speeds (&g->loads, a, speeds);
 	loads_peer_segments (&g->loads, a, parts);
 	m.is_delta = loads_peer_loads (&g->loads, a, list);
 	m.segments.items = parts->data;
 	m.segments.count = parts->len;
+	m.speeds.items = speeds->data;
+	m.speeds.count = speeds->len;
 	m.loads.items = list->data;
 	m.loads.count = list->len;
 	/* Without a change, a message is only a keepalive. */
 	if (!m.is_delta || parts->len > 0 || list->len > 0 ||
+	    speeds->len > 0 ||
 	    now_ms - a->loads_sent_ms >= LOADS_KEEPALIVE_MS) {
 		a->loads_sent_ms = now_ms;
 		if (!link_send (a->link, FRAME_GROUP_OTHERS, loads_msg_fields,
@@ -288,6 +293,7 @@
 	}
 	g_array_free (list, TRUE);
 	g_array_free (parts, TRUE);
+	g_array_free (speeds, TRUE);
 }
 
 static void
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -126,6 +126,7 @@
 	ep->ep_hash = loads_ep_hash (info->id);
 	ep->rank_hash = XXH64 (info->id, strlen (info->id), 0);
 	ep->slowdown = 1;
+	ep->slowness = 1;
 	ep->segments = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
 					      g_free);
 	g_queue_init (&ep->segment_lru);
--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -8,6 +8,7 @@
 
 #include "msg.h"
 #include "plan.h"
+#include "speed.h"
 
 /*
  * One relay's table of endpoints: which ones the platform lists, which may get
@@ -127,6 +128,8 @@
 	bool recent;           /* in fleet.recent: see fleet_note_sent() */
 	bool short_lane;       /* reserved for short prompts: see place.h */
 	double slowdown;       /* prefill time over the fleet's, averaged */
+	struct speed speed;    /* from its streams; see speed.h */
+	double slowness;       /* speed_slowness(); 1 where it isn't learned */
 	GHashTable *segments;  /* segment id to struct fleet_segment */
 	GQueue segment_lru;    /* of struct fleet_segment, oldest first */
 	double segment_tokens; /* sum over the segments */
@@ -160,6 +163,7 @@
  * @subset: by lane, the endpoints chosen by fleet_choose_subset()
  * @mean_prefill_tokens: mean of peer_prefill_tokens over @subset
  * @mean_running: mean of peer_running over @subset
+ * @usual_gap_ms: median of speed.gap_ms over @eps; 0: not learned
  */
 struct fleet_pool {
 	char service[FLEET_NAME_BYTES];
@@ -168,6 +172,7 @@
 	GPtrArray *subset[FLEET_LANES];
 	uint32_t mean_prefill_tokens;
 	uint32_t mean_running;
+	double usual_gap_ms;
 };
 
 /**
@@ -506,6 +511,23 @@
  * @held_ms */
 void fleet_note_stream (struct fleet *f, double held_ms);
 
+/**
+ * fleet_add_speed() - a stream of @ep had its events @gap_ms apart
+ *
+ * Return: whether to announce speed.gap_ms to the peers.
+ */
+bool fleet_add_speed (struct fleet_ep *ep, double gap_ms);
+
+/** fleet_merge_speeds() - take the estimates that peers announced, an array of
+ * struct load_speed */
+struct load_speed;
+void fleet_merge_speeds (struct fleet *f, const struct load_speed *list,
+			 uint32_t count);
+
+/** fleet_compare_speeds() - compare the engines of each service; to be called
+ * about once a second where speeds are learned */
+void fleet_compare_speeds (struct fleet *f);
+
 /** fleet_ready_count() - number of usable endpoints */
 uint32_t fleet_ready_count (const struct fleet *f, uint64_t now_ms);
 
--- a/lib/loads.c
+++ b/lib/loads.c
@@ -27,6 +27,18 @@
 	MSG_FIELD_END,
 };
 
+static const struct msg_field load_speed_fields[] = {
+	MSG_FIELD (1, MSG_U32, struct load_speed, ep_hash),
+	MSG_FIELD (2, MSG_U32, struct load_speed, gap_us),
+	MSG_FIELD_END,
+};
+
+/* A speed with the relay that announced it. */
+struct reported_speed {
+	const void *relay;
+	struct load_speed speed;
+};
+
 /* A segment with the relay that reported it. */
 struct reported_segment {
 	const void *relay;
@@ -46,6 +58,8 @@
 	MSG_FIELD (7, MSG_BOOL, struct loads_msg, withdraw),
 	MSG_FIELD (8, MSG_U32, struct loads_msg, domain_hash),
 	MSG_FIELD (9, MSG_BOOL, struct loads_msg, want_snapshot),
+	MSG_FIELD_LIST (10, struct loads_msg, speeds, struct load_speed,
+			load_speed_fields, LOADS_MAX),
 	MSG_FIELD_END,
 };
 
@@ -190,6 +204,9 @@
 	l->prefill_ms = 0;
 	l->segments =
 		g_array_new (FALSE, FALSE, sizeof (struct reported_segment));
+	l->speeds = g_hash_table_new (g_direct_hash, g_direct_equal);
+	l->new_speeds =
+		g_array_new (FALSE, FALSE, sizeof (struct reported_speed));
 }
 
 void
@@ -200,6 +217,8 @@
 	g_hash_table_destroy (l->suspicions);
 	g_hash_table_destroy (l->relay_domains);
 	g_array_free (l->segments, TRUE);
+	g_hash_table_destroy (l->speeds);
+	g_array_free (l->new_speeds, TRUE);
 }
 
 /* Subtract a relay's load from the sums. */
@@ -295,9 +314,36 @@
 	}
 }
 
+void
+loads_peer_speeds (const struct loads *l, const void *relay, GArray *out)
+{
+	const struct report *r = g_hash_table_lookup (l->reports, relay);
+	GHashTableIter at;
+	gpointer hash, gap;
+
+	for (guint i = 0; i < l->new_speeds->len; i++) {
+		const struct reported_speed *t = &g_array_index (
+			l->new_speeds, struct reported_speed, i);
+
+		if (t->relay != relay)
+			g_array_append_val (out, t->speed);
+	}
+	if (r == NULL || !r->want_snapshot)
+		return;
+	g_array_set_size (out, 0);
+	g_hash_table_iter_init (&at, l->speeds);
+	while (g_hash_table_iter_next (&at, &hash, &gap)) {
+		struct load_speed s = {GPOINTER_TO_UINT (hash),
+				       GPOINTER_TO_UINT (gap)};
+
+		g_array_append_val (out, s);
+	}
+}
+
 void
 loads_clear_segments (struct loads *l)
 {
+	g_array_set_size (l->new_speeds, 0);
 	g_array_set_size (l->segments, 0);
 }
 
@@ -330,6 +376,24 @@
 	g_hash_table_destroy (subscribed);
 }
 
+static void
+speeds_add (struct loads *l, const void *relay, const struct loads_msg *m)
+{
+	const struct load_speed *s = m->speeds.items;
+
+	for (uint32_t i = 0; i < m->speeds.count; i++) {
+		struct reported_speed t = {relay, s[i]};
+
+		/* Endpoints that ended are not removed one by one. */
+		if (g_hash_table_size (l->speeds) >= LOADS_MAX)
+			g_hash_table_remove_all (l->speeds);
+		g_hash_table_insert (l->speeds, GUINT_TO_POINTER (s[i].ep_hash),
+				     GUINT_TO_POINTER (s[i].gap_us));
+		if (l->new_speeds->len < LOADS_MAX)
+			g_array_append_val (l->new_speeds, t);
+	}
+}
+
 void
 loads_set_report (struct loads *l, const void *relay, const struct loads_msg *m)
 {
@@ -353,6 +417,7 @@
 	subtract_own (l, r);
 	prefill_add (l, r, first, m->prefill_ms);
 	segments_add (l, relay, m);
+	speeds_add (l, relay, m);
 	if (m->has_subscription)
 		set_subscription (r, m);
 	r->want_snapshot = r->want_snapshot || m->want_snapshot;
--- a/lib/loads.h
+++ b/lib/loads.h
@@ -59,6 +59,16 @@
 	uint32_t tokens;
 };
 
+/**
+ * struct load_speed - estimated speed of an engine, see speed.h
+ * @ep_hash: the endpoint
+ * @gap_us: shortest mean time between the events of a stream, in microseconds
+ */
+struct load_speed {
+	uint32_t ep_hash;
+	uint32_t gap_us;
+};
+
 /** struct load_ep - an endpoint, identified as in struct load */
 struct load_ep {
 	uint32_t ep_hash;
@@ -77,6 +87,7 @@
  * @withdraw: the relay reports to another member from now on
  * @domain_hash: hash of the relay's failure domain
  * @want_snapshot: the relay needs the peers' load in full
+ * @speeds: of struct load_speed, that changed; older members ignore it
  */
 struct loads_msg {
 	struct msg_list loads;
@@ -88,6 +99,7 @@
 	bool want_snapshot;
 	bool withdraw;
 	uint32_t domain_hash;
+	struct msg_list speeds;
 };
 
 extern const struct msg_field load_ep_fields[];
@@ -99,8 +111,10 @@
 	GHashTable *reports;       /* relay to struct report */
 	GHashTable *suspicions;    /* ep_hash to struct suspicion */
 	GHashTable *relay_domains; /* domain_hash to number of relays */
-	double prefill_ms; /* of all relays, since loads_take_prefill_ms() */
-	GArray *segments;  /* of struct reported_segment, not yet passed on */
+	double prefill_ms;  /* of all relays, since loads_take_prefill_ms() */
+	GArray *segments;   /* of struct reported_segment, not yet passed on */
+	GHashTable *speeds; /* ep_hash to gap_us, as announced last */
+	GArray *new_speeds; /* of struct reported_speed, not yet passed on */
 };
 
 /** loads_init() - initialise an empty table */
@@ -153,8 +167,14 @@
 void loads_peer_segments (const struct loads *l, const void *relay,
 			  GArray *out);
 
-/** loads_clear_segments() - drop the reported segments, once all relays were
- * sent them */
+/** loads_peer_speeds() - append the speeds that relays other than @relay
+ * announced to @out, an array of struct load_speed: those that are new, or all
+ * where the next update is a snapshot; to be called before loads_peer_loads()
+ */
+void loads_peer_speeds (const struct loads *l, const void *relay, GArray *out);
+
+/** loads_clear_segments() - drop the reported segments and new speeds, once all
+ * relays were sent them */
 void loads_clear_segments (struct loads *l);
 
 /** loads_any_prefill() - whether any relay ever asked an engine for prefill */
--- a/lib/place.c
+++ b/lib/place.c
@@ -329,7 +329,7 @@
 	v.copy_from = best->copy_from;
 	v.nominal_ms =
 		(place_backlog_tokens (c, best->ep) + best->prefill_tokens) /
-		PLACE_PREFILL_PER_MS;
+		PLACE_PREFILL_PER_MS * best->ep->slowness;
 	if (place_backlog_ms (c, best->ep) > req->max_backlog_ms)
 		v.reason = PLACE_BUSY;
 	else
--- a/lib/place.h
+++ b/lib/place.h
@@ -52,6 +52,8 @@
  * @segment_count: number of @segments
  * @prompt_tokens: length of the prompt
  * @max_backlog_ms: prefill backlog of an engine beyond which the request waits
+ * @gap_target_ms: longest pause between the events of its stream that is in
+ *	time; 0: any is, or speeds aren't learned
  * @may_repeat: it may run again elsewhere if an endpoint breaks it
  * @late: half of its latency objective has passed; from then on only latency
  *	counts, and not the cost of prefilling cached segments again
@@ -65,6 +67,7 @@
 	uint32_t segment_count;
 	uint32_t prompt_tokens;
 	double max_backlog_ms;
+	double gap_target_ms;
 	bool may_repeat;
 	bool late;
 	const struct fleet_ep *tried[PLACE_TRIED_MAX];
--- a/lib/place_cost.c
+++ b/lib/place_cost.c
@@ -36,6 +36,10 @@
  * transfer must be this many times faster than the prefill. */
 #define COPY_PREFERRED_SPEEDUP 4.0
 
+/* Cost of an engine whose pauses are likely to miss the objective of a stream:
+ * as much as it may take to reach a faster one. */
+#define GAP_MISS_MS 400.0
+
 /* Share of an engine's slots up to which it is taken to have a free one: the
  * load of peers is known late and in steps. */
 #define SLOT_SHARE 0.85
@@ -50,7 +54,7 @@
 place_backlog_ms (const struct choice *c, const struct fleet_ep *ep)
 {
 	return place_backlog_tokens (c, ep) / PLACE_PREFILL_PER_MS *
-	       fleet_slowdown (c->f, ep);
+	       ep->slowness * fleet_slowdown (c->f, ep);
 }
 
 double
@@ -134,13 +138,15 @@
 	p->prefill_tokens =
 		req->prompt_tokens > cached ? req->prompt_tokens - cached : 0;
 	p->cost_ms = place_backlog_ms (c, ep) + copy_cost_ms +
-		     p->prefill_tokens / PLACE_PREFILL_PER_MS *
+		     p->prefill_tokens / PLACE_PREFILL_PER_MS * ep->slowness *
 			     fleet_slowdown (c->f, ep) +
 		     BATCH_REQUEST_MS * place_running (c, ep) +
 		     slot_wait_ms (c, ep);
 	if (strcmp (ep->info.domain, c->relay->domain) != 0)
 		p->cost_ms += CROSS_DOMAIN_MS;
 	p->ttft_ms = p->cost_ms;
+	if (speed_misses_gap (&ep->speed, req->gap_target_ms))
+		p->cost_ms += GAP_MISS_MS;
 	reprefill = c->shared_tokens > cached ? c->shared_tokens - cached : 0;
 	if (!place_is_short (req) && !req->late)
 		p->cost_ms +=
--- a/lib/place_lanes.c
+++ b/lib/place_lanes.c
@@ -11,23 +11,34 @@
  * streams, and prefilling short prompts takes little of their time. */
 #define SHORT_LANE_SHARE 0.22
 
+/* Engines that take longer than this, relative to a usual one, are put into the
+ * short lane only if there are too few others: its streams need short pauses.
+ */
+#define SHORT_LANE_SLOWNESS 1.2
+
 static uint64_t
 lane_hash (const struct fleet_ep *ep)
 {
 	return XXH64 (&ep->rank_hash, sizeof ep->rank_hash, 1);
 }
 
-/* Sorts by domain, and within it in a random order that is the same at all
- * relays. */
+/* Sorts by domain, slow engines last, and otherwise in a random order that is
+ * the same at all relays. */
 static gint
 by_domain (gconstpointer a, gconstpointer b)
 {
 	const struct fleet_ep *x = *(const struct fleet_ep *const *)a;
 	const struct fleet_ep *y = *(const struct fleet_ep *const *)b;
 	int d = strcmp (x->info.domain, y->info.domain);
+	bool sx = x->slowness > SHORT_LANE_SLOWNESS;
+	bool sy = y->slowness > SHORT_LANE_SLOWNESS;
 	uint64_t hx = lane_hash (x), hy = lane_hash (y);
 
-	return d != 0 ? d : hx == hy ? 0 : hx < hy ? -1 : 1;
+	return d != 0     ? d
+	       : sx != sy ? sx - sy
+	       : hx == hy ? 0
+	       : hx < hy  ? -1
+			  : 1;
 }
 
 /* Sorts the short lane first, and each lane as a consistent hashing ring. */
--- a/lib/set_daemons.c
+++ b/lib/set_daemons.c
@@ -153,6 +153,8 @@
 	     .doc = "The retry budget's window in seconds."),
 	ROW (usage_window_s, SET_REAL, .def = "60", .min = 1, .max = 86400,
 	     .doc = "Length of a usage window in seconds."),
+	ROW (learn_speed, SET_BOOL,
+	     .doc = "Learn how fast each engine is, and place requests by it."),
 	SET_ROW_END,
 };
 #undef STRUCT
--- a/relayd/attempt.c
+++ b/relayd/attempt.c
@@ -276,6 +276,24 @@
 	return !c->is_stream || evstream_is_whole (&c->evstream);
 }
 
+/* Learns the speed of the engine from a stream that it sent alone. */
+static void
+learn_speed (struct call *c)
+{
+	struct load_speed s;
+
+	if (!c->r->set.learn_speed || !c->is_stream || !c->service->is_engine ||
+	    c->ep == NULL || c->attempts != 1 || c->continues)
+		return;
+	if (!fleet_add_speed (c->ep,
+			      speed_measure (c->first_byte_ms, c->last_piece_ms,
+					     c->evstream.events)))
+		return;
+	s = (struct load_speed){c->ep->ep_hash,
+				(uint32_t)(c->ep->speed.gap_ms * 1000)};
+	g_array_append_val (c->r->unreported_speeds, s);
+}
+
 static void
 finish_answer (struct call *c)
 {
@@ -285,6 +303,7 @@
 	if (c->is_stream && c->headers_sent && c->service->is_engine)
 		fleet_note_stream (&c->r->fleet,
 				   (double)(tmr_now_ms () - c->first_byte_ms));
+	learn_speed (c);
 	if (c->is_stream) {
 		if (!c->headers_sent)
 			send_headers (c);
--- a/relayd/call.c
+++ b/relayd/call.c
@@ -184,6 +184,8 @@
 		.segment_count = c->req.segment_count,
 		.prompt_tokens = c->req.prompt_tokens,
 		.max_backlog_ms = waitq_max_backlog_ms (c->route),
+		.gap_target_ms =
+			c->r->set.learn_speed ? c->route->gap_target_ms : 0,
 		.may_repeat = attempt_is_repeatable (c) &&
 			      c->maybe_run + 1 < c->route->max_attempts,
 		.late = waitq_is_late (&c->wait, c->route, now_ms),
--- a/relayd/member.c
+++ b/relayd/member.c
@@ -24,6 +24,9 @@
  * prefill time of a prompt. */
 #define PEER_LOADS_MAX_AGE_MS 2000
 
+/* Interval at which the speeds of engines are compared. */
+#define COMPARE_SPEEDS_MS 500
+
 /* Shortest interval between load reports. */
 #define LOAD_REPORT_MIN_MS 20
 
@@ -275,6 +278,7 @@
 	fleet_add_peer_segments (&r->fleet, m->segments.items,
 				 m->segments.count, min_kv_cache_tokens (r),
 				 r->peer_loads_ms);
+	fleet_merge_speeds (&r->fleet, m->speeds.items, m->speeds.count);
 	call_place_waiting (r);
 }
 
@@ -359,6 +363,8 @@
 	m.loads.count = loads->len;
 	m.segments.items = r->unreported_segments->data;
 	m.segments.count = r->unreported_segments->len;
+	m.speeds.items = r->unreported_speeds->data;
+	m.speeds.count = r->unreported_speeds->len;
 	if (subscribe) {
 		m.has_subscription = true;
 		fleet_subscription (&r->fleet, subset);
@@ -374,6 +380,7 @@
 	g_array_free (loads, TRUE);
 	g_array_free (subset, TRUE);
 	g_array_set_size (r->unreported_segments, 0);
+	g_array_set_size (r->unreported_speeds, 0);
 }
 
 static void
@@ -471,6 +478,8 @@
 	config_init (r);
 	r->unreported_segments =
 		g_array_new (FALSE, FALSE, sizeof (struct load_segment));
+	r->unreported_speeds =
+		g_array_new (FALSE, FALSE, sizeof (struct load_speed));
 	connect_seeds (r);
 }
 
@@ -482,6 +491,7 @@
 	g_ptr_array_free (r->members, TRUE);
 	config_finish (r);
 	g_array_free (r->unreported_segments, TRUE);
+	g_array_free (r->unreported_speeds, TRUE);
 }
 
 void
@@ -492,6 +502,11 @@
 	connect_seeds (r);
 	config_tick (r, now_ms);
 	report_load (r, now_ms);
+	if (r->set.learn_speed &&
+	    now_ms - r->speeds_compared_ms >= COMPARE_SPEEDS_MS) {
+		r->speeds_compared_ms = now_ms;
+		fleet_compare_speeds (&r->fleet);
+	}
 	for (guint i = r->members->len; i > 0; i--) {
 		struct group_member *m = g_ptr_array_index (r->members, i - 1);
 
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -259,6 +259,8 @@
  * @list_source: member that the full list was requested of
  * @prefill_total_ms: prefill time requested of engines since the start
  * @unreported_segments: of struct load_segment, not yet reported
+ * @unreported_speeds: of struct load_speed, not yet reported
+ * @speeds_compared_ms: when fleet_compare_speeds() was called last
  * @load_changed: the load changed since the last report
  * @load_reported_ms: when loads were reported last
  * @subscribed_ms: when the subset of endpoints whose load this relay wants to
@@ -308,6 +310,8 @@
 	struct source list_source;
 	double prefill_total_ms;
 	GArray *unreported_segments;
+	GArray *unreported_speeds;
+	uint64_t speeds_compared_ms;
 	bool load_changed;
 	uint64_t load_reported_ms;
 	uint64_t subscribed_ms;
