relayd: the room of engines is shared by sums at a shortage

Relays predicted 714 ms to the first token (p90) and measured 2942.

Cause: a relay knows its peers' sends about 100 ms late. Each relay with waiting requests sent to every engine that seemed to have room, at each update of the loads; of 143,000 tokens of backlog (p90) 131,000 were younger than that. The measured slowdown then hid all room from some relays.

Ruled out: lost reports (the loads were 15 ms old, p50), work of relays that died, slow engines alone, and patience of the queue.

Relays report what waits in their queues, by rank; each sends its share of the free room in the time until sends are known. Requests that can't be in time any more go last. The prefill rate of a service is learned.

--- a/groupd/peer.c
+++ b/groupd/peer.c
@@ -271,7 +271,10 @@
 	GArray *parts =
 		g_array_new (FALSE, FALSE, sizeof (struct load_segment));
 	GArray *speeds = g_array_new (FALSE, FALSE, sizeof (struct load_speed));
+	GArray *waiting =
+		g_array_new (FALSE, FALSE, sizeof (struct load_waiting));
 	struct loads_msg m = {0};
+	bool waiting_changed = loads_peer_waiting (&g->loads, a, waiting);
 
 	loads_peer_speeds (&g->loads, a, speeds);
 	loads_peer_segments (&g->loads, a, parts);
@@ -280,11 +283,13 @@
 	m.segments.count = parts->len;
 	m.speeds.items = speeds->data;
 	m.speeds.count = speeds->len;
+	m.waiting.items = waiting->data;
+	m.waiting.count = waiting->len;
 	m.loads.items = list->data;
 	m.loads.count = list->len;
 	/* Without a change, a message is only a keepalive. */
-	if (!m.is_delta || parts->len > 0 || list->len > 0 ||
-	    speeds->len > 0 ||
+	if (!m.is_delta || parts->len > 0 || list->len > 0 || speeds->len > 0 ||
+	    waiting_changed ||
 	    now_ms - a->loads_sent_ms >= LOADS_KEEPALIVE_MS) {
 		a->loads_sent_ms = now_ms;
 		if (!link_send (a->link, FRAME_GROUP_OTHERS, loads_msg_fields,
@@ -294,6 +299,7 @@
 	g_array_free (list, TRUE);
 	g_array_free (parts, TRUE);
 	g_array_free (speeds, TRUE);
+	g_array_free (waiting, TRUE);
 }
 
 static void
--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -163,6 +163,8 @@
  * @subset: by lane, the endpoints chosen by fleet_choose_subset()
  * @mean_prefill_tokens: mean of peer_prefill_tokens over @subset
  * @mean_running: mean of peer_running over @subset
+ * @prefill_per_ms: prompt tokens that a usual engine prefills in a millisecond;
+ *	0: not learned
  * @usual_gap_ms: median of speed.gap_ms over @eps; 0: not learned
  */
 struct fleet_pool {
@@ -173,6 +175,7 @@
 	uint32_t mean_prefill_tokens;
 	uint32_t mean_running;
 	double usual_gap_ms;
+	double prefill_per_ms;
 };
 
 /**
@@ -528,6 +531,18 @@
  * about once a second where speeds are learned */
 void fleet_compare_speeds (struct fleet *f);
 
+/**
+ * fleet_add_prefill() - a prefill at @ep that did not wait took @took_ms
+ * @tokens: prompt tokens
+ */
+void fleet_add_prefill (struct fleet *f, struct fleet_ep *ep, double tokens,
+			double took_ms);
+
+/** fleet_prefill_per_ms() - prompt tokens that @ep of @p prefills in a
+ * millisecond */
+double fleet_prefill_per_ms (const struct fleet_pool *p,
+			     const struct fleet_ep *ep);
+
 /** fleet_ready_count() - number of usable endpoints */
 uint32_t fleet_ready_count (const struct fleet *f, uint64_t now_ms);
 
--- a/lib/fleet_speed.c
+++ b/lib/fleet_speed.c
@@ -69,3 +69,22 @@
 		}
 	}
 }
+
+void
+fleet_add_prefill (struct fleet *f, struct fleet_ep *ep, double tokens,
+		   double took_ms)
+{
+	struct fleet_pool *p = fleet_pool (f, ep->info.service);
+
+	if (p != NULL)
+		p->prefill_per_ms = speed_add_prefill (
+			p->prefill_per_ms, tokens, took_ms / ep->slowness);
+}
+
+double
+fleet_prefill_per_ms (const struct fleet_pool *p, const struct fleet_ep *ep)
+{
+	return (p->prefill_per_ms > 0 ? p->prefill_per_ms
+				      : SPEED_PREFILL_PER_MS) /
+	       ep->slowness;
+}
--- a/lib/loads.c
+++ b/lib/loads.c
@@ -5,7 +5,7 @@
 
 #include <xxhash.h>
 
-#include "loads.h"
+#include "loads_priv.h"
 
 static const struct msg_field load_fields[] = {
 	MSG_FIELD (1, MSG_U32, struct load, ep_hash),
@@ -33,10 +33,10 @@
 	MSG_FIELD_END,
 };
 
-/* A speed with the relay that announced it. */
-struct reported_speed {
-	const void *relay;
-	struct load_speed speed;
+static const struct msg_field load_waiting_fields[] = {
+	MSG_FIELD (1, MSG_U32, struct load_waiting, rank),
+	MSG_FIELD (2, MSG_U32, struct load_waiting, tokens),
+	MSG_FIELD_END,
 };
 
 /* A segment with the relay that reported it. */
@@ -60,19 +60,11 @@
 	MSG_FIELD (9, MSG_BOOL, struct loads_msg, want_snapshot),
 	MSG_FIELD_LIST (10, struct loads_msg, speeds, struct load_speed,
 			load_speed_fields, LOADS_MAX),
+	MSG_FIELD_LIST (11, struct loads_msg, waiting, struct load_waiting,
+			load_waiting_fields, LOADS_RANKS),
 	MSG_FIELD_END,
 };
 
-/* What one relay reported, and what it was sent. */
-struct report {
-	GHashTable *own;  /* ep_hash to struct load, its own load */
-	GHashTable *sent; /* ep_hash to struct load, peer load as last sent */
-	GArray *subscription; /* of struct load_ep; NULL: no deltas */
-	bool want_snapshot;   /* the next update is a snapshot */
-	uint64_t prefill_ms;  /* total of its last report */
-	uint32_t domain_hash;
-};
-
 /* Failure domains counted separately for one endpoint. */
 #define SUSPICION_DOMAINS_MAX 8
 
@@ -204,6 +196,7 @@
 	l->prefill_ms = 0;
 	l->segments =
 		g_array_new (FALSE, FALSE, sizeof (struct reported_segment));
+	memset (l->waiting, 0, sizeof l->waiting);
 	l->speeds = g_hash_table_new (g_direct_hash, g_direct_equal);
 	l->new_speeds =
 		g_array_new (FALSE, FALSE, sizeof (struct reported_speed));
@@ -251,6 +244,7 @@
 	if (r == NULL)
 		return;
 	subtract_own (l, r);
+	loads_set_waiting (l, r, NULL, 0);
 	relay_domain_add (l, r->domain_hash, -1);
 	g_hash_table_remove (l->reports, relay);
 }
@@ -314,32 +308,6 @@
 	}
 }
 
-void
-loads_peer_speeds (const struct loads *l, const void *relay, GArray *out)
-{
-	const struct report *r = g_hash_table_lookup (l->reports, relay);
-	GHashTableIter at;
-	gpointer hash, gap;
-
-	for (guint i = 0; i < l->new_speeds->len; i++) {
-		const struct reported_speed *t = &g_array_index (
-			l->new_speeds, struct reported_speed, i);
-
-		if (t->relay != relay)
-			g_array_append_val (out, t->speed);
-	}
-	if (r == NULL || !r->want_snapshot)
-		return;
-	g_array_set_size (out, 0);
-	g_hash_table_iter_init (&at, l->speeds);
-	while (g_hash_table_iter_next (&at, &hash, &gap)) {
-		struct load_speed s = {GPOINTER_TO_UINT (hash),
-				       GPOINTER_TO_UINT (gap)};
-
-		g_array_append_val (out, s);
-	}
-}
-
 void
 loads_clear_segments (struct loads *l)
 {
@@ -376,24 +344,6 @@
 	g_hash_table_destroy (subscribed);
 }
 
-static void
-speeds_add (struct loads *l, const void *relay, const struct loads_msg *m)
-{
-	const struct load_speed *s = m->speeds.items;
-
-	for (uint32_t i = 0; i < m->speeds.count; i++) {
-		struct reported_speed t = {relay, s[i]};
-
-		/* Endpoints that ended are not removed one by one. */
-		if (g_hash_table_size (l->speeds) >= LOADS_MAX)
-			g_hash_table_remove_all (l->speeds);
-		g_hash_table_insert (l->speeds, GUINT_TO_POINTER (s[i].ep_hash),
-				     GUINT_TO_POINTER (s[i].gap_us));
-		if (l->new_speeds->len < LOADS_MAX)
-			g_array_append_val (l->new_speeds, t);
-	}
-}
-
 void
 loads_set_report (struct loads *l, const void *relay, const struct loads_msg *m)
 {
@@ -417,7 +367,8 @@
 	subtract_own (l, r);
 	prefill_add (l, r, first, m->prefill_ms);
 	segments_add (l, relay, m);
-	speeds_add (l, relay, m);
+	loads_add_speeds (l, relay, m);
+	loads_set_waiting (l, r, m->waiting.items, m->waiting.count);
 	if (m->has_subscription)
 		set_subscription (r, m);
 	r->want_snapshot = r->want_snapshot || m->want_snapshot;
--- a/lib/loads.h
+++ b/lib/loads.h
@@ -69,6 +69,20 @@
 	uint32_t gap_us;
 };
 
+/* Ranks of waiting requests: those that can still be in time by their tier,
+ * then the late ones by theirs. */
+#define LOADS_RANKS 20
+
+/**
+ * struct load_waiting - prefill that waits in queues of relays
+ * @rank: rank of the requests, see waitq_rank()
+ * @tokens: prompt tokens that engines have to prefill for them
+ */
+struct load_waiting {
+	uint32_t rank;
+	uint32_t tokens;
+};
+
 /** struct load_ep - an endpoint, identified as in struct load */
 struct load_ep {
 	uint32_t ep_hash;
@@ -88,6 +102,8 @@
  * @domain_hash: hash of the relay's failure domain
  * @want_snapshot: the relay needs the peers' load in full
  * @speeds: of struct load_speed, that changed; older members ignore it
+ * @waiting: of struct load_waiting, the ranks that aren't empty: of the relay,
+ *	or the sum over its peers
  */
 struct loads_msg {
 	struct msg_list loads;
@@ -100,6 +116,7 @@
 	bool withdraw;
 	uint32_t domain_hash;
 	struct msg_list speeds;
+	struct msg_list waiting;
 };
 
 extern const struct msg_field load_ep_fields[];
@@ -114,6 +131,7 @@
 	double prefill_ms;  /* of all relays, since loads_take_prefill_ms() */
 	GArray *segments;   /* of struct reported_segment, not yet passed on */
 	GHashTable *speeds; /* ep_hash to gap_us, as announced last */
+	uint64_t waiting[LOADS_RANKS]; /* prompt tokens, sum over all relays */
 	GArray *new_speeds; /* of struct reported_speed, not yet passed on */
 };
 
@@ -155,6 +173,14 @@
  */
 bool loads_peer_loads (struct loads *l, const void *relay, GArray *out);
 
+/**
+ * loads_peer_waiting() - append what waits at the relays other than @relay to
+ * @out, an array of struct load_waiting
+ *
+ * Return: whether that changed since the last call for @relay.
+ */
+bool loads_peer_waiting (struct loads *l, const void *relay, GArray *out);
+
 /** loads_has_relay() - whether @relay reports its load here */
 bool loads_has_relay (const struct loads *l, const void *relay);
 
--- a/lib/place.c
+++ b/lib/place.c
@@ -327,10 +327,10 @@
 	v.ttft_ms = best->ttft_ms;
 	v.prefill_tokens = best->prefill_tokens;
 	v.copy_from = best->copy_from;
-	v.nominal_ms =
-		(place_backlog_tokens (c, best->ep) + best->prefill_tokens) /
-		PLACE_PREFILL_PER_MS * best->ep->slowness;
-	if (place_backlog_ms (c, best->ep) > req->max_backlog_ms)
+	v.backlog_tokens = place_backlog_tokens (c, best->ep);
+	v.nominal_ms = (v.backlog_tokens + best->prefill_tokens) /
+		       fleet_prefill_per_ms (c->pool, best->ep);
+	if (place_bounded_ms (c, best->ep) > req->max_backlog_ms)
 		v.reason = PLACE_BUSY;
 	else
 		v.ep = best->ep;
--- a/lib/place.h
+++ b/lib/place.h
@@ -41,9 +41,9 @@
 
 #define PLACE_TRIED_MAX 8
 
-/* Prefill rate of an engine in prompt tokens a millisecond, in the order of
- * magnitude of current engines. */
-#define PLACE_PREFILL_PER_MS 50.0
+/* Nominal prefill rate, by which the cost of prefill and the demand for engines
+ * are counted. */
+#define PLACE_PREFILL_PER_MS SPEED_PREFILL_PER_MS
 
 /**
  * struct place_req - a request that needs an endpoint
@@ -54,6 +54,9 @@
  * @max_backlog_ms: prefill backlog of an engine beyond which the request waits
  * @gap_target_ms: longest pause between the events of its stream that is in
  *	time; 0: any is, or speeds aren't learned
+ * @shared_room: the relays send waiting requests at a common rate
+ * @unseen_ms: prefill time that peers are expected to have sent to any engine
+ *	since their loads were reported; see dispatch_unseen_ms()
  * @may_repeat: it may run again elsewhere if an endpoint breaks it
  * @late: half of its latency objective has passed; from then on only latency
  *	counts, and not the cost of prefilling cached segments again
@@ -68,6 +71,8 @@
 	uint32_t prompt_tokens;
 	double max_backlog_ms;
 	double gap_target_ms;
+	bool shared_room;
+	double unseen_ms;
 	bool may_repeat;
 	bool late;
 	const struct fleet_ep *tried[PLACE_TRIED_MAX];
@@ -107,6 +112,7 @@
  * @ttft_ms: predicted time to the first token
  * @prefill_tokens: prompt tokens that the engine has to prefill
  * @nominal_ms: prefill time of its backlog and these tokens at the nominal rate
+ * @backlog_tokens: known backlog of the engine
  * @copy_from: engine to copy the KV cache of segments from, or NULL
  */
 struct place_result {
@@ -115,6 +121,7 @@
 	double ttft_ms;
 	double prefill_tokens;
 	double nominal_ms;
+	double backlog_tokens;
 	const struct fleet_ep *copy_from;
 };
 
@@ -143,6 +150,19 @@
 				  const struct place_relay *relay,
 				  const struct place_req *req, uint64_t now_ms);
 
+/**
+ * place_room_tokens() - free room of a service's engines, by the known loads
+ * @f: the endpoints
+ * @service: their service
+ * @max_backlog_ms: prefill backlog up to which an engine has room
+ * @now_ms: current time
+ *
+ * Return: prompt tokens that could be sent to all of them together.
+ */
+double place_room_tokens (const struct fleet *f,
+			  const struct plan_service *service,
+			  double max_backlog_ms, uint64_t now_ms);
+
 /**
  * place_choose_backup() - choose the engine that keeps a copy of a run
  * @f: the endpoints
--- a/lib/place_cost.c
+++ b/lib/place_cost.c
@@ -53,8 +53,17 @@
 double
 place_backlog_ms (const struct choice *c, const struct fleet_ep *ep)
 {
-	return place_backlog_tokens (c, ep) / PLACE_PREFILL_PER_MS *
-	       ep->slowness * fleet_slowdown (c->f, ep);
+	return place_backlog_tokens (c, ep) /
+	       fleet_prefill_per_ms (c->pool, ep) * fleet_slowdown (c->f, ep);
+}
+
+double
+place_bounded_ms (const struct choice *c, const struct fleet_ep *ep)
+{
+	if (c->req->shared_room)
+		return place_backlog_tokens (c, ep) /
+		       fleet_prefill_per_ms (c->pool, ep);
+	return place_backlog_ms (c, ep);
 }
 
 double
@@ -105,10 +114,30 @@
 	return ahead * c->f->slot_hold_ms / slots;
 }
 
+double
+place_room_tokens (const struct fleet *f, const struct plan_service *service,
+		   double max_backlog_ms, uint64_t now_ms)
+{
+	const struct fleet_pool *p = fleet_pool (f, service->name);
+	double room = 0;
+
+	for (guint i = 0; p != NULL && i < p->eps->len; i++) {
+		const struct fleet_ep *ep = g_ptr_array_index (p->eps, i);
+		double free_tokens =
+			max_backlog_ms * fleet_prefill_per_ms (p, ep) -
+			ep->prefill_tokens - fleet_peer_prefill (p, ep);
+
+		if (free_tokens > 0 && fleet_usable (f, ep, now_ms) &&
+		    !ep->peer_suspect)
+			room += free_tokens;
+	}
+	return room;
+}
+
 bool
 place_has_room (const struct choice *c, const struct fleet_ep *ep)
 {
-	return place_backlog_ms (c, ep) <= c->req->max_backlog_ms &&
+	return place_bounded_ms (c, ep) <= c->req->max_backlog_ms &&
 	       slot_wait_ms (c, ep) <= 0;
 }
 
@@ -138,13 +167,13 @@
 	p->prefill_tokens =
 		req->prompt_tokens > cached ? req->prompt_tokens - cached : 0;
 	p->cost_ms = place_backlog_ms (c, ep) + copy_cost_ms +
-		     p->prefill_tokens / PLACE_PREFILL_PER_MS * ep->slowness *
+		     p->prefill_tokens / fleet_prefill_per_ms (c->pool, ep) *
 			     fleet_slowdown (c->f, ep) +
 		     BATCH_REQUEST_MS * place_running (c, ep) +
 		     slot_wait_ms (c, ep);
 	if (strcmp (ep->info.domain, c->relay->domain) != 0)
 		p->cost_ms += CROSS_DOMAIN_MS;
-	p->ttft_ms = p->cost_ms;
+	p->ttft_ms = p->cost_ms + req->unseen_ms;
 	if (speed_misses_gap (&ep->speed, req->gap_target_ms))
 		p->cost_ms += GAP_MISS_MS;
 	reprefill = c->shared_tokens > cached ? c->shared_tokens - cached : 0;
--- a/lib/place_priv.h
+++ b/lib/place_priv.h
@@ -58,6 +58,10 @@
 double place_link_ms (const struct plan_service *s, double tokens);
 double place_backlog_tokens (const struct choice *c, const struct fleet_ep *ep);
 double place_backlog_ms (const struct choice *c, const struct fleet_ep *ep);
+/* The backlog that is bounded.  Where relays send at a common rate, it leaves
+ * out the measured slowdown: that differs from relay to relay, and after a time
+ * of overload relays that measured it would take all engines for full. */
+double place_bounded_ms (const struct choice *c, const struct fleet_ep *ep);
 /* Requests of all relays in flight at an endpoint. */
 double place_running (const struct choice *c, const struct fleet_ep *ep);
 /* Whether the engine would begin the request soon. */
--- a/lib/set_daemons.c
+++ b/lib/set_daemons.c
@@ -155,6 +155,9 @@
 	     .doc = "Length of a usage window in seconds."),
 	ROW (learn_speed, SET_BOOL,
 	     .doc = "Learn how fast each engine is, and place requests by it."),
+	ROW (share_room, SET_BOOL,
+	     .doc = "Send waiting requests at a rate that all relays share, "
+		    "those that can be in time first."),
 	SET_ROW_END,
 };
 #undef STRUCT
--- a/lib/set_daemons.h
+++ b/lib/set_daemons.h
@@ -101,6 +101,7 @@
 	double retry_window_s;
 	double usage_window_s;
 	bool learn_speed;
+	bool share_room;
 };
 
 /** set_relayd_rows - the table of struct set_relayd */
--- a/lib/speed.c
+++ b/lib/speed.c
@@ -20,6 +20,15 @@
  * up to this many times as long as one without. */
 #define PREFILL_GAP_FACTOR 6.0
 
+/* Steps of the prefill rate, as a share of it, at a faster and at a slower
+ * measurement: it rests where one in four is faster. */
+#define PREFILL_STEP_UP 0.03
+#define PREFILL_STEP_DOWN 0.01
+
+/* Bounds of the prefill rate. */
+#define PREFILL_MIN_PER_MS 10.0
+#define PREFILL_MAX_PER_MS 1000.0
+
 /* Bounds of the ratio, so that a wrong estimate neither excludes an engine nor
  * draws all requests to it. */
 #define SLOWNESS_MIN 0.5
@@ -82,3 +91,15 @@
 {
 	return target_ms > 0 && PREFILL_GAP_FACTOR * s->gap_ms > target_ms;
 }
+
+double
+speed_add_prefill (double per_ms, double tokens, double took_ms)
+{
+	if (tokens < SPEED_MIN_PREFILL_TOKENS || took_ms <= 0)
+		return per_ms;
+	if (per_ms <= 0)
+		per_ms = SPEED_PREFILL_PER_MS;
+	per_ms *= tokens / took_ms > per_ms ? 1 + PREFILL_STEP_UP
+					    : 1 - PREFILL_STEP_DOWN;
+	return CLAMP (per_ms, PREFILL_MIN_PER_MS, PREFILL_MAX_PER_MS);
+}
--- a/lib/speed.h
+++ b/lib/speed.h
@@ -66,4 +66,25 @@
  */
 bool speed_misses_gap (const struct speed *s, double target_ms);
 
+/* Prefill rate of an engine in prompt tokens a millisecond, in the order of
+ * magnitude of current engines, where it isn't learned. */
+#define SPEED_PREFILL_PER_MS 50.0
+
+/* Shortest prefill that gives a measurement; of a shorter one the network and
+ * the first decode steps are too large a part. */
+#define SPEED_MIN_PREFILL_TOKENS 4000.0
+
+/**
+ * speed_add_prefill() - take the time of a prefill that did not wait
+ * @per_ms: prefill rate of a usual engine; 0: unknown
+ * @tokens: prompt tokens that were prefilled
+ * @took_ms: time that this took a usual engine
+ *
+ * Follows the rate that one prefill in four reaches: the others wait for
+ * requests that this relay does not know of.
+ *
+ * Return: the new rate.
+ */
+double speed_add_prefill (double per_ms, double tokens, double took_ms);
+
 #endif
--- a/lib/waitq.c
+++ b/lib/waitq.c
@@ -28,6 +28,9 @@
 #define BACKLOG_MAX_MS 300.0
 #define BACKLOG_TIER_WEIGHT 0.25
 
+/* Share of that backlog that late requests may fill. */
+#define LATE_BACKLOG_SHARE 0.3
+
 static uint64_t
 stream_patience_ms (const struct plan_route *route)
 {
@@ -42,7 +45,7 @@
 {
 	if (route->kind == PLAN_STREAM)
 		wait_ms = MIN (wait_ms, stream_patience_ms (route));
-	*q = (struct waitq_entry){now_ms, now_ms + wait_ms, tier};
+	*q = (struct waitq_entry){now_ms, now_ms + wait_ms, tier, false};
 }
 
 double
@@ -52,6 +55,13 @@
 		    BACKLOG_MAX_MS / (1 + BACKLOG_TIER_WEIGHT * route->tier));
 }
 
+double
+waitq_bound_ms (const struct waitq_entry *q, const struct plan_route *route)
+{
+	return (q->late ? LATE_BACKLOG_SHARE : 1) *
+	       waitq_max_backlog_ms (route);
+}
+
 bool
 waitq_is_late (const struct waitq_entry *q, const struct plan_route *route,
 	       uint64_t now_ms)
@@ -59,6 +69,24 @@
 	return now_ms > q->arrived_ms + route->latency_target_ms / 2;
 }
 
+bool
+waitq_note_late (struct waitq_entry *q, const struct plan_route *route,
+		 double own_ms, uint64_t now_ms)
+{
+	if (q->late || (double)(now_ms - q->arrived_ms) + own_ms <=
+			       route->latency_target_ms)
+		return false;
+	q->late = true;
+	return true;
+}
+
+uint32_t
+waitq_rank (const struct waitq_entry *q)
+{
+	return (q->late ? LOADS_RANKS / 2 : 0) +
+	       MIN (q->tier, LOADS_RANKS / 2 - 1);
+}
+
 uint64_t
 waitq_refuse_at_ms (const struct waitq_entry *q, const struct plan_route *route,
 		    enum place_reason reason, uint64_t lost_ms)
@@ -90,6 +118,8 @@
 int
 waitq_compare (const struct waitq_entry *a, const struct waitq_entry *b)
 {
+	if (a->late != b->late)
+		return a->late - b->late;
 	if (a->tier != b->tier)
 		return a->tier < b->tier ? -1 : 1;
 	if (a->arrived_ms == b->arrived_ms)
--- a/lib/waitq.h
+++ b/lib/waitq.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "loads.h"
 #include "place.h"
 #include "plan.h"
 
@@ -22,11 +23,13 @@
  * @arrived_ms: when it arrived
  * @deadline_ms: when its client is expected to have given up
  * @tier: priority, 0 is the most urgent; see plan_tier()
+ * @late: it can't be in time any more; see waitq_note_late()
  */
 struct waitq_entry {
 	uint64_t arrived_ms;
 	uint64_t deadline_ms;
 	uint32_t tier;
+	bool late;
 };
 
 /**
@@ -50,6 +53,11 @@
  */
 double waitq_max_backlog_ms (const struct plan_route *route);
 
+/** waitq_bound_ms() - that backlog for one request; a late one leaves room for
+ * those that arrive */
+double waitq_bound_ms (const struct waitq_entry *q,
+		       const struct plan_route *route);
+
 /**
  * waitq_is_late() - whether half of the latency objective has passed
  * @q: the entry
@@ -72,6 +80,25 @@
 			     const struct plan_route *route,
 			     enum place_reason reason, uint64_t lost_ms);
 
+/**
+ * waitq_note_late() - notice that a request can't meet its latency objective
+ * any more
+ * @q: the entry
+ * @route: route of the request
+ * @own_ms: time until its first byte on an idle endpoint
+ * @now_ms: current time
+ *
+ * At a shortage of engines, a late request that goes first makes the next one
+ * late too.  From then on it goes behind those that can still be in time.
+ *
+ * Return: whether it became late now; its place in the queue has changed then.
+ */
+bool waitq_note_late (struct waitq_entry *q, const struct plan_route *route,
+		      double own_ms, uint64_t now_ms);
+
+/** waitq_rank() - rank of a request among those that wait, see LOADS_RANKS */
+uint32_t waitq_rank (const struct waitq_entry *q);
+
 /**
  * waitq_resume_until_ms() - how long a stream under way waits for an endpoint
  * that goes on with it
@@ -108,7 +135,7 @@
  * @b: another one
  *
  * Return: less than 0 if @a goes before @b, 0 if they are equal, greater than 0
- * otherwise: by tier, then by time of arrival.
+ * otherwise: the late ones last, then by tier, then by time of arrival.
  */
 int waitq_compare (const struct waitq_entry *a, const struct waitq_entry *b);
 
--- a/relayd/attempt.c
+++ b/relayd/attempt.c
@@ -97,6 +97,10 @@
 		c->usage_counted = true;
 		usage_count (c->r, c->account);
 	}
+	if (c->service->is_engine && c->r->set.learn_speed &&
+	    !c->prefill_waited)
+		fleet_add_prefill (&c->r->fleet, ep, c->prefill_tokens,
+				   took_ms - TTFT_OVERHEAD_MS);
 	if (c->service->is_engine)
 		fleet_note_slowdown (
 			&c->r->fleet, ep,
@@ -498,6 +502,7 @@
 		   v->copy_from != NULL ? v->copy_from->info.addr : "",
 		   sizeof c->kv_from);
 	c->prefill_ms = v->nominal_ms;
+	c->prefill_waited = v->copy_from != NULL || v->backlog_tokens > 0;
 	c->first_byte_seen = c->is_stream = false;
 	blame_attempt_started (c);
 	c->status = 0;
--- a/relayd/call.c
+++ b/relayd/call.c
@@ -5,9 +5,6 @@
 
 #include "relayd.h"
 
-/* Waiting requests that are placed at once, the most urgent first. */
-#define WAITING_BATCH_MAX 200
-
 /* Retry-After of refused requests: about the time in which the remaining
  * endpoints absorb the load of a lost one.  The spread keeps clients from
  * returning all at once. */
@@ -35,8 +32,6 @@
 					   RETRY_AFTER_SPREAD_MS);
 }
 
-static void dequeue_call (struct call *c);
-
 static void
 call_free (struct call *c)
 {
@@ -44,7 +39,7 @@
 
 	call_release_ep (c);
 	call_set_held (c, 0);
-	dequeue_call (c);
+	queue_remove (c);
 	g_ptr_array_remove_fast (r->calls, c);
 	plan_unref (c->plan);
 	g_free (c->id);
@@ -136,34 +131,6 @@
 	g_free (id);
 }
 
-static gint
-compare_urgency (gconstpointer a, gconstpointer b, gpointer data)
-{
-	const struct call *x = a, *y = b;
-
-	(void)data;
-	return waitq_compare (&x->wait, &y->wait);
-}
-
-static void
-enqueue_call (struct call *c)
-{
-	struct relay *r = c->r;
-
-	if (c->queue_link != NULL)
-		return;
-	g_queue_insert_sorted (&r->waiting, c, compare_urgency, NULL);
-	c->queue_link = g_queue_find (&r->waiting, c);
-}
-
-static void
-dequeue_call (struct call *c)
-{
-	if (c->queue_link != NULL)
-		g_queue_delete_link (&c->r->waiting, c->queue_link);
-	c->queue_link = NULL;
-}
-
 void
 call_admit (struct call *c)
 {
@@ -183,9 +150,11 @@
 		.segments = c->req.segments,
 		.segment_count = c->req.segment_count,
 		.prompt_tokens = c->req.prompt_tokens,
-		.max_backlog_ms = waitq_max_backlog_ms (c->route),
+		.max_backlog_ms = waitq_bound_ms (&c->wait, c->route),
 		.gap_target_ms =
 			c->r->set.learn_speed ? c->route->gap_target_ms : 0,
+		.shared_room = c->r->set.share_room,
+		.unseen_ms = dispatch_unseen_ms (&c->r->dispatch),
 		.may_repeat = attempt_is_repeatable (c) &&
 			      c->maybe_run + 1 < c->route->max_attempts,
 		.late = waitq_is_late (&c->wait, c->route, now_ms),
@@ -223,22 +192,37 @@
 	case BLAME_REFUSE:
 		return;
 	case BLAME_WAIT:
-		enqueue_call (c);
+		queue_add (c, NULL);
 		return;
 	case BLAME_SEND:
 	case BLAME_SEND_AS_TRIAL:
 	case BLAME_SEND_IF_GRANTED:
 		break;
 	}
+	if (c->queue_link != NULL && c->waiting_tokens > 0 &&
+	    !queue_allows (c) &&
+	    now_ms < waitq_refuse_at_ms (&c->wait, c->route, PLACE_BUSY, 0))
+		return;
 	choose_endpoint (c, &v, now_ms);
 	count_prefill (c, &v);
 	if (v.ep != NULL && verdict == BLAME_SEND_IF_GRANTED) {
 		blame_want_trial (c);
-		enqueue_call (c);
+		queue_add (c, NULL);
 		return;
 	}
+	if (queue_shares_room (c) &&
+	    waitq_note_late (&c->wait, c->route, v.ttft_ms, now_ms) &&
+	    c->queue_link != NULL)
+		queue_move (c);
+	if (v.ep != NULL && !queue_allows (c)) {
+		v.ep = NULL;
+		v.reason = PLACE_BUSY;
+	}
 	if (v.ep != NULL) {
-		dequeue_call (c);
+		queue_remove (c);
+		if (queue_shares_room (c))
+			dispatch_sent (&c->r->dispatch, waitq_rank (&c->wait),
+				       v.prefill_tokens);
 		attempt_start (c, &v);
 		return;
 	}
@@ -248,10 +232,10 @@
 			: waitq_refuse_at_ms (&c->wait, c->route, v.reason,
 					      c->last_failure_ms);
 	if (now_ms < give_up_ms) {
-		enqueue_call (c);
+		queue_add (c, &v);
 		return;
 	}
-	dequeue_call (c);
+	queue_remove (c);
 	if (c->headers_sent) {
 		log_event (LOG_LV_INFO, "no-endpoint",
 			   "req=%s why=%s waited_ms=%" G_GUINT64_FORMAT, c->id,
@@ -469,34 +453,12 @@
 		call_expire (g_ptr_array_index (r->calls, r->calls->len - 1));
 }
 
-static void
-place_waiting (void *ctx)
-{
-	struct relay *r = ctx;
-	struct call *list[WAITING_BATCH_MAX];
-	uint32_t n = 0;
-
-	for (GList *at = r->waiting.head; at != NULL && n < WAITING_BATCH_MAX;
-	     at = at->next)
-		list[n++] = at->data;
-	/* Placing a call may free it, but none of the others in the list. */
-	for (uint32_t i = 0; i < n; i++)
-		call_place (list[i]);
-}
-
-void
-call_place_waiting (struct relay *r)
-{
-	if (r->waiting.length > 0)
-		tmr_start (&r->dispatch_timer, 0);
-}
-
 void
 call_init (struct relay *r)
 {
 	r->calls = g_ptr_array_new ();
 	g_queue_init (&r->waiting);
-	tmr_init (&r->dispatch_timer, r->daemon.loop, place_waiting, r);
+	tmr_init (&r->dispatch_timer, r->daemon.loop, queue_place_all, r);
 }
 
 void
@@ -522,5 +484,5 @@
 			leave_cut_off (c, now_ms);
 		}
 	}
-	place_waiting (r);
+	queue_place_all (r);
 }
--- a/relayd/member.c
+++ b/relayd/member.c
@@ -266,6 +266,16 @@
 	return tokens;
 }
 
+static void
+set_peer_waiting (struct relay *r, const struct load_waiting *w, uint32_t count)
+{
+	memset (r->peer_waiting, 0, sizeof r->peer_waiting);
+	for (uint32_t i = 0; i < count; i++) {
+		if (w[i].rank < LOADS_RANKS)
+			r->peer_waiting[w[i].rank] = w[i].tokens;
+	}
+}
+
 static void
 on_peer_loads (struct relay *r, const struct group_member *from,
 	       const struct loads_msg *m)
@@ -279,6 +289,7 @@
 				 m->segments.count, min_kv_cache_tokens (r),
 				 r->peer_loads_ms);
 	fleet_merge_speeds (&r->fleet, m->speeds.items, m->speeds.count);
+	set_peer_waiting (r, m->waiting.items, m->waiting.count);
 	call_place_waiting (r);
 }
 
@@ -350,6 +361,7 @@
 	struct loads_msg m = {.prefill_ms = (uint64_t)r->prefill_total_ms,
 			      .want_snapshot = r->fleet.want_snapshot,
 			      .domain_hash = g_str_hash (r->set.domain)};
+	struct load_waiting waiting[LOADS_RANKS];
 	GArray *loads, *subset;
 
 	if (to == NULL || !(r->load_changed || subscribe || m.want_snapshot) ||
@@ -365,6 +377,12 @@
 	m.segments.count = r->unreported_segments->len;
 	m.speeds.items = r->unreported_speeds->data;
 	m.speeds.count = r->unreported_speeds->len;
+	m.waiting.items = waiting;
+	for (uint32_t i = 0; i < LOADS_RANKS; i++) {
+		if (r->own_waiting[i] > 0)
+			waiting[m.waiting.count++] =
+				(struct load_waiting){i, r->own_waiting[i]};
+	}
 	if (subscribe) {
 		m.has_subscription = true;
 		fleet_subscription (&r->fleet, subset);
@@ -524,6 +542,7 @@
 	if (r->peer_loads_ms != 0 &&
 	    now_ms > r->peer_loads_ms + PEER_LOADS_MAX_AGE_MS) {
 		r->peer_loads_ms = 0;
+		set_peer_waiting (r, NULL, 0);
 		fleet_set_peer_loads (&r->fleet, NULL, 0, false);
 		r->fleet.want_snapshot = true;
 	}
--- a/relayd/metrics.c
+++ b/relayd/metrics.c
@@ -32,6 +32,9 @@
 	print_counter (out, "probes_total", s->probes);
 	print_counter (out, "log_lines_dropped_total", log_dropped ());
 	print_counter (out, "calls", r->calls->len);
+	print_counter (out, "waiting", r->waiting.length);
+	print_counter (out, "waiting_tokens", queue_waiting_tokens (r));
+	print_counter (out, "engines_short", r->dispatch.is_short);
 	print_counter (out, "relays", r->relay_count);
 	print_counter (out, "endpoints_ready",
 		       fleet_ready_count (&r->fleet, now_ms));
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -11,6 +11,7 @@
 #include "failover.h"
 #include "daemon.h"
 #include "dialect.h"
+#include "dispatch.h"
 #include "eplist.h"
 #include "evstream.h"
 #include "fleet.h"
@@ -71,6 +72,9 @@
  * @prefill_counted: its prefill is included in relay.prefill_total_ms
  * @prefill_tokens: prompt tokens that this attempt has to prefill
  * @prefill_ms: predicted prefill time at the engine's usual speed
+ * @prefill_waited: its prefill waited for others, or for a copy
+ * @waiting_rank: rank under which it is counted in relay.own_waiting
+ * @waiting_tokens: tokens that are counted there
  * @first_byte_seen: the endpoint's answer began
  * @answer_begun: a whole event, or a whole successful answer, arrived from it
  * @request_key: blame_request_key() of the request; 0: not yet computed
@@ -122,6 +126,9 @@
 	bool prefill_counted;
 	double prefill_tokens;
 	double prefill_ms;
+	bool prefill_waited;
+	uint32_t waiting_rank;
+	uint32_t waiting_tokens;
 	bool first_byte_seen;
 	bool answer_begun;
 	bool is_blame_trial;
@@ -253,6 +260,10 @@
  * @held_bytes: sum of call.held_bytes
  * @startup_bytes: sum of the bodies in @startup_queue
  * @waiting: calls that wait for an endpoint, the most urgent first
+ * @dispatch: rate at which waiting requests are sent, where that is shared
+ * @dispatch_logged_ms: when it was logged last
+ * @own_waiting: by rank, prompt tokens that wait here for engines
+ * @peer_waiting: the same at the peers
  * @relay_count: relays that share the endpoints
  * @config: what is known of newer configurations
  * @list_behind_since_ms: since when a member has a newer list; 0: none has
@@ -303,6 +314,10 @@
 	uint64_t startup_bytes;
 	size_t held_bytes;
 	GQueue waiting;
+	struct dispatch dispatch;
+	uint64_t dispatch_logged_ms;
+	uint32_t own_waiting[LOADS_RANKS];
+	uint32_t peer_waiting[LOADS_RANKS];
 	uint32_t relay_count;
 	uint64_t started_ms;
 	struct config_news config;
@@ -438,6 +453,31 @@
 void call_expire_all (struct relay *r);
 void call_tick (struct relay *r, uint64_t now_ms);
 
+/* queue.c: requests that wait for an endpoint */
+
+/** queue_add() - let the request wait; @v: why it isn't sent, or NULL */
+void queue_add (struct call *c, const struct place_result *v);
+
+/** queue_remove() - the request doesn't wait any more */
+void queue_remove (struct call *c);
+
+/** queue_move() - move a waiting request to the place of its new rank */
+void queue_move (struct call *c);
+
+/** queue_shares_room() - whether the relays send such requests at a common
+ * rate; a stream under way goes on at once */
+bool queue_shares_room (const struct call *c);
+
+/** queue_allows() - whether the relay may send the request now, by that rate */
+bool queue_allows (const struct call *c);
+
+/** queue_waiting_tokens() - prefill that waits here, where room is shared */
+uint64_t queue_waiting_tokens (const struct relay *r);
+
+/** queue_place_all() - place waiting requests, the most urgent first
+ * @ctx: the relay */
+void queue_place_all (void *ctx);
+
 /* attempt.c: HTTP exchanges with endpoints */
 
 /** call_set_held() - the call now holds back @bytes of an answer */
--- a/tests/test_loads.c
+++ b/tests/test_loads.c
@@ -371,6 +371,46 @@
 	loads_finish (&l);
 }
 
+/* Speeds and waiting requests of the peers: a relay that starts hears all of
+ * them, and what a relay that left had waiting counts no more. */
+static void
+test_speeds_and_waiting (void)
+{
+	GArray *out = g_array_new (FALSE, FALSE, sizeof (struct load_speed));
+	GArray *ranks =
+		g_array_new (FALSE, FALSE, sizeof (struct load_waiting));
+	struct load_speed s = {7, 16500};
+	struct load_waiting w[2] = {{0, 100}, {12, 4000}};
+	struct loads_msg m = {
+		.speeds = {&s, 1}, .waiting = {w, 2}, .has_subscription = true};
+	int a, b;
+	struct loads l;
+
+	loads_init (&l);
+	loads_set_report (&l, &a, &m);
+	report (&l, &b, 1, 100, 0);
+	loads_peer_speeds (&l, &a, out);
+	CU_ASSERT (out->len == 1); /* a snapshot is due */
+	peer_prefill (&l, &a, 1);
+	g_array_set_size (out, 0);
+	loads_peer_speeds (&l, &a, out);
+	CU_ASSERT (out->len == 0);
+	loads_clear_segments (&l);
+	loads_peer_speeds (&l, &b, out);
+	CU_ASSERT (out->len == 1 &&
+		   g_array_index (out, struct load_speed, 0).gap_us == 16500);
+	CU_ASSERT (!loads_peer_waiting (&l, &a, ranks) && ranks->len == 0);
+	CU_ASSERT (loads_peer_waiting (&l, &b, ranks) && ranks->len == 2);
+	g_array_set_size (ranks, 0);
+	CU_ASSERT (!loads_peer_waiting (&l, &b, ranks) && ranks->len == 2);
+	loads_drop_relay (&l, &a);
+	g_array_set_size (ranks, 0);
+	CU_ASSERT (loads_peer_waiting (&l, &b, ranks) && ranks->len == 0);
+	loads_finish (&l);
+	g_array_free (out, TRUE);
+	g_array_free (ranks, TRUE);
+}
+
 int
 main (void)
 {
@@ -383,6 +423,7 @@
 		{"choose member", test_choose_member},
 		{"withdraw", test_withdraw},
 		{"suspect", test_suspect},
+		{"speeds and waiting", test_speeds_and_waiting},
 		{NULL, NULL}};
 
 	return t_run ("loads", cases);
--- a/tests/test_speed.c
+++ b/tests/test_speed.c
@@ -53,6 +53,26 @@
 		   !speed_misses_gap (&(struct speed){0}, 150));
 }
 
+/* The prefill rate settles where one measurement in four is faster, also while
+ * most prompts wait for others. */
+static void
+test_prefill_rate (void)
+{
+	GRand *rand = g_rand_new_with_seed (5);
+	double per_ms = 0;
+
+	for (int i = 0; i < 4000; i++) {
+		double wait_ms = i % 2 == 0 ? 0 : 200;
+		double rate = g_rand_double_range (rand, 100, 120);
+
+		per_ms =
+			speed_add_prefill (per_ms, 8000, 8000 / rate + wait_ms);
+	}
+	CU_ASSERT (per_ms > 95 && per_ms < 120);
+	CU_ASSERT (speed_add_prefill (per_ms, 100, 1) == per_ms);
+	g_rand_free (rand);
+}
+
 static struct plan_service service = {.name = (char *)"engines",
 				      .max_connections = 400,
 				      .is_engine = true,
@@ -111,6 +131,7 @@
 		{"measurement", test_measure},
 		{"busy engine", test_busy_engine},
 		{"announcements", test_announce},
+		{"prefill rate", test_prefill_rate},
 		{"placement", test_placement},
 		{NULL, NULL},
 	};
--- a/tests/test_waitq.c
+++ b/tests/test_waitq.c
@@ -166,6 +166,25 @@
 	CU_ASSERT (waitq_startup_refuse_at_ms (12000, 9000, 3600) <= 9000);
 }
 
+/* A request that can't be in time any more went before those that could, and
+ * made them late too. */
+static void
+test_late (void)
+{
+	struct waitq_entry a, b;
+
+	waitq_entry_init (&a, &quick, 0, 15000, 1000);
+	waitq_entry_init (&b, &slow, 2, 12000, 1100);
+	CU_ASSERT (waitq_compare (&a, &b) < 0);
+	CU_ASSERT (!waitq_note_late (&a, &quick, 100, 1200));
+	CU_ASSERT (waitq_note_late (&a, &quick, 101, 1200));
+	CU_ASSERT (!waitq_note_late (&a, &quick, 101, 1300));
+	CU_ASSERT (waitq_compare (&a, &b) > 0);
+	CU_ASSERT (waitq_rank (&b) == 2 && waitq_rank (&a) == LOADS_RANKS / 2);
+	CU_ASSERT (waitq_bound_ms (&a, &quick) < waitq_max_backlog_ms (&quick));
+	CU_ASSERT (waitq_bound_ms (&b, &slow) == waitq_max_backlog_ms (&slow));
+}
+
 int
 main (void)
 {
@@ -176,6 +195,7 @@
 		 test_stream_cut_while_engines_were_busy},
 		{"burst", test_burst},
 		{"startup", test_startup},
+		{"late", test_late},
 		{NULL, NULL}};
 
 	return t_run ("waitq", cases);
