--- a/lib/loads.c
+++ b/lib/loads.c
@@ -5,7 +5,7 @@
 
 #include <xxhash.h>
 
-#include "loads.h"
+#include "loads_priv.h"
 
 static const struct msg_field load_fields[] = {
 	MSG_FIELD (1, MSG_U32, struct load, ep_hash),
@@ -27,6 +27,18 @@
 	MSG_FIELD_END,
 };
 
+static const struct msg_field load_speed_fields[] = {
+	MSG_FIELD (1, MSG_U32, struct load_speed, ep_hash),
+	MSG_FIELD (2, MSG_U32, struct load_speed, gap_us),
+	MSG_FIELD_END,
+};
+
+static const struct msg_field load_waiting_fields[] = {
+	MSG_FIELD (1, MSG_U32, struct load_waiting, rank),
+	MSG_FIELD (2, MSG_U32, struct load_waiting, tokens),
+	MSG_FIELD_END,
+};
+
 /* A segment with the relay that reported it. */
 struct reported_segment {
 	const void *relay;
@@ -46,19 +58,13 @@
 	MSG_FIELD (7, MSG_BOOL, struct loads_msg, withdraw),
 	MSG_FIELD (8, MSG_U32, struct loads_msg, domain_hash),
 	MSG_FIELD (9, MSG_BOOL, struct loads_msg, want_snapshot),
+	MSG_FIELD_LIST (10, struct loads_msg, speeds, struct load_speed,
+			load_speed_fields, LOADS_MAX),
+	MSG_FIELD_LIST (11, struct loads_msg, waiting, struct load_waiting,
+			load_waiting_fields, LOADS_RANKS),
 	MSG_FIELD_END,
 };
 
-/* What one relay reported, and what it was sent. */
-struct report {
-	GHashTable *own;  /* ep_hash to struct load, its own load */
-	GHashTable *sent; /* ep_hash to struct load, peer load as last sent */
-	GArray *subscription; /* of struct load_ep; NULL: no deltas */
-	bool want_snapshot;   /* the next update is a snapshot */
-	uint64_t prefill_ms;  /* total of its last report */
-	uint32_t domain_hash;
-};
-
 /* Failure domains counted separately for one endpoint. */
 #define SUSPICION_DOMAINS_MAX 8
 
@@ -190,6 +196,10 @@
 	l->prefill_ms = 0;
 	l->segments =
 		g_array_new (FALSE, FALSE, sizeof (struct reported_segment));
+	memset (l->waiting, 0, sizeof l->waiting);
+	l->speeds = g_hash_table_new (g_direct_hash, g_direct_equal);
+	l->new_speeds =
+		g_array_new (FALSE, FALSE, sizeof (struct reported_speed));
 }
 
 void
@@ -200,6 +210,8 @@
 	g_hash_table_destroy (l->suspicions);
 	g_hash_table_destroy (l->relay_domains);
 	g_array_free (l->segments, TRUE);
+	g_hash_table_destroy (l->speeds);
+	g_array_free (l->new_speeds, TRUE);
 }
 
 /* Subtract a relay's load from the sums. */
@@ -232,6 +244,7 @@
 	if (r == NULL)
 		return;
 	subtract_own (l, r);
+	loads_set_waiting (l, r, NULL, 0);
 	relay_domain_add (l, r->domain_hash, -1);
 	g_hash_table_remove (l->reports, relay);
 }
@@ -298,6 +311,7 @@
 void
 loads_clear_segments (struct loads *l)
 {
+	g_array_set_size (l->new_speeds, 0);
 	g_array_set_size (l->segments, 0);
 }
 
@@ -353,6 +367,8 @@
 	subtract_own (l, r);
 	prefill_add (l, r, first, m->prefill_ms);
 	segments_add (l, relay, m);
+	loads_add_speeds (l, relay, m);
+	loads_set_waiting (l, r, m->waiting.items, m->waiting.count);
 	if (m->has_subscription)
 		set_subscription (r, m);
 	r->want_snapshot = r->want_snapshot || m->want_snapshot;
--- a/relayd/attempt.c
+++ b/relayd/attempt.c
@@ -97,6 +97,10 @@
 		c->usage_counted = true;
 		usage_count (c->r, c->account);
 	}
+	if (c->service->is_engine && c->r->set.learn_speed &&
+	    !c->prefill_waited)
+		fleet_add_prefill (&c->r->fleet, ep, c->prefill_tokens,
+				   took_ms - TTFT_OVERHEAD_MS);
 	if (c->service->is_engine)
 		fleet_note_slowdown (
 			&c->r->fleet, ep,
@@ -276,6 +280,24 @@
 	return !c->is_stream || evstream_is_whole (&c->evstream);
 }
 
+/* Learns the speed of the engine from a stream that it sent alone. */
+static void
+learn_speed (struct call *c)
+{
+	struct load_speed s;
+
+	if (!c->r->set.learn_speed || !c->is_stream || !c->service->is_engine ||
+	    c->ep == NULL || c->attempts != 1 || c->continues)
+		return;
+	if (!fleet_add_speed (c->ep,
+			      speed_measure (c->first_byte_ms, c->last_piece_ms,
+					     c->evstream.events)))
+		return;
+	s = (struct load_speed){c->ep->ep_hash,
+				(uint32_t)(c->ep->speed.gap_ms * 1000)};
+	g_array_append_val (c->r->unreported_speeds, s);
+}
+
 static void
 finish_answer (struct call *c)
 {
@@ -285,6 +307,7 @@
 	if (c->is_stream && c->headers_sent && c->service->is_engine)
 		fleet_note_stream (&c->r->fleet,
 				   (double)(tmr_now_ms () - c->first_byte_ms));
+	learn_speed (c);
 	if (c->is_stream) {
 		if (!c->headers_sent)
 			send_headers (c);
@@ -479,6 +502,7 @@
 		   v->copy_from != NULL ? v->copy_from->info.addr : "",
 		   sizeof c->kv_from);
 	c->prefill_ms = v->nominal_ms;
+	c->prefill_waited = v->copy_from != NULL || v->backlog_tokens > 0;
 	c->first_byte_seen = c->is_stream = false;
 	blame_attempt_started (c);
 	c->status = 0;
