place: endpoints that have just appeared or recovered are paced

Cause: an endpoint that is new in the list, healthy again, or no longer cold looks idle to every relay at the same moment, and the sums of the relays' load are 150 to 250 ms old. Nothing bounds what all of them send in that time, and a relay learns that an engine is slow from its own answers only: one of 300 relays gets one in half a minute. Change: lib/pace.h bounds the work of all relays that such an endpoint has not answered, from the sums. It gets a single request before its first answer, and then two and a share of the requests in hand that is twice that of its peers. Within the age of the sums relays take turns, and the share of relays whose turn it is is the room over the requests that the sums say are to be expected. Pacing ends when it answers half as many requests at once as its peers. It is off unless fleet.pace is set, which nothing does yet.

--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -7,6 +7,7 @@
 
 #include "dialect.h"
 #include "fleet.h"
+#include "fleet_pace.h"
 #include "loads.h"
 
 /* Weight of one answer in the moving average of the error rate, which then
@@ -154,8 +155,10 @@
 static void
 set_cold (struct fleet_ep *ep, uint64_t until_ms, uint64_t now_ms)
 {
-	if (now_ms >= ep->cold_until_ms)
+	if (now_ms >= ep->cold_until_ms) {
 		ep->cold_since_ms = now_ms;
+		fleet_pace_begin (ep, now_ms);
+	}
 	ep->cold_until_ms = MAX (ep->cold_until_ms, until_ms);
 }
 
@@ -249,6 +252,7 @@
 	   uint64_t age_ms)
 {
 	struct fleet_ep *ep = fleet_find (f, info->id);
+	bool is_new;
 
 	if (ep != NULL && !same_start (ep, info)) {
 		/* The earlier start is unlisted and gives up its id. */
@@ -258,9 +262,13 @@
 		fleet_retire (ep);
 		ep = NULL;
 	}
-	if (ep == NULL)
+	is_new = ep == NULL;
+	if (is_new)
 		ep = ep_new (f, info);
 	ep_update (ep, info, now_ms, age_ms);
+	/* In a relay's first list all endpoints are new, and none is paced. */
+	if (is_new && fleet_pool (f, info->service) != NULL)
+		fleet_pace_begin (ep, now_ms);
 }
 
 /* Remove endpoints that are in no list and have no requests in flight. */
@@ -370,8 +378,13 @@
 {
 	ep->error_rate +=
 		ERROR_RATE_WEIGHT * ((good ? 0.0 : 1.0) - ep->error_rate);
-	if (!good && ep->error_rate > ERROR_RATE_MAX)
+	if (!good)
+		pace_failed (&ep->pace, now_ms);
+	if (!good && ep->error_rate > ERROR_RATE_MAX) {
 		ep->avoid_until_ms = now_ms + AVOID_MS;
+		if (!ep->pace.active)
+			fleet_pace_begin (ep, ep->avoid_until_ms);
+	}
 }
 
 double
--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -7,6 +7,7 @@
 #include <glib.h>
 
 #include "msg.h"
+#include "pace.h"
 #include "plan.h"
 
 /*
@@ -127,6 +128,7 @@
 	bool recent;           /* in fleet.recent: see fleet_note_sent() */
 	bool short_lane;       /* reserved for short prompts: see place.h */
 	double slowdown;       /* prefill time over the fleet's, averaged */
+	struct pace pace;      /* inactive where fleet.pace is false */
 	GHashTable *segments;  /* segment id to struct fleet_segment */
 	GQueue segment_lru;    /* of struct fleet_segment, oldest first */
 	double segment_tokens; /* sum over the segments */
@@ -151,6 +153,18 @@
 /* Lane 0 takes long prompts, lane 1 short ones. */
 #define FLEET_LANES 2
 
+/**
+ * struct fleet_lane_load - load of a lane for pacing, see fleet_pace_means()
+ * @running_each: mean requests of all relays at each endpoint
+ * @peer_running: the same at those that are not paced
+ * @peer_backlog: mean prompt tokens to prefill at these
+ */
+struct fleet_lane_load {
+	double running_each;
+	double peer_running;
+	double peer_backlog;
+};
+
 /**
  * struct fleet_pool - the endpoints of one service
  * @service: name of the service
@@ -160,6 +174,7 @@
  * @subset: by lane, the endpoints chosen by fleet_choose_subset()
  * @mean_prefill_tokens: mean of peer_prefill_tokens over @subset
  * @mean_running: mean of peer_running over @subset
+ * @lane_load: by lane
  */
 struct fleet_pool {
 	char service[FLEET_NAME_BYTES];
@@ -168,6 +183,7 @@
 	GPtrArray *subset[FLEET_LANES];
 	uint32_t mean_prefill_tokens;
 	uint32_t mean_running;
+	struct fleet_lane_load lane_load[FLEET_LANES];
 };
 
 /**
@@ -201,6 +217,10 @@
 	uint64_t silence_checked_ms; /* fleet_check_silence() */
 	bool silence_check_late;     /* its last call came too late */
 	double slot_hold_ms; /* time that a stream holds a slot, averaged */
+	bool pace; /* endpoints that appear are paced; set by the owner */
+	bool peer_loads_known; /* the last update was not an empty snapshot */
+	double prompt_tokens[FLEET_LANES]; /* sent to each lane, averaged */
+	double plain_hold_ms; /* time of answers without an engine, averaged */
 };
 
 /**
--- a/lib/fleet_health.c
+++ b/lib/fleet_health.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "fleet.h"
+#include "fleet_pace.h"
 
 /* First and longest pause between probes of a suspect endpoint.  A lost
  * connection mostly means that one endpoint restarts, which takes seconds, and
@@ -100,7 +101,7 @@
 
 /* The link works again: endpoints suspect with their domain are healthy. */
 static void
-clear_domain (struct fleet *f, const struct fleet_ep *ep)
+clear_domain (struct fleet *f, const struct fleet_ep *ep, uint64_t now_ms)
 {
 	for (guint i = 0; i < f->eps->len; i++) {
 		struct fleet_ep *e = g_ptr_array_index (f->eps, i);
@@ -112,6 +113,7 @@
 			continue;
 		e->suspect_by_domain = false;
 		e->health = FLEET_HEALTHY;
+		fleet_pace_begin (e, now_ms);
 	}
 }
 
@@ -255,7 +257,8 @@
 		ep->health = FLEET_HEALTHY;
 		ep->suspect_by_domain = ep->stalled = false;
 		fleet_heard (ep, now_ms);
-		clear_domain (f, ep);
+		fleet_pace_begin (ep, now_ms);
+		clear_domain (f, ep, now_ms);
 		return;
 	}
 	ep->probe_backoff_ms = MIN (ep->probe_backoff_ms * 2, PROBE_MAX_MS);
--- a/lib/fleet_subset.c
+++ b/lib/fleet_subset.c
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include "fleet.h"
+#include "fleet_pace.h"
 #include "loads.h"
 
 /* Least endpoints of a lane in the subset, however many services there are, so
@@ -94,6 +95,7 @@
 	if (digest != f->subset_digest)
 		f->subscription_changed = true;
 	f->subset_digest = digest;
+	fleet_pace_means (f);
 }
 
 void
@@ -176,6 +178,7 @@
 fleet_set_peer_loads (struct fleet *f, const struct load *loads, uint32_t count,
 		      bool is_delta)
 {
+	f->peer_loads_known = is_delta || count > 0;
 	for (guint i = 0; !is_delta && i < f->eps->len; i++)
 		reset_peer_load (g_ptr_array_index (f->eps, i));
 	for (uint32_t i = 0; i < count; i++) {
--- a/lib/place.c
+++ b/lib/place.c
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include "coldstart.h"
+#include "fleet_pace.h"
 #include "place_priv.h"
 
 /* Points of a prefix on the consistent hashing ring of engines.  With these the
@@ -74,6 +75,36 @@
 	return ep->peer_suspect;
 }
 
+/* Engines of a lane that a relay samples. */
+static uint32_t
+sample_size (const struct choice *c, guint lane)
+{
+	return CLAMP (SAMPLE_FACTOR * lane / c->relay->relay_count, SAMPLE_MIN,
+		      SAMPLE_MAX);
+}
+
+/* Whether pacing leaves out an endpoint.  A plain endpoint is considered for
+ * each request, an engine when it is sampled or preferred. */
+static bool
+is_held_back (const struct choice *c, const struct fleet_ep *ep)
+{
+	const struct fleet_pool *p = c->pool;
+	guint lane =
+		ep->short_lane ? p->short_count : p->eps->len - p->short_count;
+	struct fleet_pace_req req = {
+		.is_engine = c->req->service->is_engine,
+		.tokens = c->req->prompt_tokens,
+		.chance =
+			c->req->service->is_engine
+				? MIN ((sample_size (c, lane) + 1.0) / lane, 1)
+				: 1,
+		.relay_count = c->relay->relay_count,
+	};
+
+	return !c->allow_paced && ep->pace.active &&
+	       !fleet_pace_allows (c->f, p, ep, &req, c->now_ms);
+}
+
 /* Whether an endpoint may get the request; notes in the choice why not. */
 static bool
 allowed (struct choice *c, const struct fleet_ep *ep)
@@ -86,6 +117,10 @@
 		c->skipped_failing = true;
 		return false;
 	}
+	if (is_held_back (c, ep)) {
+		c->skipped_paced = true;
+		return false;
+	}
 	if (ep->inflight < max_inflight (s, c->relay) &&
 	    coldstart_allows (ep, s->cold_requests_per_s, c->relay->hash,
 			      c->relay->relay_count, c->now_ms))
@@ -240,8 +275,7 @@
 	const GPtrArray *known = p->subset[is_short_lane];
 	guint lane =
 		is_short_lane ? p->short_count : p->eps->len - p->short_count;
-	uint32_t n = CLAMP (SAMPLE_FACTOR * lane / c->relay->relay_count,
-			    SAMPLE_MIN, SAMPLE_MAX);
+	uint32_t n = sample_size (c, lane);
 	uint32_t end = MIN (c->count + n, CANDIDATES_MAX);
 
 	for (uint32_t i = 0;
@@ -398,6 +432,10 @@
 	if (c.pool == NULL)
 		return v;
 	v = choose_from (&c);
+	if (v.ep == NULL && v.reason != PLACE_BUSY && c.skipped_paced) {
+		c.allow_paced = true;
+		v = choose_from (&c);
+	}
 	if (v.ep == NULL && v.reason != PLACE_BUSY && c.skipped_failing) {
 		c.allow_failing = true;
 		v = choose_from (&c);
--- a/lib/place_priv.h
+++ b/lib/place_priv.h
@@ -42,6 +42,8 @@
 	bool allow_failing;   /* also those that fail, or are down for peers */
 	bool skipped_failing; /* some were left out for that */
 	bool full;            /* some have no free slot for this relay */
+	bool allow_paced;     /* also those that pacing leaves out */
+	bool skipped_paced;   /* some were left out for that */
 	uint64_t rng;         /* state of the random generator */
 	uint32_t shared_tokens;        /* of the shared segments */
 	const struct fleet_ep *holder; /* caches the most of them */
--- a/lib/set_daemons.c
+++ b/lib/set_daemons.c
@@ -153,6 +153,10 @@
 	     .doc = "The retry budget's window in seconds."),
 	ROW (usage_window_s, SET_REAL, .def = "60", .min = 1, .max = 86400,
 	     .doc = "Length of a usage window in seconds."),
+	ROW (pace, SET_BOOL, .def = "false",
+	     .doc = "Whether the load of endpoints that have just appeared or "
+		    "recovered rises with what they answer, as a sum over all "
+		    "relays."),
 	SET_ROW_END,
 };
 #undef STRUCT
--- a/lib/set_daemons.h
+++ b/lib/set_daemons.h
@@ -100,6 +100,7 @@
 	double retry_slack;
 	double retry_window_s;
 	double usage_window_s;
+	bool pace;
 };
 
 /** set_relayd_rows - the table of struct set_relayd */
--- a/relayd/attempt.c
+++ b/relayd/attempt.c
@@ -4,6 +4,7 @@
  */
 #include <string.h>
 
+#include "fleet_pace.h"
 #include "relayd.h"
 
 /* An endpoint that accepts no connection in this time is suspect; a round trip
@@ -81,7 +82,7 @@
 record_first_byte (struct call *c)
 {
 	uint64_t now_ms = tmr_now_ms ();
-	double took_ms = (double)(now_ms - c->sent_ms);
+	double took_ms = (double)(now_ms - c->sent_ms), factor;
 	struct fleet_ep *ep = c->ep;
 
 	if (c->first_byte_seen)
@@ -97,11 +98,14 @@
 		c->usage_counted = true;
 		usage_count (c->r, c->account);
 	}
-	if (c->service->is_engine)
-		fleet_note_slowdown (
-			&c->r->fleet, ep,
-			MAX (took_ms - TTFT_OVERHEAD_MS, 0) /
-				(c->prefill_ms + TTFT_OVERHEAD_MS));
+	if (!c->service->is_engine) {
+		fleet_pace_answered_plain (ep, took_ms);
+		return;
+	}
+	factor = MAX (took_ms - TTFT_OVERHEAD_MS, 0) /
+		 (c->prefill_ms + TTFT_OVERHEAD_MS);
+	fleet_pace_answered (ep, factor);
+	fleet_note_slowdown (&c->r->fleet, ep, factor);
 }
 
 /* Whether the body is a stream of events: what a server says by another type,
@@ -333,7 +337,9 @@
 			   ep->info.id, ep->info.addr, end, ep->on_trial);
 		return;
 	}
-	if (!c->answer.not_executed)
+	if (c->answer.not_executed)
+		fleet_pace_refused (ep, now_ms);
+	else
 		fleet_outcome (ep,
 			       end == H1CLI_WHOLE && c->status > 0 &&
 				       c->status < 500,
@@ -493,8 +499,10 @@
 	if (c->ep->inflight++ == 0)
 		c->ep->busy_since_ms = now_ms;
 	c->ep->prefill_tokens += c->prefill_tokens;
-	if (c->service->is_engine)
+	if (c->service->is_engine) {
+		fleet_pace_sent (c->ep, c->prefill_tokens);
 		record_segments (c, v, now_ms);
+	}
 	log_event (LOG_LV_INFO, "send",
 		   "req=%s service=%s ep=%s domain=%s why=%s "
 		   "predicted_ttft_ms=%.0f "
--- a/relayd/metrics.c
+++ b/relayd/metrics.c
@@ -1,6 +1,7 @@
 /*
  * Metrics in the Prometheus text format.
  */
+#include "fleet_pace.h"
 #include "relayd.h"
 
 static void
@@ -35,6 +36,7 @@
 	print_counter (out, "relays", r->relay_count);
 	print_counter (out, "endpoints_ready",
 		       fleet_ready_count (&r->fleet, now_ms));
+	print_counter (out, "endpoints_paced", fleet_paced_count (&r->fleet));
 	print_counter (out, "list_age_ms", now_ms - r->list_read_ms);
 	print_counter (out, "version", r->plan != NULL ? r->plan->version : 0);
 	print_counter (out, "config_requests_total", r->config.requests);
--- a/relayd/upstream.c
+++ b/relayd/upstream.c
@@ -4,6 +4,7 @@
  */
 #include <string.h>
 
+#include "fleet_pace.h"
 #include "relayd.h"
 
 /* Limits of a health check: for its connection, and for the answer. */
@@ -268,6 +269,7 @@
 	eplist_init (&r->list_reader, &r->platform, r->dialect, &own_list_ops,
 		     r);
 	fleet_init (&r->fleet, &upstream_fleet_ops, r);
+	r->fleet.pace = r->set.pace;
 	r->fleet.relay_hash = r->name_hash;
 }
 
@@ -325,7 +327,9 @@
 
 		probe_tick (r, ep->owner_data, now_ms);
 	}
-	if (due)
+	if (due) {
+		fleet_pace_tick (&r->fleet, now_ms);
 		r->probe_check_ms = now_ms;
+	}
 	own_list_tick (r, now_ms);
 }
