relayd: setting `pace`

Cause: pacing of endpoints (lib/pace.h) is in placement, and no relay uses it. Change: the setting `pace`, false by default; relays tell the module what is sent, how long answers take, and which requests were refused or failed. A refusal without execution, which was no event for placement so far, begins pacing. Tests: test_relay_refused (paced after a refusal, with and without the setting).

--- a/tests/test_relay_refused.c
+++ b/tests/test_relay_refused.c
@@ -80,11 +80,35 @@
 	}
 }
 
+/* An endpoint that refuses a request without running it gets less from then on
+ * where pacing is set, and as much as before where it isn't. */
+static void
+test_paced_after_refusal (void)
+{
+	const struct answer script[ANSWERS_MAX] = {
+		{.text = FULL "X-Request-Id: r1\r\nContent-Length: 0\r\n\r\n",
+		 .after = KEEP}};
+
+	for (uint32_t on = 0; on < 2; on++) {
+		const struct fleet_ep *ep;
+		struct world w;
+
+		world_init (&w, "app", 1);
+		w.r.fleet.pace = on;
+		world_ask (&w, "POST", "/o/a", "r1", script);
+		ep = w.r.fleet.eps->pdata[0];
+		CU_ASSERT (w.answered == 1 && ep->pace.active == on);
+		CU_ASSERT ((ep->pace.hold_until_ms > 0) == on);
+		world_finish (&w);
+	}
+}
+
 int
 main (void)
 {
 	static const struct t_case cases[] = {
 		{"refused though it runs", test_refused_though_it_runs},
+		{"paced after a refusal", test_paced_after_refusal},
 		{NULL, NULL}};
 
 	return t_run ("relay_refused", cases);
