--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -7,6 +7,7 @@
 #include <glib.h>
 
 #include "msg.h"
+#include "pace.h"
 #include "plan.h"
 #include "speed.h"
 
@@ -130,6 +131,7 @@
 	double slowdown;       /* prefill time over the fleet's, averaged */
 	struct speed speed;    /* from its streams; see speed.h */
 	double slowness;       /* speed_slowness(); 1 where it isn't learned */
+	struct pace pace;      /* inactive where fleet.pace is false */
 	GHashTable *segments;  /* segment id to struct fleet_segment */
 	GQueue segment_lru;    /* of struct fleet_segment, oldest first */
 	double segment_tokens; /* sum over the segments */
@@ -154,6 +156,18 @@
 /* Lane 0 takes long prompts, lane 1 short ones. */
 #define FLEET_LANES 2
 
+/**
+ * struct fleet_lane_load - load of a lane for pacing, see fleet_pace_means()
+ * @running_each: mean requests of all relays at each endpoint
+ * @peer_running: the same at those that are not paced
+ * @peer_backlog: mean prompt tokens to prefill at these
+ */
+struct fleet_lane_load {
+	double running_each;
+	double peer_running;
+	double peer_backlog;
+};
+
 /**
  * struct fleet_pool - the endpoints of one service
  * @service: name of the service
@@ -166,6 +180,7 @@
  * @prefill_per_ms: prompt tokens that a usual engine prefills in a millisecond;
  *	0: not learned
  * @usual_gap_ms: median of speed.gap_ms over @eps; 0: not learned
+ * @lane_load: by lane
  */
 struct fleet_pool {
 	char service[FLEET_NAME_BYTES];
@@ -176,6 +191,7 @@
 	uint32_t mean_running;
 	double usual_gap_ms;
 	double prefill_per_ms;
+	struct fleet_lane_load lane_load[FLEET_LANES];
 };
 
 /**
@@ -209,6 +225,10 @@
 	uint64_t silence_checked_ms; /* fleet_check_silence() */
 	bool silence_check_late;     /* its last call came too late */
 	double slot_hold_ms; /* time that a stream holds a slot, averaged */
+	bool pace; /* endpoints that appear are paced; set by the owner */
+	bool peer_loads_known; /* the last update was not an empty snapshot */
+	double prompt_tokens[FLEET_LANES]; /* sent to each lane, averaged */
+	double plain_hold_ms; /* time of answers without an engine, averaged */
 };
 
 /**
--- a/lib/set_daemons.h
+++ b/lib/set_daemons.h
@@ -102,6 +102,7 @@
 	double usage_window_s;
 	bool learn_speed;
 	bool share_room;
+	bool pace;
 };
 
 /** set_relayd_rows - the table of struct set_relayd */
