place: engines are not held back while their room is short

At a shortage, the rate that relays share bounds what all of them send; an engine that pacing holds back is room lost.

--- a/lib/place.c
+++ b/lib/place.c
@@ -101,7 +101,9 @@
 		.relay_count = c->relay->relay_count,
 	};
 
-	return !c->allow_paced && ep->pace.active &&
+	/* At a shortage the common rate of the relays bounds what is sent, and an
+	 * engine that is held back is room lost. */
+	return !c->allow_paced && ep->pace.active && !c->req->room_is_short &&
 	       !fleet_pace_allows (c->f, p, ep, &req, c->now_ms);
 }
 
--- a/lib/place.h
+++ b/lib/place.h
@@ -55,6 +55,7 @@
  * @gap_target_ms: longest pause between the events of its stream that is in
  *	time; 0: any is, or speeds aren't learned
  * @shared_room: the relays send waiting requests at a common rate
+ * @room_is_short: more waits than the engines have room for
  * @unseen_ms: prefill time that peers are expected to have sent to any engine
  *	since their loads were reported; see dispatch_unseen_ms()
  * @may_repeat: it may run again elsewhere if an endpoint breaks it
@@ -72,6 +73,7 @@
 	double max_backlog_ms;
 	double gap_target_ms;
 	bool shared_room;
+	bool room_is_short;
 	double unseen_ms;
 	bool may_repeat;
 	bool late;
--- a/relayd/call.c
+++ b/relayd/call.c
@@ -154,6 +154,7 @@
 		.gap_target_ms =
 			c->r->set.learn_speed ? c->route->gap_target_ms : 0,
 		.shared_room = c->r->set.share_room,
+		.room_is_short = c->r->dispatch.is_short,
 		.unseen_ms = dispatch_unseen_ms (&c->r->dispatch),
 		.may_repeat = attempt_is_repeatable (c) &&
 			      c->maybe_run + 1 < c->route->max_attempts,
