--- a/tests/t_raft.c
+++ b/tests/t_raft.c
@@ -42,7 +42,8 @@
 uint64_t
 rsim_clock (const struct rsim_node *n)
 {
-	return 1000 + (uint64_t)((double)n->sim->now_ms * n->rate);
+	return 1000 +
+	       (uint64_t)((double)(n->sim->now_ms + n->lag_ms) * n->rate);
 }
 
 void
@@ -62,6 +63,34 @@
 	return NULL;
 }
 
+/* When a message arrives; 0 where it is lost. */
+static uint64_t
+arrival (struct rsim_node *n, const struct rsim_node *to)
+{
+	struct rsim *s = n->sim;
+	uint64_t *last = &n->sent_at_ms[to - s->nodes];
+	bool lost = g_rand_double (s->rand) < s->loss;
+	uint64_t at_ms = s->now_ms + n->lag_ms;
+
+	if (lost && s->resend_ms == 0)
+		return 0;
+	at_ms += (uint64_t)g_rand_int_range (s->rand, 1, (gint32)s->delay_ms);
+	if (s->resend_ms != 0)
+		*last = at_ms = MAX (*last, at_ms + (lost ? s->resend_ms : 0));
+	return at_ms;
+}
+
+/* A member does nothing else while its disk works. */
+static void
+wait_for_disk (struct rsim_node *n)
+{
+	struct rsim *s = n->sim;
+
+	if (s->sync_ms != 0)
+		n->lag_ms += (uint64_t)g_rand_int_range (
+			s->rand, 2, (gint32)s->sync_ms + 1);
+}
+
 static void
 op_send (const struct raft_msg *m, void *ctx)
 {
@@ -75,14 +104,12 @@
 		return;
 	for (int i = 0; i < copies; i++) {
 		msgpack_sbuffer buf;
-		struct flight f = {.to = m->to};
+		struct flight f = {.to = m->to, .at_ms = arrival (n, to)};
 
-		if (g_rand_double (s->rand) < s->loss)
+		if (f.at_ms == 0)
 			continue;
 		msgpack_sbuffer_init (&buf);
 		msg_pack (raft_msg_fields, m, &buf);
-		f.at_ms = s->now_ms + (uint64_t)g_rand_int_range (
-					      s->rand, 1, (gint32)s->delay_ms);
 		f.len = buf.size;
 		f.data = msgpack_sbuffer_release (&buf);
 		g_array_append_val (s->flights, f);
@@ -121,6 +148,7 @@
 {
 	struct rsim_node *n = ctx;
 
+	wait_for_disk (n);
 	disk_settle (n, n->pending->len);
 	n->disk.term = term;
 	n->disk.vote = vote;
@@ -152,6 +180,7 @@
 {
 	struct rsim_node *n = ctx;
 
+	wait_for_disk (n);
 	disk_settle (n, n->pending->len);
 	return true;
 }
@@ -281,7 +310,7 @@
 {
 	struct disk *d = &n->disk;
 
-	raft_init (&n->raft, n->id, &rsim_times, &limits, &ops, n,
+	raft_init (&n->raft, n->id, &n->sim->times, &limits, &ops, n,
 		   g_rand_int (n->sim->rand));
 	raft_load_vote (&n->raft, d->term, d->vote);
 	raft_load_snapshot (&n->raft, d->snap_index, d->snap_term,
@@ -332,6 +361,7 @@
 
 	memset (s, 0, sizeof *s);
 	s->rand = g_rand_new_with_seed (seed);
+	s->times = rsim_times;
 	s->flights = g_array_new (FALSE, TRUE, sizeof (struct flight));
 	s->committed = g_array_new (FALSE, TRUE, sizeof (uint64_t));
 	s->leaders = g_hash_table_new (NULL, NULL);
@@ -381,27 +411,34 @@
 	g_rand_free (s->rand);
 }
 
+void
+rsim_deliver (struct rsim_node *n, struct flight *f)
+{
+	msgpack_zone zone;
+	struct raft_msg m;
+
+	msgpack_zone_init (&zone, 4096);
+	CU_ASSERT_FATAL (
+		msg_unpack (raft_msg_fields, f->data, f->len, &m, &zone, NULL));
+	if (n->up)
+		raft_step (&n->raft, &m, rsim_clock (n));
+	msgpack_zone_destroy (&zone);
+	free (f->data);
+}
+
 static void
 deliver (struct rsim *s)
 {
 	for (guint i = 0; i < s->flights->len;) {
 		struct flight f = g_array_index (s->flights, struct flight, i);
 		struct rsim_node *n = node_by_id (s, f.to);
-		msgpack_zone zone;
-		struct raft_msg m;
 
 		if (f.at_ms > s->now_ms || (n->up && n->frozen)) {
 			i++;
 			continue;
 		}
 		g_array_remove_index_fast (s->flights, i);
-		msgpack_zone_init (&zone, 4096);
-		CU_ASSERT_FATAL (msg_unpack (raft_msg_fields, f.data, f.len, &m,
-					     &zone, NULL));
-		if (n->up)
-			raft_step (&n->raft, &m, rsim_clock (n));
-		msgpack_zone_destroy (&zone);
-		free (f.data);
+		rsim_deliver (n, &f);
 	}
 }
 
--- a/tests/t_raft.h
+++ b/tests/t_raft.h
@@ -49,6 +49,8 @@
 	bool frozen;
 	bool lost; /* its disk is gone for good */
 	double rate;
+	uint64_t lag_ms; /* time that its current turn has taken */
+	uint64_t sent_at_ms[RSIM_NODES_MAX]; /* last arrival, for resend_ms */
 };
 
 struct flight {
@@ -68,6 +70,10 @@
 	double loss;
 	double dup;
 	uint32_t delay_ms;
+	uint32_t sync_ms;   /* longest sync of a disk; 0: none takes time */
+	uint32_t resend_ms; /* not 0: links keep the order, and what is lost
+			       arrives so much later */
+	struct raft_times times;
 	bool may_lose;
 	GArray *committed;   /* uint64_t hash of each applied entry */
 	GHashTable *leaders; /* term to id */
@@ -86,6 +92,9 @@
 /* Let RSIM_STEP_MS pass: deliver, tick, flush, check. */
 void rsim_step (struct rsim *s);
 
+/* Give a member a message that has arrived; it is freed. */
+void rsim_deliver (struct rsim_node *n, struct flight *f);
+
 /* Another member with an empty disk; NULL where there are too many. */
 struct rsim_node *rsim_add (struct rsim *s);
 
