raft: a vote takes one sync, and timers begin after it

A voter that learned of a new term by a vote request made the term durable and then its vote: two syncs in a row, while the candidate waited. Election timers were set by the time before these syncs, so that with slow disks a candidate's round was over, and a voter stood itself, as soon as the disk was done.

Term and vote are now made durable together, still before the answer, and the owner gives a clock that is read after each sync.

--- a/controld/store.c
+++ b/controld/store.c
@@ -151,6 +151,13 @@
 	control_wake (c);
 }
 
+static uint64_t
+op_now (void *ctx)
+{
+	(void)ctx;
+	return tmr_now_ms ();
+}
+
 static const struct raft_ops ops = {
 	.send = op_send,
 	.save_vote = op_save_vote,
@@ -162,6 +169,7 @@
 	.snapshot_chunk = op_chunk,
 	.install = op_install,
 	.role = op_role,
+	.now = op_now,
 };
 
 static bool
--- a/groupd/store.c
+++ b/groupd/store.c
@@ -178,6 +178,13 @@
 	group_schedule_flush (g);
 }
 
+static uint64_t
+op_now (void *ctx)
+{
+	(void)ctx;
+	return tmr_now_ms ();
+}
+
 static const struct raft_ops ops = {
 	.send = op_send,
 	.save_vote = op_save_vote,
@@ -189,6 +196,7 @@
 	.snapshot_chunk = op_snapshot_chunk,
 	.install = op_install,
 	.role = op_role,
+	.now = op_now,
 };
 
 /* Loads what wal_open() read into raft and the replicated state. */
--- a/lib/raft.c
+++ b/lib/raft.c
@@ -168,22 +168,39 @@
 		(uint64_t)g_rand_int_range (r->rand, 0, (gint32)ms + 1);
 }
 
-void
-raft_become_follower (struct raft *r, uint64_t term, uint64_t leader)
+/* A sync may take longer than an election timeout: timers that begin after it
+ * begin then. */
+static void
+read_clock (struct raft *r)
+{
+	if (r->ops->now != NULL)
+		r->now_ms = MAX (r->now_ms, r->ops->now (r->ctx));
+}
+
+bool
+raft_save_vote (struct raft *r, uint64_t term, uint64_t vote)
+{
+	r->term = term;
+	r->vote = vote;
+	memset (&r->ack, 0, sizeof r->ack);
+	if (!r->ops->save_vote (r->term, r->vote, r->ctx)) {
+		raft_fail (r);
+		return false;
+	}
+	read_clock (r);
+	return true;
+}
+
+static void
+follow (struct raft *r, uint64_t term, uint64_t vote, uint64_t leader)
 {
 	enum raft_role role =
 		raft_is_voter (r, r->id) ? RAFT_FOLLOWER : RAFT_LEARNER;
 	bool changed = r->role != role || r->leader != leader || r->term < term;
 
-	if (term > r->term) {
-		r->term = term;
-		r->vote = 0;
-		memset (&r->ack, 0, sizeof r->ack);
-		if (!r->ops->save_vote (r->term, r->vote, r->ctx)) {
-			raft_fail (r);
-			return;
-		}
-	}
+	if ((term > r->term || (vote != 0 && r->vote == 0)) &&
+	    !raft_save_vote (r, term, vote))
+		return;
 	if (r->role == RAFT_LEADER)
 		raft_reset_election (r);
 	r->role = role;
@@ -193,6 +210,18 @@
 		r->ops->role (r->ctx);
 }
 
+void
+raft_become_follower (struct raft *r, uint64_t term, uint64_t leader)
+{
+	follow (r, term, 0, leader);
+}
+
+void
+raft_vote_for (struct raft *r, uint64_t term, uint64_t vote)
+{
+	follow (r, term, vote, 0);
+}
+
 bool
 raft_append (struct raft *r, const struct raft_entry *entry)
 {
@@ -339,6 +368,7 @@
 		}
 		r->dirty = false;
 		r->log.durable = raft_log_last (&r->log);
+		read_clock (r);
 	}
 	if (r->ack.to != 0) {
 		struct raft_msg m = {.term = r->term,
--- a/lib/raft.h
+++ b/lib/raft.h
@@ -193,6 +193,8 @@
  * @snapshot_chunk: read the newest snapshot
  * @install: replace state and durable log by a snapshot, durably
  * @role: the role, the term or the known leader changed
+ * @now: own clock, the one of raft_tick(); read after @save_vote and @sync,
+ *	which may take long.  NULL: the clock stands still during a call.
  *
  * Where one returns false, the failure is final: the core stops.
  */
@@ -212,6 +214,7 @@
 			 const struct raft_config *config, const void *data,
 			 size_t len, void *ctx);
 	void (*role) (void *ctx);
+	uint64_t (*now) (void *ctx);
 };
 
 /** struct raft_peer - what a member knows of another */
--- a/lib/raft_elect.c
+++ b/lib/raft_elect.c
@@ -93,18 +93,11 @@
 
 	r->role = pre ? RAFT_PRE_CANDIDATE : RAFT_CANDIDATE;
 	r->leader = 0;
-	raft_reset_election (r);
 	for (uint32_t i = 0; i < r->peer_count; i++)
 		r->peers[i].granted = false;
-	if (!pre) {
-		memset (&r->ack, 0, sizeof r->ack);
-		r->term++;
-		r->vote = r->id;
-		if (!r->ops->save_vote (r->term, r->vote, r->ctx)) {
-			raft_fail (r);
-			return;
-		}
-	}
+	if (!pre && !raft_save_vote (r, r->term + 1, r->id))
+		return;
+	raft_reset_election (r);
 	r->ops->role (r->ctx);
 	m.term = pre ? r->term + 1 : r->term;
 	for (uint32_t i = 0; i < r->peer_count; i++) {
@@ -118,24 +111,20 @@
 	check_won (r);
 }
 
+/* Term and vote are made durable together: each sync of its own would have the
+ * candidate wait for another one. */
 static bool
 grant_vote (struct raft *r, const struct raft_msg *m)
 {
-	if (m->term > r->term) {
+	bool may = up_to_date (r, m) && m->term >= r->term &&
+		   (m->term > r->term || r->vote == 0 || r->vote == m->from);
+
+	if (may && (m->term > r->term || r->vote == 0))
+		raft_vote_for (r, m->term, m->from);
+	else if (m->term > r->term)
 		raft_become_follower (r, m->term, 0);
-		if (r->failed)
-			return false;
-	}
-	if (m->term < r->term || (r->vote != 0 && r->vote != m->from) ||
-	    !up_to_date (r, m))
+	if (r->failed || !may)
 		return false;
-	if (r->vote == 0) {
-		r->vote = m->from;
-		if (!r->ops->save_vote (r->term, r->vote, r->ctx)) {
-			raft_fail (r);
-			return false;
-		}
-	}
 	raft_reset_election (r);
 	return true;
 }
--- a/lib/raft_priv.h
+++ b/lib/raft_priv.h
@@ -23,6 +23,10 @@
 bool raft_append (struct raft *r, const struct raft_entry *entry);
 void raft_fail (struct raft *r);
 void raft_become_follower (struct raft *r, uint64_t term, uint64_t leader);
+/* Make @vote in @term durable and be a follower without a known leader. */
+void raft_vote_for (struct raft *r, uint64_t term, uint64_t vote);
+/* Make term and vote durable, and read the clock after that. */
+bool raft_save_vote (struct raft *r, uint64_t term, uint64_t vote);
 void raft_reset_election (struct raft *r);
 struct raft_peer *raft_peer_find (struct raft *r, uint64_t id);
 bool raft_is_voter (const struct raft *r, uint64_t id);
--- a/tests/t_raft.c
+++ b/tests/t_raft.c
@@ -292,6 +292,12 @@
 	g_hash_table_insert (s->leaders, term, GSIZE_TO_POINTER (n->id));
 }
 
+static uint64_t
+op_now (void *ctx)
+{
+	return rsim_clock (ctx);
+}
+
 static const struct raft_ops ops = {
 	.send = op_send,
 	.save_vote = op_save_vote,
@@ -303,6 +309,7 @@
 	.snapshot_chunk = op_chunk,
 	.install = op_install,
 	.role = op_role,
+	.now = op_now,
 };
 
 void
