--- a/tests/test_raft_delay.c
+++ b/tests/test_raft_delay.c
@@ -21,6 +21,7 @@
 
 #define PAUSE_MAX_MS 600
 #define ELECTED_MAX_MS 4000
+#define TERMS_MAX 8 /* begun in one election */
 
 /* Which members pause. */
 enum pauses { PAUSE_NONE, PAUSE_TOGETHER, PAUSE_EACH, PAUSE_MINORITY };
@@ -31,6 +32,7 @@
 	uint64_t tick_at_ms;
 	uint64_t pause_at_ms;
 	uint64_t pause_ms;
+	uint64_t led_ms; /* since when its turns end as leader; 0: not */
 };
 
 /* A group whose members run event loops. */
@@ -115,6 +117,20 @@
 	(void)raft_propose (&n->raft, "x", 1, &index, NULL);
 }
 
+/* A leader holds the lease and has committed in its term; its state is that of
+ * the end of its turn. */
+static void
+note_leader (struct rsim_node *n, struct loop *l)
+{
+	const struct raft *r = &n->raft;
+
+	if (r->role != RAFT_LEADER || r->commit < r->term_start ||
+	    rsim_clock (n) >= raft_lease_until (r))
+		l->led_ms = 0;
+	else if (l->led_ms == 0)
+		l->led_ms = l->busy_until_ms;
+}
+
 /* One turn of a member's loop: what is read and the timer come in either
  * order, and a pause comes before both or between them. */
 static void
@@ -145,6 +161,7 @@
 		tick (n, l);
 	w->terms += n->raft.term > term && n->raft.vote == n->id;
 	l->busy_until_ms = s->now_ms + n->lag_ms;
+	note_leader (n, l);
 	n->lag_ms = 0;
 }
 
@@ -176,19 +193,13 @@
 	}
 }
 
-/* The leader that holds the lease and has committed in its term; members are
- * looked at between their turns only. */
 static struct rsim_node *
 leader_of (struct world *w)
 {
 	for (uint32_t i = 0; i < w->s.count; i++) {
-		struct rsim_node *n = &w->s.nodes[i];
-
-		if (n->up && w->s.now_ms >= w->loops[i].busy_until_ms &&
-		    n->raft.role == RAFT_LEADER &&
-		    n->raft.commit >= n->raft.term_start &&
-		    rsim_clock (n) < raft_lease_until (&n->raft))
-			return n;
+		if (w->s.nodes[i].up && w->loops[i].led_ms != 0 &&
+		    w->s.now_ms >= w->loops[i].led_ms)
+			return &w->s.nodes[i];
 	}
 	return NULL;
 }
@@ -239,6 +250,7 @@
 struct figures {
 	GArray *ms; /* uint64_t, until a leader was elected */
 	uint64_t terms;
+	uint64_t terms_most; /* of one schedule */
 	uint64_t deposed;
 	uint32_t late;
 };
@@ -262,6 +274,13 @@
 	printf ("seed %u: no leader for %" G_GUINT64_FORMAT " ms\n", seed, ms);
 }
 
+static void
+note_terms (struct figures *f, uint64_t terms)
+{
+	f->terms += terms;
+	f->terms_most = MAX (f->terms_most, terms);
+}
+
 static void
 print_figures (const char *what, struct figures *f)
 {
@@ -269,9 +288,10 @@
 	const uint64_t *ms = (const uint64_t *)f->ms->data;
 
 	g_array_sort (f->ms, compare);
-	printf ("%s: %u schedules, %" G_GUINT64_FORMAT
-		" terms, %" G_GUINT64_FORMAT " deposed",
-		what, n, f->terms, f->deposed);
+	printf ("%s: %u elections, %" G_GUINT64_FORMAT
+		" terms, %" G_GUINT64_FORMAT
+		" at most in one, %" G_GUINT64_FORMAT " deposed",
+		what, n, f->terms, f->terms_most, f->deposed);
 	if (n > 0)
 		printf ("; elected after %" G_GUINT64_FORMAT
 			" ms (median), %" G_GUINT64_FORMAT
@@ -309,20 +329,38 @@
 	print_figures (what, f);
 }
 
+/* All members start at once: one of them stands for election, and its round
+ * lasts until the disks have made the votes durable. */
+static void
+all_start (struct world *w, uint32_t seed, struct figures *f)
+{
+	note_elected (f, seed, wait_for_leader (w));
+	note_terms (f, w->terms);
+}
+
+static void
+test_all_start (void)
+{
+	struct figures f;
+
+	schedules ("all start", all_start, &f);
+	CU_ASSERT_EQUAL (f.late, 0);
+	CU_ASSERT (f.terms_most <= TERMS_MAX);
+}
+
 /* Members pause for five seconds, all at once or each by itself; afterwards a
  * minority still does, or none. */
 static void
 after_pauses (struct world *w, uint32_t seed, struct figures *f)
 {
-	uint64_t terms;
+	uint64_t terms = w->terms;
 
 	w->pauses = seed / 2 % 2 == 0 ? PAUSE_TOGETHER : PAUSE_EACH;
 	run (w, 5000);
 	w->pauses = seed / 4 % 2 == 0 ? PAUSE_NONE : PAUSE_MINORITY;
-	terms = w->terms;
 	note_elected (f, seed, wait_for_leader (w));
 	run (w, 2000);
-	f->terms += w->terms - terms;
+	note_terms (f, w->terms - terms);
 }
 
 static void
@@ -349,7 +387,7 @@
 	rsim_crash (l);
 	terms = w->terms;
 	note_elected (f, seed, wait_for_leader (w));
-	f->terms += w->terms - terms;
+	note_terms (f, w->terms - terms);
 }
 
 static void
@@ -359,6 +397,7 @@
 
 	schedules ("leader ends", leader_ends, &f);
 	CU_ASSERT_EQUAL (f.late, 0);
+	CU_ASSERT (f.terms_most <= TERMS_MAX);
 }
 
 /* Disks and links are slow, and a minority without the leader pauses: a
@@ -382,7 +421,7 @@
 	terms = w->terms;
 	run (w, 10000);
 	f->deposed += l->raft.term != term || l->raft.role != RAFT_LEADER;
-	f->terms += w->terms - terms;
+	note_terms (f, w->terms - terms);
 }
 
 static void
@@ -398,6 +437,7 @@
 main (void)
 {
 	static const struct t_case cases[] = {
+		{"a leader when all start", test_all_start},
 		{"a leader after pauses", test_after_pauses},
 		{"a leader after another's end", test_leader_ends},
 		{"a leader that is heard stays", test_steady},
