raft: followers answer that they heard the leader before they sync

An answer to entries waits for the disk, and with it the word that the leader was heard. With syncs of 300 ms on both sides, a leader that all members heard had no lease and was deposed.

--- a/lib/raft.c
+++ b/lib/raft.c
@@ -353,6 +353,20 @@
 		raft_become_follower (r, r->term, 0);
 }
 
+/* Tells the leader before a sync that it was heard.  An answer of index 0
+ * claims nothing about the log.  A leader that learned of it only after the
+ * sync had no lease and was deposed by syncs of 300 ms, although all members
+ * heard it. */
+static void
+answer_contact (struct raft *r)
+{
+	struct raft_msg m = {
+		.term = r->term, .sent_ms = r->ack.sent_ms, .ok = true};
+
+	if (r->ack.to != 0)
+		raft_send (r, &m, r->ack.to, RAFT_MSG_APPEND_REPLY);
+}
+
 void
 raft_flush (struct raft *r, uint64_t now_ms)
 {
@@ -362,6 +376,7 @@
 	if (r->role == RAFT_LEADER)
 		raft_broadcast (r, false);
 	if (r->dirty) {
+		answer_contact (r);
 		if (!r->ops->sync (r->ctx)) {
 			raft_fail (r);
 			return;
