raft: a pause of the own loop is not a peer's silence

After a pause of its loop, or after a slow sync, a member judged its peers by the clock before it had read what they had sent meanwhile: followers stood for election and leaders stepped down. A tick that comes later than a heartbeat after the last one now puts off an election by one to two heartbeats, and a leader waits an election timeout for answers to what it sends then. Both are bounded at two more election timeouts, for loops that pause all the time. The lease counts as before, and no vote is granted sooner.

--- a/lib/raft.c
+++ b/lib/raft.c
@@ -7,6 +7,10 @@
 
 #include "raft_priv.h"
 
+/* A member whose loop pauses all the time still stands for election in the end:
+ * pauses postpone that by so many election timeouts. */
+#define PAUSE_ELECTIONS_MAX 2
+
 const struct msg_field raft_entry_fields[] = {
 	MSG_FIELD (1, MSG_U64, struct raft_entry, index),
 	MSG_FIELD (2, MSG_U64, struct raft_entry, term),
@@ -166,6 +170,34 @@
 	r->election_at_ms =
 		r->now_ms + ms +
 		(uint64_t)g_rand_int_range (r->rand, 0, (gint32)ms + 1);
+	r->election_limit_ms = r->election_at_ms + PAUSE_ELECTIONS_MAX * ms;
+}
+
+/* After a pause, what the peers sent meanwhile may not have been read yet, and
+ * they may have been paused too. */
+static void
+note_pause (struct raft *r)
+{
+	if (r->ticked_ms == 0 ||
+	    r->now_ms <= r->ticked_ms + r->times.heartbeat_ms)
+		return;
+	r->resumed_ms = r->now_ms;
+}
+
+/* The wait is random, so that members that paused together do not stand
+ * together. */
+static void
+postpone_election (struct raft *r)
+{
+	uint32_t ms = r->times.heartbeat_ms;
+	uint64_t at_ms =
+		r->now_ms + ms +
+		(uint64_t)g_rand_int_range (r->rand, 0, (gint32)ms + 1);
+
+	if (r->resumed_ms != r->now_ms)
+		return;
+	at_ms = MIN (at_ms, r->election_limit_ms);
+	r->election_at_ms = MAX (r->election_at_ms, at_ms);
 }
 
 /* A sync may take longer than an election timeout: timers that begin after it
@@ -243,6 +275,8 @@
 	if (r->failed)
 		return;
 	r->now_ms = now_ms;
+	note_pause (r);
+	r->ticked_ms = now_ms;
 	if (r->role == RAFT_LEADER) {
 		raft_check_quorum (r);
 		if (r->role != RAFT_LEADER)
@@ -255,6 +289,7 @@
 		return;
 	}
 	raft_restart_tick (r);
+	postpone_election (r);
 	if (now_ms >= r->election_at_ms && raft_is_voter (r, r->id))
 		raft_campaign (r, RAFT_CAMPAIGN_PRE);
 }
--- a/lib/raft.h
+++ b/lib/raft.h
@@ -268,6 +268,9 @@
 	uint64_t now_ms;
 	uint64_t contact_ms; /* when a leader was last heard */
 	uint64_t election_at_ms;
+	uint64_t election_limit_ms; /* a pause postpones it no further */
+	uint64_t ticked_ms;         /* 0: not yet */
+	uint64_t resumed_ms; /* when the owner last came back from a pause */
 	uint64_t heartbeat_at_ms;
 	uint64_t incarnation; /* of this start; 0 once a leader was heard */
 	uint64_t restart_ask_at_ms;
--- a/lib/raft_elect.c
+++ b/lib/raft_elect.c
@@ -11,6 +11,10 @@
 
 #include "raft_priv.h"
 
+/* A leader whose loop pauses all the time steps down after so many election
+ * timeouts more than another without a quorum. */
+#define PAUSE_QUORUM_MAX 2
+
 static bool
 leader_heard (const struct raft *r)
 {
@@ -198,12 +202,17 @@
 	return at[n / 2];
 }
 
+/* After a pause of its own loop, a leader waits for answers to what it sends
+ * then: those to earlier messages are as old as the pause is long.  The lease
+ * ends as ever. */
 void
 raft_check_quorum (struct raft *r)
 {
 	uint64_t acked = raft_quorum_acked (r, r->leader_since_ms);
+	uint64_t from = MAX (acked, r->resumed_ms);
 
-	if (r->now_ms > acked + r->times.election_ms)
+	from = MIN (from, acked + PAUSE_QUORUM_MAX * r->times.election_ms);
+	if (r->now_ms > from + r->times.election_ms)
 		raft_become_follower (r, r->term, 0);
 }
 
