raft: after a restart of all, one election at a time

With slow disks, the replies to RAFT_MSG_RESTART arrive faster than votes, and each round of replies, every 30 to 60 ms, made the candidate begin another term: its own sync and the rounds gave one every 120 ms, which is what the known red e2e_narrow logged (34 terms in 4 s). A candidate now waits for its election timeout before it stands again.

--- a/lib/raft_restart.c
+++ b/lib/raft_restart.c
@@ -83,13 +83,16 @@
 	raft_send (r, &reply, m->from, RAFT_MSG_RESTART_REPLY);
 }
 
-/* Whether all members have just started, and this one should lead them. */
+/* Whether all members have just started, and this one should lead them.  It
+ * stands once in an election timeout: with slow disks, replies arrive faster
+ * than votes, and each round of them began another term. */
 static bool
 should_stand (const struct raft *r)
 {
 	uint32_t voters = 1;
 
-	if (r->incarnation == 0 || !raft_is_voter (r, r->id))
+	if (r->incarnation == 0 || !raft_is_voter (r, r->id) ||
+	    (r->role == RAFT_CANDIDATE && r->now_ms < r->election_at_ms))
 		return false;
 	for (uint32_t i = 0; i < r->peer_count; i++) {
 		const struct raft_peer *p = &r->peers[i];
