raft: a candidate repeats its requests for votes

A voter may refuse a pre-vote because it heard the leader a moment before the candidate stopped hearing it, and a message may be lost; then the whole round failed, and the next began an election timeout later. Requests are now repeated with each heartbeat to those that have not granted, unchanged, as a link might deliver them twice: a vote asked for after a restart names the same incarnation.

--- a/lib/raft.c
+++ b/lib/raft.c
@@ -292,6 +292,8 @@
 	postpone_election (r);
 	if (now_ms >= r->election_at_ms && raft_is_voter (r, r->id))
 		raft_campaign (r, RAFT_CAMPAIGN_PRE);
+	else
+		raft_ask_again (r);
 }
 
 /* Whether a message's term counts: pre-votes ask for a term not begun, and a
--- a/lib/raft.h
+++ b/lib/raft.h
@@ -232,6 +232,7 @@
 	bool ahead;            /* its log holds more, says its last reply to
 				  RAFT_MSG_RESTART */
 	uint64_t incarnation;  /* of that reply */
+	uint64_t asked;        /* incarnation named in the vote request */
 };
 
 /** struct raft_log - entries after a base, in memory */
@@ -272,6 +273,8 @@
 	uint64_t ticked_ms;         /* 0: not yet */
 	uint64_t resumed_ms; /* when the owner last came back from a pause */
 	uint64_t heartbeat_at_ms;
+	uint64_t ask_at_ms;   /* a candidate asks for votes again */
+	uint8_t campaign;     /* enum raft_campaign, of the running election */
 	uint64_t incarnation; /* of this start; 0 once a leader was heard */
 	uint64_t restart_ask_at_ms;
 	uint64_t leader_since_ms;
--- a/lib/raft_elect.c
+++ b/lib/raft_elect.c
@@ -86,35 +86,63 @@
 		become_leader (r);
 }
 
+static void
+ask_votes (struct raft *r)
+{
+	bool pre = r->role == RAFT_PRE_CANDIDATE;
+	uint64_t last = raft_log_last (&r->log);
+	struct raft_msg m = {.term = pre ? r->term + 1 : r->term,
+			     .index = last,
+			     .log_term = raft_log_term (&r->log, last)};
+
+	r->ask_at_ms = r->now_ms + r->times.heartbeat_ms;
+	m.transfer = r->campaign == RAFT_CAMPAIGN_TRANSFER;
+	for (uint32_t i = 0; i < r->peer_count; i++) {
+		const struct raft_peer *p = &r->peers[i];
+
+		if (p->granted || !raft_is_voter (r, p->id))
+			continue;
+		m.incarnation = p->asked;
+		raft_send (r, &m, p->id,
+			   pre ? RAFT_MSG_PRE_VOTE : RAFT_MSG_VOTE);
+	}
+}
+
 void
 raft_campaign (struct raft *r, enum raft_campaign how)
 {
 	bool pre = how == RAFT_CAMPAIGN_PRE;
-	uint64_t last = raft_log_last (&r->log);
-	struct raft_msg m = {.index = last,
-			     .log_term = raft_log_term (&r->log, last),
-			     .transfer = how == RAFT_CAMPAIGN_TRANSFER};
 
 	r->role = pre ? RAFT_PRE_CANDIDATE : RAFT_CANDIDATE;
 	r->leader = 0;
-	for (uint32_t i = 0; i < r->peer_count; i++)
-		r->peers[i].granted = false;
+	r->campaign = how;
+	for (uint32_t i = 0; i < r->peer_count; i++) {
+		struct raft_peer *p = &r->peers[i];
+
+		p->granted = false;
+		p->asked = how == RAFT_CAMPAIGN_RESTART ? p->incarnation : 0;
+	}
 	if (!pre && !raft_save_vote (r, r->term + 1, r->id))
 		return;
 	raft_reset_election (r);
 	r->ops->role (r->ctx);
-	m.term = pre ? r->term + 1 : r->term;
-	for (uint32_t i = 0; i < r->peer_count; i++) {
-		if (!raft_is_voter (r, r->peers[i].id))
-			continue;
-		if (how == RAFT_CAMPAIGN_RESTART)
-			m.incarnation = r->peers[i].incarnation;
-		raft_send (r, &m, r->peers[i].id,
-			   pre ? RAFT_MSG_PRE_VOTE : RAFT_MSG_VOTE);
-	}
+	ask_votes (r);
 	check_won (r);
 }
 
+/* A voter may have refused a pre-vote because it still counted on the leader
+ * or was waiting for another candidate, and a message may be lost: without
+ * this, the round fails and the next begins an election timeout later.  The
+ * request is the same again, also in the incarnation that it names: a later one
+ * may have begun after the lease of another leader did. */
+void
+raft_ask_again (struct raft *r)
+{
+	if ((r->role == RAFT_PRE_CANDIDATE || r->role == RAFT_CANDIDATE) &&
+	    r->now_ms >= r->ask_at_ms)
+		ask_votes (r);
+}
+
 /* Term and vote are made durable together: each sync of its own would have the
  * candidate wait for another one. */
 static bool
--- a/lib/raft_priv.h
+++ b/lib/raft_priv.h
@@ -41,6 +41,8 @@
 	RAFT_CAMPAIGN_RESTART,  /* all members have just started */
 };
 void raft_campaign (struct raft *r, enum raft_campaign how);
+/* Ask those again that have not granted the vote. */
+void raft_ask_again (struct raft *r);
 /* Whether the log of @r holds no less than one that ends at @index. */
 bool raft_holds_as_much (const struct raft *r, uint64_t log_term,
 			 uint64_t index);
