raft: pre-votes are granted to one member at a time

Members that missed the leader within some milliseconds all won their pre-votes, since a pre-vote bound nobody, and split the votes while the disks made these durable. A member now grants pre-votes to one at a time for an election timeout, to the one with the longest log first, of several to the one with the lowest id, and does not stand itself meanwhile.

--- a/lib/raft.c
+++ b/lib/raft.c
@@ -290,7 +290,8 @@
 	}
 	raft_restart_tick (r);
 	postpone_election (r);
-	if (now_ms >= r->election_at_ms && raft_is_voter (r, r->id))
+	if (now_ms >= r->election_at_ms && raft_is_voter (r, r->id) &&
+	    !raft_another_stands (r))
 		raft_campaign (r, RAFT_CAMPAIGN_PRE);
 	else
 		raft_ask_again (r);
--- a/lib/raft.h
+++ b/lib/raft.h
@@ -251,6 +251,20 @@
 	uint64_t sent_ms;
 };
 
+/**
+ * struct raft_turn - whose pre-vote was granted last
+ * @id: the pre-candidate, this member itself too; 0: none
+ * @log_term: term of its last entry
+ * @index: index of its last entry
+ * @since_ms: own clock at the first grant
+ */
+struct raft_turn {
+	uint64_t id;
+	uint64_t log_term;
+	uint64_t index;
+	uint64_t since_ms;
+};
+
 /** struct raft - one member; the caller owns the memory */
 struct raft {
 	uint64_t id;
@@ -268,6 +282,7 @@
 
 	uint64_t now_ms;
 	uint64_t contact_ms; /* when a leader was last heard */
+	struct raft_turn turn;
 	uint64_t election_at_ms;
 	uint64_t election_limit_ms; /* a pause postpones it no further */
 	uint64_t ticked_ms;         /* 0: not yet */
--- a/lib/raft_elect.c
+++ b/lib/raft_elect.c
@@ -86,6 +86,45 @@
 		become_leader (r);
 }
 
+/* Members that miss the leader at the same time would all win their pre-votes,
+ * and while the disks make their votes durable, split the votes.  A member
+ * therefore grants pre-votes to one at a time: to the one with the longest log,
+ * of several to the one with the lowest id.  The first grant counts, so that
+ * one that can't win does not hold up the others for long. */
+static bool
+has_turn (const struct raft *r, uint64_t id, uint64_t log_term, uint64_t index)
+{
+	const struct raft_turn *t = &r->turn;
+
+	if (t->id == 0 || t->id == id ||
+	    r->now_ms >= t->since_ms + r->times.election_ms)
+		return true;
+	if (log_term != t->log_term)
+		return log_term > t->log_term;
+	return index != t->index ? index > t->index : id < t->id;
+}
+
+static void
+give_turn (struct raft *r, uint64_t id, uint64_t log_term, uint64_t index)
+{
+	struct raft_turn *t = &r->turn;
+
+	if (t->id == id && r->now_ms < t->since_ms + r->times.election_ms)
+		return;
+	*t = (struct raft_turn){.id = id,
+				.log_term = log_term,
+				.index = index,
+				.since_ms = r->now_ms};
+}
+
+bool
+raft_another_stands (const struct raft *r)
+{
+	uint64_t last = raft_log_last (&r->log);
+
+	return !has_turn (r, r->id, raft_log_term (&r->log, last), last);
+}
+
 static void
 ask_votes (struct raft *r)
 {
@@ -97,6 +136,8 @@
 
 	r->ask_at_ms = r->now_ms + r->times.heartbeat_ms;
 	m.transfer = r->campaign == RAFT_CAMPAIGN_TRANSFER;
+	if (pre)
+		give_turn (r, r->id, m.log_term, m.index);
 	for (uint32_t i = 0; i < r->peer_count; i++) {
 		const struct raft_peer *p = &r->peers[i];
 
@@ -177,7 +218,10 @@
 		/* A leader out of touch learns of a later term here. */
 		reply.ok = false;
 	} else if (pre) {
-		reply.ok = m->term > r->term && up_to_date (r, m);
+		reply.ok = m->term > r->term && up_to_date (r, m) &&
+			   has_turn (r, m->from, m->log_term, m->index);
+		if (reply.ok)
+			give_turn (r, m->from, m->log_term, m->index);
 	} else {
 		reply.ok = grant_vote (r, m);
 	}
--- a/lib/raft_priv.h
+++ b/lib/raft_priv.h
@@ -41,6 +41,8 @@
 	RAFT_CAMPAIGN_RESTART,  /* all members have just started */
 };
 void raft_campaign (struct raft *r, enum raft_campaign how);
+/* Whether another member stands for election and should finish first. */
+bool raft_another_stands (const struct raft *r);
 /* Ask those again that have not granted the vote. */
 void raft_ask_again (struct raft *r);
 /* Whether the log of @r holds no less than one that ends at @index. */
