link: bytes that wait to be read are no silence

Members and relays close a link that received nothing for 1.5 s. After a pause of their own loop that long, they closed links of live peers, whose bytes waited in the sockets. link_received_ms() now looks for unread bytes before it says that nothing came. The test fails without that.

--- a/lib/link.c
+++ b/lib/link.c
@@ -27,6 +27,7 @@
 /* A link that heals is used again after this at the latest. */
 #define RETRY_MAX_MS 500
 #define USER_TIMEOUT_MS 5000
+#define UNREAD_CHECK_MS 200 /* a system call looks for unread bytes then */
 #define ACCEPTED_MAX 1024
 #define LISTEN_BACKLOG 256
 
@@ -93,9 +94,6 @@
 static void link_retry (struct link *l);
 static void on_read (h2o_socket_t *sock, const char *why);
 
-static struct link *link_new (h2o_loop_t *loop, const struct link_self *self,
-			      const struct link_ops *ops, void *ctx);
-
 static void
 link_destroy (struct link *l)
 {
@@ -198,7 +196,7 @@
 {
 	uint8_t head[FRAME_HEAD_BYTES];
 	h2o_iovec_t buf;
-	GByteArray *swap;
+	GByteArray *swap = l->flight;
 
 	frame_seal (&l->tx, kind, body, len, head);
 	g_byte_array_append (l->queued, head, sizeof head);
@@ -209,7 +207,6 @@
 		l->self->sent_bytes[kind] += sizeof head + len;
 	if (l->flight->len > 0)
 		return;
-	swap = l->flight;
 	l->flight = l->queued;
 	l->queued = swap;
 	buf = h2o_iovec_init (l->flight->data, l->flight->len);
@@ -586,6 +583,13 @@
 uint64_t
 link_received_ms (const struct link *l)
 {
+	uint64_t now_ms = tmr_now_ms ();
+	char byte;
+
+	if (l->state == LINK_UP && now_ms > l->received_ms + UNREAD_CHECK_MS &&
+	    recv (h2o_socket_get_fd (l->sock), &byte, sizeof byte,
+		  MSG_PEEK | MSG_DONTWAIT) > 0)
+		return now_ms;
 	return l->received_ms;
 }
 
--- a/lib/link.h
+++ b/lib/link.h
@@ -115,7 +115,8 @@
 /**
  * link_received_ms() - when bytes last arrived, on the clock of tmr_now_ms()
  *
- * Part of a frame counts: a large one on a narrow link takes long.
+ * Part of a frame counts: a large one on a narrow link takes long.  So do bytes
+ * that wait to be read: a pause of the own loop is not the peer's silence.
  */
 uint64_t link_received_ms (const struct link *l);
 
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -128,6 +128,49 @@
 	link_server_free (s);
 }
 
+/* Runs @loop until nothing more arrives. */
+static void
+drain (h2o_loop_t *loop)
+{
+	uint64_t end = tmr_now_ms () + 100;
+
+	while (tmr_now_ms () < end)
+		h2o_evloop_run (loop, 10);
+}
+
+/* Bytes that came during a pause of the loop count as received; a peer that
+ * sent nothing is silent after a pause too.  Otherwise members and relays close
+ * links of live peers after each pause. */
+static void
+test_pause_is_not_silence (void)
+{
+	h2o_loop_t *loop = h2o_evloop_create ();
+	struct sockaddr_in any = local (0), to;
+	struct side a, b;
+	struct link_server *s;
+	struct link *l;
+	uint64_t since;
+
+	side_init (&a, "a", 1);
+	side_init (&b, "b", 1);
+	s = link_listen (loop, &b.self, &any, &ops, &b, NULL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+	to = local (link_server_port (s));
+	l = link_connect (loop, &a.self, &to, &ops, &a);
+	CU_ASSERT_TRUE_FATAL (wait_for (loop, &a.ups, 1) &&
+			      wait_for (loop, &b.ups, 1));
+	drain (loop);
+	since = tmr_now_ms ();
+	CU_ASSERT_TRUE (link_send_raw (l, FRAME_STRIKES, "one", 3));
+	g_usleep (400000);
+	CU_ASSERT (link_received_ms (b.link) >= since + 400);
+	CU_ASSERT (link_received_ms (l) <= since);
+	CU_ASSERT_EQUAL (b.frames, 0);
+	CU_ASSERT_TRUE (wait_for (loop, &b.frames, 1));
+	link_free (l);
+	link_server_free (s);
+}
+
 /* What the other side sees as our address. */
 static void
 test_leaves_from (void)
@@ -350,6 +393,7 @@
 {
 	static const struct t_case cases[] = {
 		{"frames both ways", test_frames_both_ways},
+		{"a pause is not silence", test_pause_is_not_silence},
 		{"leaves from its own address", test_leaves_from},
 		{"other key is refused", test_other_key_is_refused},
 		{"stranger's bytes", test_stranger_bytes},
