raft: large entries are sent in parts

A configuration larger than a link carries in half a second was one message; the heartbeats behind it arrived late, the leader was deposed, and the change was never committed. A follower says in its answers that it takes parts (a new optional field, new message kinds 12 and 13); members of the previous version do not, get whole entries as before, and skip the field.

--- a/lib/raft.c
+++ b/lib/raft.c
@@ -37,6 +37,7 @@
 	MSG_FIELD (14, MSG_U64, struct raft_msg, offset),
 	MSG_FIELD (15, MSG_BOOL, struct raft_msg, last),
 	MSG_FIELD (16, MSG_U64, struct raft_msg, incarnation),
+	MSG_FIELD (17, MSG_BOOL, struct raft_msg, takes_parts),
 	MSG_FIELD_END,
 };
 
@@ -62,6 +63,8 @@
 	raft_log_finish (&r->log);
 	if (r->incoming != NULL)
 		g_byte_array_free (r->incoming, TRUE);
+	if (r->part != NULL)
+		g_byte_array_free (r->part, TRUE);
 	g_rand_free (r->rand);
 }
 
@@ -316,6 +319,8 @@
 	case RAFT_MSG_SNAPSHOT:
 	case RAFT_MSG_SNAPSHOT_REPLY:
 	case RAFT_MSG_TIMEOUT_NOW:
+	case RAFT_MSG_PART:
+	case RAFT_MSG_PART_REPLY:
 		return true;
 	}
 	return false;
@@ -362,6 +367,12 @@
 	case RAFT_MSG_RESTART_REPLY:
 		raft_on_restart_reply (r, m);
 		return;
+	case RAFT_MSG_PART:
+		raft_on_part (r, m);
+		return;
+	case RAFT_MSG_PART_REPLY:
+		raft_on_part_reply (r, m);
+		return;
 	}
 }
 
@@ -398,8 +409,10 @@
 static void
 answer_contact (struct raft *r)
 {
-	struct raft_msg m = {
-		.term = r->term, .sent_ms = r->ack.sent_ms, .ok = true};
+	struct raft_msg m = {.term = r->term,
+			     .sent_ms = r->ack.sent_ms,
+			     .ok = true,
+			     .takes_parts = true};
 
 	if (r->ack.to != 0)
 		raft_send (r, &m, r->ack.to, RAFT_MSG_APPEND_REPLY);
@@ -427,7 +440,8 @@
 		struct raft_msg m = {.term = r->term,
 				     .index = r->ack.index,
 				     .sent_ms = r->ack.sent_ms,
-				     .ok = true};
+				     .ok = true,
+				     .takes_parts = true};
 
 		raft_send (r, &m, r->ack.to, RAFT_MSG_APPEND_REPLY);
 		memset (&r->ack, 0, sizeof r->ack);
--- a/lib/raft.h
+++ b/lib/raft.h
@@ -25,6 +25,9 @@
 #define RAFT_BATCH_MAX 512
 #define RAFT_BATCH_MAX_BYTES (1U << 20)
 #define RAFT_CHUNK_BYTES (256U << 10)
+/* Five parts of an entry, to all other members of six, take 175 ms of a link of
+ * 7.5 Mbit/s. */
+#define RAFT_PART_BYTES (32U << 10)
 #define RAFT_SNAPSHOT_MAX_BYTES (256U << 20)
 #define RAFT_UNCOMMITTED_MAX 8192
 
@@ -95,12 +98,15 @@
  *	that writing snapshots costs no more than writing the log
  * @max_bytes: bytes of log that ask for a snapshot at once
  * @keep_entries: entries kept behind a snapshot for slow followers
+ * @part_bytes: an entry with more is sent in parts of this size; 0 for
+ *	RAFT_PART_BYTES
  */
 struct raft_limits {
 	uint32_t snapshot_entries;
 	uint64_t snapshot_bytes;
 	uint64_t max_bytes;
 	uint32_t keep_entries;
+	uint32_t part_bytes;
 };
 
 /** enum raft_msg_kind - kinds of message; numbers are never reused */
@@ -116,6 +122,8 @@
 	RAFT_MSG_TIMEOUT_NOW = 9,
 	RAFT_MSG_RESTART = 10,
 	RAFT_MSG_RESTART_REPLY = 11,
+	RAFT_MSG_PART = 12,
+	RAFT_MSG_PART_REPLY = 13,
 };
 
 /**
@@ -132,12 +140,14 @@
  * @transfer: a vote asked for at the old leader's wish
  * @entries: of struct raft_entry
  * @config: packed struct raft_config of a snapshot
- * @chunk: bytes of a snapshot
+ * @chunk: bytes of a snapshot, or of the one entry of RAFT_MSG_PART
  * @offset: where @chunk starts, or in a reply the bytes held
  * @last: @chunk is the last one
  * @incarnation: in a reply to RAFT_MSG_RESTART, the start of the sender in
  *	which it has heard no leader yet, otherwise 0; in a vote asked for after
  *	a restart of all members, what the receiver replied
+ * @takes_parts: in a reply to RAFT_MSG_APPEND, the sender takes RAFT_MSG_PART;
+ *	earlier versions do not say so
  */
 struct raft_msg {
 	uint8_t kind;
@@ -156,6 +166,7 @@
 	uint64_t offset;
 	bool last;
 	uint64_t incarnation;
+	bool takes_parts;
 };
 
 /** raft_msg_fields - the wire table of struct raft_msg */
@@ -227,12 +238,17 @@
 	uint64_t snap_index; /* snapshot being sent, 0: none */
 	uint64_t snap_offset;
 	uint64_t snap_sent_ms; /* when its last chunk was sent */
-	bool granted;          /* in the running election */
-	bool replaced;         /* see raft_note_replaced() */
-	bool ahead;            /* its log holds more, says its last reply to
-				  RAFT_MSG_RESTART */
-	uint64_t incarnation;  /* of that reply */
-	uint64_t asked;        /* incarnation named in the vote request */
+	uint64_t part_index;   /* entry being sent in parts, 0: none */
+	uint64_t part_offset;
+	uint64_t part_sent_ms;
+	uint32_t part_bytes; /* of the next part */
+	bool takes_parts;
+	bool granted;         /* in the running election */
+	bool replaced;        /* see raft_note_replaced() */
+	bool ahead;           /* its log holds more, says its last reply to
+				 RAFT_MSG_RESTART */
+	uint64_t incarnation; /* of that reply */
+	uint64_t asked;       /* incarnation named in the vote request */
 };
 
 /** struct raft_log - entries after a base, in memory */
@@ -314,6 +330,9 @@
 
 	GByteArray *incoming; /* snapshot being received */
 	uint64_t incoming_index;
+	GByteArray *part; /* of an entry being received in parts */
+	uint64_t part_index;
+	uint64_t part_term;
 	uint64_t elections; /* elections won, for reports */
 };
 
--- a/lib/raft_priv.h
+++ b/lib/raft_priv.h
@@ -71,6 +71,25 @@
 void raft_on_append_reply (struct raft *r, const struct raft_msg *m);
 void raft_advance_commit (struct raft *r);
 
+/* Take note of the leader that sent @m; whether what follows @m->index may be
+ * taken, too.  What may not is rejected. */
+bool raft_hear_leader (struct raft *r, const struct raft_msg *m);
+/* Take @count entries after @m->index, and owe the leader an answer. */
+void raft_take_entries (struct raft *r, const struct raft_msg *m,
+			const struct raft_entry *entries, uint32_t count);
+
+/* raft_part.c */
+/* Whether @e is sent to @p in parts. */
+bool raft_part_large (const struct raft *r, const struct raft_peer *p,
+		      const struct raft_entry *e);
+/* Whether the next entry for @p is. */
+bool raft_part_due (const struct raft *r, const struct raft_peer *p);
+void raft_part_begin (struct raft *r, struct raft_peer *p);
+/* Send the part again that was not answered for long. */
+void raft_part_again (struct raft *r, struct raft_peer *p);
+void raft_on_part (struct raft *r, const struct raft_msg *m);
+void raft_on_part_reply (struct raft *r, const struct raft_msg *m);
+
 /* raft_snap.c */
 void raft_send_snapshot (struct raft *r, struct raft_peer *p);
 void raft_on_snapshot (struct raft *r, const struct raft_msg *m);
--- a/lib/raft_repl.c
+++ b/lib/raft_repl.c
@@ -26,7 +26,8 @@
 	while (with_entries && n < RAFT_BATCH_MAX && p->next + n <= last) {
 		batch[n] = *raft_log_get (&r->log, p->next + n);
 		bytes += batch[n].data.len;
-		if (n > 0 && bytes > RAFT_BATCH_MAX_BYTES)
+		if (n > 0 && (bytes > RAFT_BATCH_MAX_BYTES ||
+			      raft_part_large (r, p, &batch[n])))
 			break;
 		n++;
 	}
@@ -67,6 +68,13 @@
 
 		if (p->next <= r->log.base) {
 			send_behind (r, p, heartbeat);
+		} else if (raft_part_due (r, p)) {
+			if (p->part_index != p->next)
+				raft_part_begin (r, p);
+			else if (heartbeat)
+				raft_part_again (r, p);
+			if (heartbeat)
+				send_append (r, p, false);
 		} else if (heartbeat || more) {
 			send_append (r, p, more);
 		}
@@ -76,8 +84,10 @@
 static void
 reject (struct raft *r, const struct raft_msg *m, uint64_t hint)
 {
-	struct raft_msg reply = {
-		.term = r->term, .index = hint, .sent_ms = m->sent_ms};
+	struct raft_msg reply = {.term = r->term,
+				 .index = hint,
+				 .sent_ms = m->sent_ms,
+				 .takes_parts = true};
 
 	raft_send (r, &reply, m->from, RAFT_MSG_APPEND_REPLY);
 }
@@ -125,18 +135,15 @@
 	return raft_append (r, e);
 }
 
-void
-raft_on_append (struct raft *r, const struct raft_msg *m)
+bool
+raft_hear_leader (struct raft *r, const struct raft_msg *m)
 {
-	const struct raft_entry *entries = m->entries.items;
-	uint64_t match = m->index;
-
 	if (m->term < r->term) {
 		reject (r, m, 0);
-		return;
+		return false;
 	}
 	if (r->role == RAFT_LEADER)
-		return;
+		return false;
 	raft_become_follower (r, m->term, m->from);
 	r->contact_ms = r->now_ms;
 	raft_restart_end (r);
@@ -145,9 +152,18 @@
 	    (m->index > raft_log_last (&r->log) ||
 	     raft_log_term (&r->log, m->index) != m->log_term)) {
 		reject (r, m, conflict_hint (r, m->index));
-		return;
+		return false;
 	}
-	for (uint32_t i = 0; i < m->entries.count; i++) {
+	return true;
+}
+
+void
+raft_take_entries (struct raft *r, const struct raft_msg *m,
+		   const struct raft_entry *entries, uint32_t count)
+{
+	uint64_t match = m->index;
+
+	for (uint32_t i = 0; i < count; i++) {
 		if (entries[i].index != match + 1 ||
 		    !take_entry (r, &entries[i]))
 			return;
@@ -160,6 +176,13 @@
 	r->ack.sent_ms = MAX (r->ack.sent_ms, m->sent_ms);
 }
 
+void
+raft_on_append (struct raft *r, const struct raft_msg *m)
+{
+	if (raft_hear_leader (r, m))
+		raft_take_entries (r, m, m->entries.items, m->entries.count);
+}
+
 void
 raft_on_append_reply (struct raft *r, const struct raft_msg *m)
 {
@@ -168,6 +191,7 @@
 	if (p == NULL || r->role != RAFT_LEADER || m->term != r->term)
 		return;
 	p->acked_ms = MAX (p->acked_ms, m->sent_ms);
+	p->takes_parts = m->takes_parts;
 	if (!m->ok) {
 		p->next = MAX (MIN (p->next, m->index + 1), p->match + 1);
 		return;
--- a/tests/t_raft.c
+++ b/tests/t_raft.c
@@ -8,7 +8,7 @@
 #include "t_run.h"
 
 const struct raft_times rsim_times = {40, 300, 50};
-static const struct raft_limits limits = {24, 0, 1U << 20, 6};
+static const struct raft_limits limits = {24, 0, 1U << 20, 6, 0};
 
 static uint64_t
 mix (uint64_t h, uint64_t v)
@@ -65,13 +65,18 @@
 
 /* When a message arrives; 0 where it is lost. */
 static uint64_t
-arrival (struct rsim_node *n, const struct rsim_node *to)
+arrival (struct rsim_node *n, const struct rsim_node *to, size_t len)
 {
 	struct rsim *s = n->sim;
 	uint64_t *last = &n->sent_at_ms[to - s->nodes];
 	bool lost = g_rand_double (s->rand) < s->loss;
 	uint64_t at_ms = s->now_ms + n->lag_ms;
 
+	if (s->link_rate != 0) {
+		n->sends_until_ms = MAX (n->sends_until_ms, (double)at_ms) +
+				    (double)len / s->link_rate;
+		at_ms = (uint64_t)n->sends_until_ms;
+	}
 	if (lost && s->resend_ms == 0)
 		return 0;
 	at_ms += (uint64_t)g_rand_int_range (s->rand, 1, (gint32)s->delay_ms);
@@ -98,21 +103,26 @@
 	struct rsim *s = n->sim;
 	struct rsim_node *to = node_by_id (s, m->to);
 	int copies = g_rand_double (s->rand) < s->dup ? 2 : 1;
+	struct raft_msg out = *m;
 
 	s->chunks += m->kind == RAFT_MSG_SNAPSHOT;
 	if (to == NULL || s->cut[n - s->nodes][to - s->nodes])
 		return;
+	if (n->previous)
+		out.takes_parts = false;
 	for (int i = 0; i < copies; i++) {
 		msgpack_sbuffer buf;
-		struct flight f = {.to = m->to, .at_ms = arrival (n, to)};
+		struct flight f = {.to = m->to};
 
-		if (f.at_ms == 0)
-			continue;
 		msgpack_sbuffer_init (&buf);
-		msg_pack (raft_msg_fields, m, &buf);
+		msg_pack (raft_msg_fields, &out, &buf);
+		f.at_ms = arrival (n, to, buf.size);
 		f.len = buf.size;
 		f.data = msgpack_sbuffer_release (&buf);
-		g_array_append_val (s->flights, f);
+		if (f.at_ms == 0)
+			free (f.data);
+		else
+			g_array_append_val (s->flights, f);
 	}
 }
 
@@ -316,8 +326,10 @@
 rsim_start (struct rsim_node *n)
 {
 	struct disk *d = &n->disk;
+	struct raft_limits with_parts = limits;
 
-	raft_init (&n->raft, n->id, &n->sim->times, &limits, &ops, n,
+	with_parts.part_bytes = n->sim->part_bytes;
+	raft_init (&n->raft, n->id, &n->sim->times, &with_parts, &ops, n,
 		   g_rand_int (n->sim->rand));
 	raft_load_vote (&n->raft, d->term, d->vote);
 	raft_load_snapshot (&n->raft, d->snap_index, d->snap_term,
@@ -369,6 +381,8 @@
 	memset (s, 0, sizeof *s);
 	s->rand = g_rand_new_with_seed (seed);
 	s->times = rsim_times;
+	/* So small that the larger commands are sent in parts. */
+	s->part_bytes = seed % 3 == 0 ? 4 : 0;
 	s->flights = g_array_new (FALSE, TRUE, sizeof (struct flight));
 	s->committed = g_array_new (FALSE, TRUE, sizeof (uint64_t));
 	s->leaders = g_hash_table_new (NULL, NULL);
@@ -427,7 +441,9 @@
 	msgpack_zone_init (&zone, 4096);
 	CU_ASSERT_FATAL (
 		msg_unpack (raft_msg_fields, f->data, f->len, &m, &zone, NULL));
-	if (n->up)
+	if (n->previous)
+		m.takes_parts = false;
+	if (n->up && !(n->previous && m.kind >= RAFT_MSG_PART))
 		raft_step (&n->raft, &m, rsim_clock (n));
 	msgpack_zone_destroy (&zone);
 	free (f->data);
--- a/tests/t_raft.h
+++ b/tests/t_raft.h
@@ -51,6 +51,8 @@
 	double rate;
 	uint64_t lag_ms; /* time that its current turn has taken */
 	uint64_t sent_at_ms[RSIM_NODES_MAX]; /* last arrival, for resend_ms */
+	double sends_until_ms; /* its network link is busy, see link_rate */
+	bool previous; /* takes and sends only what the previous version does */
 };
 
 struct flight {
@@ -73,7 +75,9 @@
 	uint32_t sync_ms;   /* longest sync of a disk; 0: none takes time */
 	uint32_t resend_ms; /* not 0: links keep the order, and what is lost
 			       arrives so much later */
+	uint32_t link_rate; /* bytes per ms that a member sends; 0: no limit */
 	struct raft_times times;
+	uint32_t part_bytes; /* see struct raft_limits */
 	bool may_lose;
 	GArray *committed;   /* uint64_t hash of each applied entry */
 	GHashTable *leaders; /* term to id */
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -141,7 +141,7 @@
 static void
 propose (struct rsim *s)
 {
-	uint8_t data[8];
+	uint8_t data[8] = {0};
 	uint64_t index;
 
 	for (uint32_t i = 0; i < s->count; i++) {
@@ -150,8 +150,9 @@
 
 		memcpy (data, &v, sizeof v);
 		if (n->up && !n->frozen && n->raft.role == RAFT_LEADER)
-			(void)raft_propose (&n->raft, data, sizeof v, &index,
-					    NULL);
+			(void)raft_propose (&n->raft, data,
+					    v % 8 == 0 ? sizeof data : sizeof v,
+					    &index, NULL);
 	}
 }
 
--- a/tests/test_raft_delay.c
+++ b/tests/test_raft_delay.c
@@ -223,6 +223,7 @@
 	w->s.resend_ms = seed / 5 % 2 == 0 ? 0 : 200;
 	w->s.sync_ms = syncs[seed / 10 % 4];
 	w->s.times = times;
+	w->s.part_bytes = 0;
 	w->propose_every_ms = every[seed / 40 % 3];
 	for (uint32_t i = 0; i < w->s.count; i++) {
 		struct rsim_node *n = &w->s.nodes[i];
@@ -439,6 +440,58 @@
 	CU_ASSERT_EQUAL (f.deposed, 0);
 }
 
+/* An entry larger than the members' links carry in half a second is committed
+ * without another election, and members of the previous version get whatever
+ * their links do carry in that time.  As one message, it held up the heartbeats
+ * until the leader was deposed. */
+static void
+large_entry (struct world *w, uint32_t seed, struct figures *f)
+{
+	uint32_t bytes = 1U << 20;
+	uint8_t *data;
+	struct rsim_node *l;
+	uint64_t index = 0;
+	uint64_t term;
+	uint64_t since;
+
+	w->s.link_rate = 940; /* 7.5 Mbit/s */
+	w->s.resend_ms = 200;
+	w->s.sync_ms = MIN (w->s.sync_ms, 50);
+	w->propose_every_ms = 500;
+	if (seed % 2 == 1) {
+		w->s.nodes[w->s.count - 1].previous = true;
+		bytes = 40000;
+	}
+	data = g_malloc0 (bytes);
+	(void)wait_for_leader (w);
+	run (w, 2000);
+	l = leader_of (w);
+	CU_ASSERT_PTR_NOT_NULL_FATAL (l);
+	term = l->raft.term;
+	since = w->s.now_ms;
+	CU_ASSERT (raft_propose (&l->raft, data, bytes, &index, NULL));
+	while (l->raft.role == RAFT_LEADER && l->raft.commit < index &&
+	       w->s.now_ms < since + 30000)
+		step (w);
+	if (l->raft.term != term || l->raft.commit < index) {
+		f->late++;
+		printf ("seed %u: entry not committed\n", seed);
+	} else {
+		since = w->s.now_ms - since;
+		g_array_append_val (f->ms, since);
+	}
+	g_free (data);
+}
+
+static void
+test_large_entry (void)
+{
+	struct figures f;
+
+	schedules ("large entry", large_entry, &f);
+	CU_ASSERT_EQUAL (f.late, 0);
+}
+
 int
 main (void)
 {
@@ -447,6 +500,7 @@
 		{"a leader after pauses", test_after_pauses},
 		{"a leader after another's end", test_leader_ends},
 		{"a leader that is heard stays", test_steady},
+		{"a large entry", test_large_entry},
 		{NULL, NULL}};
 
 	return t_run ("raft_delay", cases);
