--- a/tests/test_raft_delay.c
+++ b/tests/test_raft_delay.c
@@ -253,6 +253,22 @@
 	return w->s.now_ms - since;
 }
 
+/* The leader, @ms after one was elected. */
+static struct rsim_node *
+leader_after (struct world *w, uint32_t ms)
+{
+	struct rsim_node *l;
+
+	(void)wait_for_leader (w);
+	run (w, ms);
+	(void)wait_for_leader (w);
+	l = leader_of (w);
+	if (l != NULL)
+		return l;
+	CU_FAIL_FATAL ("no leader");
+	abort ();
+}
+
 /* Figures of all schedules of one test. */
 struct figures {
 	GArray *ms; /* uint64_t, until a leader was elected */
@@ -386,11 +402,7 @@
 	struct rsim_node *l;
 	uint64_t terms;
 
-	(void)wait_for_leader (w);
-	run (w, 3000);
-	(void)wait_for_leader (w);
-	l = leader_of (w);
-	CU_ASSERT_PTR_NOT_NULL_FATAL (l);
+	l = leader_after (w, 3000);
 	rsim_crash (l);
 	terms = w->terms;
 	note_elected (f, seed, wait_for_leader (w));
@@ -417,11 +429,7 @@
 	uint64_t terms;
 
 	(void)seed;
-	(void)wait_for_leader (w);
-	run (w, 2000);
-	(void)wait_for_leader (w);
-	l = leader_of (w);
-	CU_ASSERT_PTR_NOT_NULL_FATAL (l);
+	l = leader_after (w, 2000);
 	if (l - w->s.nodes >= (w->s.count - 1) / 2)
 		w->pauses = PAUSE_MINORITY;
 	term = l->raft.term;
@@ -463,10 +471,7 @@
 		bytes = 40000;
 	}
 	data = g_malloc0 (bytes);
-	(void)wait_for_leader (w);
-	run (w, 2000);
-	l = leader_of (w);
-	CU_ASSERT_PTR_NOT_NULL_FATAL (l);
+	l = leader_after (w, 2000);
 	term = l->raft.term;
 	since = w->s.now_ms;
 	CU_ASSERT (raft_propose (&l->raft, data, bytes, &index, NULL));
