--- a/lib/raft.c
+++ b/lib/raft.c
@@ -7,6 +7,10 @@
 
 #include "raft_priv.h"
 
+/* A member whose loop pauses all the time still stands for election in the end:
+ * pauses postpone that by so many election timeouts. */
+#define PAUSE_ELECTIONS_MAX 2
+
 const struct msg_field raft_entry_fields[] = {
 	MSG_FIELD (1, MSG_U64, struct raft_entry, index),
 	MSG_FIELD (2, MSG_U64, struct raft_entry, term),
@@ -33,6 +37,7 @@
 	MSG_FIELD (14, MSG_U64, struct raft_msg, offset),
 	MSG_FIELD (15, MSG_BOOL, struct raft_msg, last),
 	MSG_FIELD (16, MSG_U64, struct raft_msg, incarnation),
+	MSG_FIELD (17, MSG_BOOL, struct raft_msg, takes_parts),
 	MSG_FIELD_END,
 };
 
@@ -58,6 +63,8 @@
 	raft_log_finish (&r->log);
 	if (r->incoming != NULL)
 		g_byte_array_free (r->incoming, TRUE);
+	if (r->part != NULL)
+		g_byte_array_free (r->part, TRUE);
 	g_rand_free (r->rand);
 }
 
@@ -166,24 +173,69 @@
 	r->election_at_ms =
 		r->now_ms + ms +
 		(uint64_t)g_rand_int_range (r->rand, 0, (gint32)ms + 1);
+	r->election_limit_ms = r->election_at_ms + PAUSE_ELECTIONS_MAX * ms;
 }
 
-void
-raft_become_follower (struct raft *r, uint64_t term, uint64_t leader)
+/* After a pause, what the peers sent meanwhile may not have been read yet, and
+ * they may have been paused too. */
+static void
+note_pause (struct raft *r)
+{
+	if (r->ticked_ms == 0 ||
+	    r->now_ms <= r->ticked_ms + r->times.heartbeat_ms)
+		return;
+	r->resumed_ms = r->now_ms;
+}
+
+/* The wait is random, so that members that paused together do not stand
+ * together. */
+static void
+postpone_election (struct raft *r)
+{
+	uint32_t ms = r->times.heartbeat_ms;
+	uint64_t at_ms =
+		r->now_ms + ms +
+		(uint64_t)g_rand_int_range (r->rand, 0, (gint32)ms + 1);
+
+	if (r->resumed_ms != r->now_ms)
+		return;
+	at_ms = MIN (at_ms, r->election_limit_ms);
+	r->election_at_ms = MAX (r->election_at_ms, at_ms);
+}
+
+/* A sync may take longer than an election timeout: timers that begin after it
+ * begin then. */
+static void
+read_clock (struct raft *r)
+{
+	if (r->ops->now != NULL)
+		r->now_ms = MAX (r->now_ms, r->ops->now (r->ctx));
+}
+
+bool
+raft_save_vote (struct raft *r, uint64_t term, uint64_t vote)
+{
+	r->term = term;
+	r->vote = vote;
+	memset (&r->ack, 0, sizeof r->ack);
+	if (!r->ops->save_vote (r->term, r->vote, r->ctx)) {
+		raft_fail (r);
+		return false;
+	}
+	read_clock (r);
+	return true;
+}
+
+static void
+follow (struct raft *r, uint64_t term, uint64_t vote, uint64_t leader)
 {
 	enum raft_role role =
 		raft_is_voter (r, r->id) ? RAFT_FOLLOWER : RAFT_LEARNER;
 	bool changed = r->role != role || r->leader != leader || r->term < term;
 
-	if (term > r->term) {
-		r->term = term;
-		r->vote = 0;
-		memset (&r->ack, 0, sizeof r->ack);
-		if (!r->ops->save_vote (r->term, r->vote, r->ctx)) {
-			raft_fail (r);
-			return;
-		}
-	}
+	if ((term > r->term || (vote != 0 && r->vote == 0)) &&
+	    !raft_save_vote (r, term, vote))
+		return;
 	if (r->role == RAFT_LEADER)
 		raft_reset_election (r);
 	r->role = role;
@@ -193,6 +245,18 @@
 		r->ops->role (r->ctx);
 }
 
+void
+raft_become_follower (struct raft *r, uint64_t term, uint64_t leader)
+{
+	follow (r, term, 0, leader);
+}
+
+void
+raft_vote_for (struct raft *r, uint64_t term, uint64_t vote)
+{
+	follow (r, term, vote, 0);
+}
+
 bool
 raft_append (struct raft *r, const struct raft_entry *entry)
 {
@@ -214,6 +278,8 @@
 	if (r->failed)
 		return;
 	r->now_ms = now_ms;
+	note_pause (r);
+	r->ticked_ms = now_ms;
 	if (r->role == RAFT_LEADER) {
 		raft_check_quorum (r);
 		if (r->role != RAFT_LEADER)
@@ -226,8 +292,12 @@
 		return;
 	}
 	raft_restart_tick (r);
-	if (now_ms >= r->election_at_ms && raft_is_voter (r, r->id))
+	postpone_election (r);
+	if (now_ms >= r->election_at_ms && raft_is_voter (r, r->id) &&
+	    !raft_another_stands (r))
 		raft_campaign (r, RAFT_CAMPAIGN_PRE);
+	else
+		raft_ask_again (r);
 }
 
 /* Whether a message's term counts: pre-votes ask for a term not begun, and a
@@ -249,6 +319,8 @@
 	case RAFT_MSG_SNAPSHOT:
 	case RAFT_MSG_SNAPSHOT_REPLY:
 	case RAFT_MSG_TIMEOUT_NOW:
+	case RAFT_MSG_PART:
+	case RAFT_MSG_PART_REPLY:
 		return true;
 	}
 	return false;
@@ -295,6 +367,12 @@
 	case RAFT_MSG_RESTART_REPLY:
 		raft_on_restart_reply (r, m);
 		return;
+	case RAFT_MSG_PART:
+		raft_on_part (r, m);
+		return;
+	case RAFT_MSG_PART_REPLY:
+		raft_on_part_reply (r, m);
+		return;
 	}
 }
 
@@ -324,6 +402,22 @@
 		raft_become_follower (r, r->term, 0);
 }
 
+/* Tells the leader before a sync that it was heard.  An answer of index 0
+ * claims nothing about the log.  A leader that learned of it only after the
+ * sync had no lease and was deposed by syncs of 300 ms, although all members
+ * heard it. */
+static void
+answer_contact (struct raft *r)
+{
+	struct raft_msg m = {.term = r->term,
+			     .sent_ms = r->ack.sent_ms,
+			     .ok = true,
+			     .takes_parts = true};
+
+	if (r->ack.to != 0)
+		raft_send (r, &m, r->ack.to, RAFT_MSG_APPEND_REPLY);
+}
+
 void
 raft_flush (struct raft *r, uint64_t now_ms)
 {
@@ -333,18 +427,21 @@
 	if (r->role == RAFT_LEADER)
 		raft_broadcast (r, false);
 	if (r->dirty) {
+		answer_contact (r);
 		if (!r->ops->sync (r->ctx)) {
 			raft_fail (r);
 			return;
 		}
 		r->dirty = false;
 		r->log.durable = raft_log_last (&r->log);
+		read_clock (r);
 	}
 	if (r->ack.to != 0) {
 		struct raft_msg m = {.term = r->term,
 				     .index = r->ack.index,
 				     .sent_ms = r->ack.sent_ms,
-				     .ok = true};
+				     .ok = true,
+				     .takes_parts = true};
 
 		raft_send (r, &m, r->ack.to, RAFT_MSG_APPEND_REPLY);
 		memset (&r->ack, 0, sizeof r->ack);
--- a/lib/raft.h
+++ b/lib/raft.h
@@ -25,6 +25,9 @@
 #define RAFT_BATCH_MAX 512
 #define RAFT_BATCH_MAX_BYTES (1U << 20)
 #define RAFT_CHUNK_BYTES (256U << 10)
+/* Five parts of an entry, to all other members of six, take 175 ms of a link of
+ * 7.5 Mbit/s. */
+#define RAFT_PART_BYTES (32U << 10)
 #define RAFT_SNAPSHOT_MAX_BYTES (256U << 20)
 #define RAFT_UNCOMMITTED_MAX 8192
 
@@ -95,12 +98,15 @@
  *	that writing snapshots costs no more than writing the log
  * @max_bytes: bytes of log that ask for a snapshot at once
  * @keep_entries: entries kept behind a snapshot for slow followers
+ * @part_bytes: an entry with more is sent in parts of this size; 0 for
+ *	RAFT_PART_BYTES
  */
 struct raft_limits {
 	uint32_t snapshot_entries;
 	uint64_t snapshot_bytes;
 	uint64_t max_bytes;
 	uint32_t keep_entries;
+	uint32_t part_bytes;
 };
 
 /** enum raft_msg_kind - kinds of message; numbers are never reused */
@@ -116,6 +122,8 @@
 	RAFT_MSG_TIMEOUT_NOW = 9,
 	RAFT_MSG_RESTART = 10,
 	RAFT_MSG_RESTART_REPLY = 11,
+	RAFT_MSG_PART = 12,
+	RAFT_MSG_PART_REPLY = 13,
 };
 
 /**
@@ -132,12 +140,14 @@
  * @transfer: a vote asked for at the old leader's wish
  * @entries: of struct raft_entry
  * @config: packed struct raft_config of a snapshot
- * @chunk: bytes of a snapshot
+ * @chunk: bytes of a snapshot, or of the one entry of RAFT_MSG_PART
  * @offset: where @chunk starts, or in a reply the bytes held
  * @last: @chunk is the last one
  * @incarnation: in a reply to RAFT_MSG_RESTART, the start of the sender in
  *	which it has heard no leader yet, otherwise 0; in a vote asked for after
  *	a restart of all members, what the receiver replied
+ * @takes_parts: in a reply to RAFT_MSG_APPEND, the sender takes RAFT_MSG_PART;
+ *	earlier versions do not say so
  */
 struct raft_msg {
 	uint8_t kind;
@@ -156,6 +166,7 @@
 	uint64_t offset;
 	bool last;
 	uint64_t incarnation;
+	bool takes_parts;
 };
 
 /** raft_msg_fields - the wire table of struct raft_msg */
@@ -193,6 +204,8 @@
  * @snapshot_chunk: read the newest snapshot
  * @install: replace state and durable log by a snapshot, durably
  * @role: the role, the term or the known leader changed
+ * @now: own clock, the one of raft_tick(); read after @save_vote and @sync,
+ *	which may take long.  NULL: the clock stands still during a call.
  *
  * Where one returns false, the failure is final: the core stops.
  */
@@ -212,6 +225,7 @@
 			 const struct raft_config *config, const void *data,
 			 size_t len, void *ctx);
 	void (*role) (void *ctx);
+	uint64_t (*now) (void *ctx);
 };
 
 /** struct raft_peer - what a member knows of another */
@@ -224,11 +238,17 @@
 	uint64_t snap_index; /* snapshot being sent, 0: none */
 	uint64_t snap_offset;
 	uint64_t snap_sent_ms; /* when its last chunk was sent */
-	bool granted;          /* in the running election */
-	bool replaced;         /* see raft_note_replaced() */
-	bool ahead;            /* its log holds more, says its last reply to
-				  RAFT_MSG_RESTART */
-	uint64_t incarnation;  /* of that reply */
+	uint64_t part_index;   /* entry being sent in parts, 0: none */
+	uint64_t part_offset;
+	uint64_t part_sent_ms;
+	uint32_t part_bytes; /* of the next part */
+	bool takes_parts;
+	bool granted;         /* in the running election */
+	bool replaced;        /* see raft_note_replaced() */
+	bool ahead;           /* its log holds more, says its last reply to
+				 RAFT_MSG_RESTART */
+	uint64_t incarnation; /* of that reply */
+	uint64_t asked;       /* incarnation named in the vote request */
 };
 
 /** struct raft_log - entries after a base, in memory */
@@ -247,6 +267,20 @@
 	uint64_t sent_ms;
 };
 
+/**
+ * struct raft_turn - whose pre-vote was granted last
+ * @id: the pre-candidate, this member itself too; 0: none
+ * @log_term: term of its last entry
+ * @index: index of its last entry
+ * @since_ms: own clock at the first grant
+ */
+struct raft_turn {
+	uint64_t id;
+	uint64_t log_term;
+	uint64_t index;
+	uint64_t since_ms;
+};
+
 /** struct raft - one member; the caller owns the memory */
 struct raft {
 	uint64_t id;
@@ -264,8 +298,14 @@
 
 	uint64_t now_ms;
 	uint64_t contact_ms; /* when a leader was last heard */
+	struct raft_turn turn;
 	uint64_t election_at_ms;
+	uint64_t election_limit_ms; /* a pause postpones it no further */
+	uint64_t ticked_ms;         /* 0: not yet */
+	uint64_t resumed_ms; /* when the owner last came back from a pause */
 	uint64_t heartbeat_at_ms;
+	uint64_t ask_at_ms;   /* a candidate asks for votes again */
+	uint8_t campaign;     /* enum raft_campaign, of the running election */
 	uint64_t incarnation; /* of this start; 0 once a leader was heard */
 	uint64_t restart_ask_at_ms;
 	uint64_t leader_since_ms;
@@ -290,6 +330,9 @@
 
 	GByteArray *incoming; /* snapshot being received */
 	uint64_t incoming_index;
+	GByteArray *part; /* of an entry being received in parts */
+	uint64_t part_index;
+	uint64_t part_term;
 	uint64_t elections; /* elections won, for reports */
 };
 
--- a/lib/raft_elect.c
+++ b/lib/raft_elect.c
@@ -11,6 +11,10 @@
 
 #include "raft_priv.h"
 
+/* A leader whose loop pauses all the time steps down after so many election
+ * timeouts more than another without a quorum. */
+#define PAUSE_QUORUM_MAX 2
+
 static bool
 leader_heard (const struct raft *r)
 {
@@ -82,60 +86,118 @@
 		become_leader (r);
 }
 
+/* Members that miss the leader at the same time would all win their pre-votes,
+ * and while the disks make their votes durable, split the votes.  A member
+ * therefore grants pre-votes to one at a time: to the one with the longest log,
+ * of several to the one with the lowest id.  The first grant counts, so that
+ * one that can't win does not hold up the others for long. */
+static bool
+has_turn (const struct raft *r, uint64_t id, uint64_t log_term, uint64_t index)
+{
+	const struct raft_turn *t = &r->turn;
+
+	if (t->id == 0 || t->id == id ||
+	    r->now_ms >= t->since_ms + r->times.election_ms)
+		return true;
+	if (log_term != t->log_term)
+		return log_term > t->log_term;
+	return index != t->index ? index > t->index : id < t->id;
+}
+
+static void
+give_turn (struct raft *r, uint64_t id, uint64_t log_term, uint64_t index)
+{
+	struct raft_turn *t = &r->turn;
+
+	if (t->id == id && r->now_ms < t->since_ms + r->times.election_ms)
+		return;
+	*t = (struct raft_turn){.id = id,
+				.log_term = log_term,
+				.index = index,
+				.since_ms = r->now_ms};
+}
+
+bool
+raft_another_stands (const struct raft *r)
+{
+	uint64_t last = raft_log_last (&r->log);
+
+	return !has_turn (r, r->id, raft_log_term (&r->log, last), last);
+}
+
+static void
+ask_votes (struct raft *r)
+{
+	bool pre = r->role == RAFT_PRE_CANDIDATE;
+	uint64_t last = raft_log_last (&r->log);
+	struct raft_msg m = {.term = pre ? r->term + 1 : r->term,
+			     .index = last,
+			     .log_term = raft_log_term (&r->log, last)};
+
+	r->ask_at_ms = r->now_ms + r->times.heartbeat_ms;
+	m.transfer = r->campaign == RAFT_CAMPAIGN_TRANSFER;
+	if (pre)
+		give_turn (r, r->id, m.log_term, m.index);
+	for (uint32_t i = 0; i < r->peer_count; i++) {
+		const struct raft_peer *p = &r->peers[i];
+
+		if (p->granted || !raft_is_voter (r, p->id))
+			continue;
+		m.incarnation = p->asked;
+		raft_send (r, &m, p->id,
+			   pre ? RAFT_MSG_PRE_VOTE : RAFT_MSG_VOTE);
+	}
+}
+
 void
 raft_campaign (struct raft *r, enum raft_campaign how)
 {
 	bool pre = how == RAFT_CAMPAIGN_PRE;
-	uint64_t last = raft_log_last (&r->log);
-	struct raft_msg m = {.index = last,
-			     .log_term = raft_log_term (&r->log, last),
-			     .transfer = how == RAFT_CAMPAIGN_TRANSFER};
 
 	r->role = pre ? RAFT_PRE_CANDIDATE : RAFT_CANDIDATE;
 	r->leader = 0;
-	raft_reset_election (r);
-	for (uint32_t i = 0; i < r->peer_count; i++)
-		r->peers[i].granted = false;
-	if (!pre) {
-		memset (&r->ack, 0, sizeof r->ack);
-		r->term++;
-		r->vote = r->id;
-		if (!r->ops->save_vote (r->term, r->vote, r->ctx)) {
-			raft_fail (r);
-			return;
-		}
-	}
-	r->ops->role (r->ctx);
-	m.term = pre ? r->term + 1 : r->term;
+	r->campaign = how;
 	for (uint32_t i = 0; i < r->peer_count; i++) {
-		if (!raft_is_voter (r, r->peers[i].id))
-			continue;
-		if (how == RAFT_CAMPAIGN_RESTART)
-			m.incarnation = r->peers[i].incarnation;
-		raft_send (r, &m, r->peers[i].id,
-			   pre ? RAFT_MSG_PRE_VOTE : RAFT_MSG_VOTE);
+		struct raft_peer *p = &r->peers[i];
+
+		p->granted = false;
+		p->asked = how == RAFT_CAMPAIGN_RESTART ? p->incarnation : 0;
 	}
+	if (!pre && !raft_save_vote (r, r->term + 1, r->id))
+		return;
+	raft_reset_election (r);
+	r->ops->role (r->ctx);
+	ask_votes (r);
 	check_won (r);
 }
 
+/* A voter may have refused a pre-vote because it still counted on the leader
+ * or was waiting for another candidate, and a message may be lost: without
+ * this, the round fails and the next begins an election timeout later.  The
+ * request is the same again, also in the incarnation that it names: a later one
+ * may have begun after the lease of another leader did. */
+void
+raft_ask_again (struct raft *r)
+{
+	if ((r->role == RAFT_PRE_CANDIDATE || r->role == RAFT_CANDIDATE) &&
+	    r->now_ms >= r->ask_at_ms)
+		ask_votes (r);
+}
+
+/* Term and vote are made durable together: each sync of its own would have the
+ * candidate wait for another one. */
 static bool
 grant_vote (struct raft *r, const struct raft_msg *m)
 {
-	if (m->term > r->term) {
+	bool may = up_to_date (r, m) && m->term >= r->term &&
+		   (m->term > r->term || r->vote == 0 || r->vote == m->from);
+
+	if (may && (m->term > r->term || r->vote == 0))
+		raft_vote_for (r, m->term, m->from);
+	else if (m->term > r->term)
 		raft_become_follower (r, m->term, 0);
-		if (r->failed)
-			return false;
-	}
-	if (m->term < r->term || (r->vote != 0 && r->vote != m->from) ||
-	    !up_to_date (r, m))
+	if (r->failed || !may)
 		return false;
-	if (r->vote == 0) {
-		r->vote = m->from;
-		if (!r->ops->save_vote (r->term, r->vote, r->ctx)) {
-			raft_fail (r);
-			return false;
-		}
-	}
 	raft_reset_election (r);
 	return true;
 }
@@ -156,7 +218,10 @@
 		/* A leader out of touch learns of a later term here. */
 		reply.ok = false;
 	} else if (pre) {
-		reply.ok = m->term > r->term && up_to_date (r, m);
+		reply.ok = m->term > r->term && up_to_date (r, m) &&
+			   has_turn (r, m->from, m->log_term, m->index);
+		if (reply.ok)
+			give_turn (r, m->from, m->log_term, m->index);
 	} else {
 		reply.ok = grant_vote (r, m);
 	}
@@ -209,12 +274,17 @@
 	return at[n / 2];
 }
 
+/* After a pause of its own loop, a leader waits for answers to what it sends
+ * then: those to earlier messages are as old as the pause is long.  The lease
+ * ends as ever. */
 void
 raft_check_quorum (struct raft *r)
 {
 	uint64_t acked = raft_quorum_acked (r, r->leader_since_ms);
+	uint64_t from = MAX (acked, r->resumed_ms);
 
-	if (r->now_ms > acked + r->times.election_ms)
+	from = MIN (from, acked + PAUSE_QUORUM_MAX * r->times.election_ms);
+	if (r->now_ms > from + r->times.election_ms)
 		raft_become_follower (r, r->term, 0);
 }
 
--- a/lib/raft_priv.h
+++ b/lib/raft_priv.h
@@ -23,6 +23,10 @@
 bool raft_append (struct raft *r, const struct raft_entry *entry);
 void raft_fail (struct raft *r);
 void raft_become_follower (struct raft *r, uint64_t term, uint64_t leader);
+/* Make @vote in @term durable and be a follower without a known leader. */
+void raft_vote_for (struct raft *r, uint64_t term, uint64_t vote);
+/* Make term and vote durable, and read the clock after that. */
+bool raft_save_vote (struct raft *r, uint64_t term, uint64_t vote);
 void raft_reset_election (struct raft *r);
 struct raft_peer *raft_peer_find (struct raft *r, uint64_t id);
 bool raft_is_voter (const struct raft *r, uint64_t id);
@@ -37,6 +41,10 @@
 	RAFT_CAMPAIGN_RESTART,  /* all members have just started */
 };
 void raft_campaign (struct raft *r, enum raft_campaign how);
+/* Whether another member stands for election and should finish first. */
+bool raft_another_stands (const struct raft *r);
+/* Ask those again that have not granted the vote. */
+void raft_ask_again (struct raft *r);
 /* Whether the log of @r holds no less than one that ends at @index. */
 bool raft_holds_as_much (const struct raft *r, uint64_t log_term,
 			 uint64_t index);
@@ -63,6 +71,25 @@
 void raft_on_append_reply (struct raft *r, const struct raft_msg *m);
 void raft_advance_commit (struct raft *r);
 
+/* Take note of the leader that sent @m; whether what follows @m->index may be
+ * taken, too.  What may not is rejected. */
+bool raft_hear_leader (struct raft *r, const struct raft_msg *m);
+/* Take @count entries after @m->index, and owe the leader an answer. */
+void raft_take_entries (struct raft *r, const struct raft_msg *m,
+			const struct raft_entry *entries, uint32_t count);
+
+/* raft_part.c */
+/* Whether @e is sent to @p in parts. */
+bool raft_part_large (const struct raft *r, const struct raft_peer *p,
+		      const struct raft_entry *e);
+/* Whether the next entry for @p is. */
+bool raft_part_due (const struct raft *r, const struct raft_peer *p);
+void raft_part_begin (struct raft *r, struct raft_peer *p);
+/* Send the part again that was not answered for long. */
+void raft_part_again (struct raft *r, struct raft_peer *p);
+void raft_on_part (struct raft *r, const struct raft_msg *m);
+void raft_on_part_reply (struct raft *r, const struct raft_msg *m);
+
 /* raft_snap.c */
 void raft_send_snapshot (struct raft *r, struct raft_peer *p);
 void raft_on_snapshot (struct raft *r, const struct raft_msg *m);
