--- a/relayd/call.c
+++ b/relayd/call.c
@@ -200,10 +200,6 @@
 	case BLAME_SEND_IF_GRANTED:
 		break;
 	}
-	if (c->queue_link != NULL && c->waiting_tokens > 0 &&
-	    !queue_allows (c) &&
-	    now_ms < waitq_refuse_at_ms (&c->wait, c->route, PLACE_BUSY, 0))
-		return;
 	choose_endpoint (c, &v, now_ms);
 	count_prefill (c, &v);
 	if (v.ep != NULL && verdict == BLAME_SEND_IF_GRANTED) {
