sio, h1cli: a request's body is sent from where it stands

A relay held a body of 4 MiB up to five times: as it arrived, for the call, with the head for the exchange, in the exchange until its end, and in the output queue, whose arrays also kept their memory for the connection's next use. A body of 32 KiB or more is now referenced by the exchange and by the socket; smaller ones are still sent in one piece with their head.

--- a/lib/h1cli.c
+++ b/lib/h1cli.c
@@ -5,7 +5,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
-#include "h1cli.h"
+#include "h1cli_priv.h"
 #include "link.h"
 #include "log.h"
 
@@ -19,102 +19,24 @@
 
 /* Where a server states no timeout; most keep connections for 5 s or more. */
 #define KEEP_DEFAULT_MS 4000
-/* Requests whose ids a connection remembers; a repeat comes soon or never. */
-#define SENT_IDS 16
+
+/* A smaller body is copied and sent in one piece with its head. */
+#define SHARE_MIN_BYTES (32U << 10)
 
 /* A server's own clock may be ahead of ours by the time on the way. */
 #define KEEP_MARGIN_MS 500
 
-enum call_phase {
-	CALL_CONNECTING,
-	CALL_HEAD, /* sent, waits for a head */
-	CALL_BODY,
-	CALL_SKIP, /* reads the body of an answer to another request */
-};
-
-struct h1cli_conn {
-	struct h1cli_host *host;
-	struct sio io;
-	h2o_socket_t *connecting;
-	struct h1cli *call; /* NULL while idle */
-	uint64_t idle_since_ms;
-	uint32_t keep_ms;
-	GList *link;                 /* in host->idle */
-	uint32_t sent_ids[SENT_IDS]; /* hashes, 0: unused */
-	uint32_t sent_count;
-	bool had_head_request;
-	bool reading;
-	bool dead;
-};
-
-struct h1cli {
-	struct h1cli_host *host;
-	struct h1cli_conn *conn;
-	const struct h1cli_ops *ops;
-	void *ctx;
-	enum call_phase phase;
-	GByteArray *out; /* the request, until the connection stands */
-	bool to_head;
-	char *echo_name;
-	char *echo_value;
-	struct sio_limits limits;
-	struct tmr tmr;
-	struct h1_body body;
-	bool close;
-	bool sent;
-	bool reused;
-	bool refused;
-	uint32_t keep_s;
-	uint32_t skipped;
-	uint64_t skipped_bytes;
-	uint32_t interim;
-};
-
 static void conn_read (struct h1cli_conn *c);
 
-static void
-on_sweep (void *ctx)
-{
-	struct h1cli_host *h = ctx;
-
-	g_ptr_array_set_size (h->graves, 0);
-}
-
-/* Callers up the stack may still look at it, so it is freed a turn later. */
-static void
-conn_free (struct h1cli_conn *c)
-{
-	c->dead = true;
-	g_ptr_array_add (c->host->graves, c);
-	tmr_start (&c->host->sweep, 0);
-}
-
-static void
-conn_close (struct h1cli_conn *c)
-{
-	struct h1cli_host *h = c->host;
-
-	if (c->link != NULL)
-		g_queue_delete_link (&h->idle, c->link);
-	c->link = NULL;
-	if (c->connecting != NULL)
-		h2o_socket_close (c->connecting);
-	c->connecting = NULL;
-	/* A reset frees the server's place at once, whatever is unread. */
-	if (c->call != NULL)
-		sio_reset (&c->io);
-	else
-		sio_close (&c->io);
-	h->conns--;
-	conn_free (c);
-}
-
 static void
 call_free (struct h1cli *x)
 {
 	g_ptr_array_remove_fast (x->host->calls, x);
 	tmr_finish (&x->tmr);
-	g_byte_array_unref (x->out);
+	if (x->out != NULL)
+		g_byte_array_unref (x->out);
+	if (x->out_body != NULL)
+		g_byte_array_unref (x->out_body);
 	g_free (x->echo_name);
 	g_free (x->echo_value);
 	g_free (x);
@@ -134,7 +56,7 @@
 		g_queue_push_head (&x->host->idle, c);
 		c->link = x->host->idle.head;
 	} else if (c != NULL) {
-		conn_close (c);
+		h1cli_conn_close (c);
 	}
 	x->conn = NULL;
 	x->ops->done (x, end, x->ctx);
@@ -164,7 +86,7 @@
 	struct h1cli *x = c->call;
 
 	if (x == NULL) {
-		conn_close (c);
+		h1cli_conn_close (c);
 		return;
 	}
 	if (why == NULL && x->phase == CALL_BODY &&
@@ -349,7 +271,7 @@
 		if (x == NULL) {
 			log_event (LOG_LV_INFO, "unasked-bytes", "port=%u",
 				   ntohs (c->host->addr.sin_port));
-			conn_close (c);
+			h1cli_conn_close (c);
 			break;
 		}
 		on = x->phase == CALL_HEAD ? call_head (c, x)
@@ -358,28 +280,6 @@
 	c->reading = false;
 }
 
-static uint32_t
-id_hash (const char *id)
-{
-	return MAX (g_str_hash (id), 1U);
-}
-
-/*
- * Whether an answer on @c to the request called @id could be an earlier one:
- * where it was sent there before, and where it has no id to compare.
- */
-static bool
-conn_had_id (const struct h1cli_conn *c, const char *id)
-{
-	uint32_t hash = id != NULL ? id_hash (id) : 0;
-
-	for (uint32_t i = 0; id != NULL && i < SENT_IDS; i++) {
-		if (c->sent_ids[i] == hash)
-			return true;
-	}
-	return id != NULL && id[0] == '\0';
-}
-
 static void
 call_send (struct h1cli *x)
 {
@@ -387,12 +287,20 @@
 
 	if (x->echo_value != NULL)
 		c->sent_ids[c->sent_count++ % SENT_IDS] =
-			id_hash (x->echo_value);
+			h1cli_id_hash (x->echo_value);
 	c->had_head_request |= x->to_head;
 	x->phase = CALL_HEAD;
 	x->sent = true;
-	sio_write (&x->conn->io, x->out->data, x->out->len);
-	g_byte_array_set_size (x->out, 0);
+	if (x->out_body != NULL && x->out_body->len < SHARE_MIN_BYTES) {
+		sio_write2 (&x->conn->io, x->out->data, x->out->len,
+			    x->out_body->data, x->out_body->len);
+	} else {
+		sio_write (&x->conn->io, x->out->data, x->out->len);
+		if (x->out_body != NULL)
+			sio_write_shared (&x->conn->io, x->out_body);
+	}
+	g_byte_array_unref (x->out);
+	x->out = NULL;
 }
 
 static void
@@ -459,32 +367,6 @@
 	tmr_start (&x->tmr, connect_ms);
 }
 
-/* The connection used last, if it is still likely to stand. */
-static struct h1cli_conn *
-conn_take (struct h1cli_host *h, uint32_t idle_max_ms, const char *id)
-{
-	uint64_t now_ms = tmr_now_ms ();
-
-	for (GList *at = h->idle.head, *next; at != NULL; at = next) {
-		struct h1cli_conn *c = at->data;
-		uint64_t idle_ms = now_ms - c->idle_since_ms;
-
-		next = at->next;
-		if (idle_ms < c->keep_ms && idle_ms >= idle_max_ms)
-			return NULL;
-		if (idle_ms >= c->keep_ms || !sio_is_quiet (&c->io)) {
-			conn_close (c);
-			continue;
-		}
-		if (conn_had_id (c, id))
-			continue;
-		g_queue_delete_link (&h->idle, c->link);
-		c->link = NULL;
-		return c;
-	}
-	return NULL;
-}
-
 struct h1cli *
 h1cli_start (struct h1cli_host *h, const struct h1cli_req *req,
 	     const struct h1cli_ops *ops, void *ctx)
@@ -501,9 +383,11 @@
 	x->out = g_byte_array_sized_new ((guint)req->len);
 	g_byte_array_append (x->out, (const guint8 *)req->bytes,
 			     (guint)req->len);
+	if (req->body != NULL)
+		x->out_body = g_byte_array_ref (req->body);
 	tmr_init (&x->tmr, h->loop, on_timer, x);
 	g_ptr_array_add (h->calls, x);
-	x->conn = conn_take (h, req->idle_max_ms, x->echo_value);
+	x->conn = h1cli_conn_take (h, req->idle_max_ms, x->echo_value);
 	if (x->conn == NULL) {
 		call_connect (x, req->connect_ms);
 		return x;
@@ -519,7 +403,7 @@
 h1cli_cancel (struct h1cli *x)
 {
 	if (x->conn != NULL)
-		conn_close (x->conn);
+		h1cli_conn_close (x->conn);
 	call_free (x);
 }
 
@@ -564,32 +448,3 @@
 	sio_resume (&x->conn->io);
 	conn_read (x->conn);
 }
-
-void
-h1cli_host_init (struct h1cli_host *h, h2o_loop_t *loop,
-		 const struct sockaddr_in *addr, struct in_addr from)
-{
-	*h = (struct h1cli_host){.loop = loop, .addr = *addr, .from = from};
-	g_queue_init (&h->idle);
-	h->calls = g_ptr_array_new ();
-	h->graves = g_ptr_array_new_with_free_func (g_free);
-	tmr_init (&h->sweep, loop, on_sweep, h);
-}
-
-void
-h1cli_host_drop_idle (struct h1cli_host *h)
-{
-	while (h->idle.head != NULL)
-		conn_close (h->idle.head->data);
-}
-
-void
-h1cli_host_finish (struct h1cli_host *h)
-{
-	for (guint i = h->calls->len; i > 0; i--)
-		h1cli_cancel (g_ptr_array_index (h->calls, i - 1));
-	h1cli_host_drop_idle (h);
-	tmr_finish (&h->sweep);
-	g_ptr_array_free (h->calls, TRUE);
-	g_ptr_array_free (h->graves, TRUE);
-}
--- a/lib/h1cli.h
+++ b/lib/h1cli.h
@@ -62,8 +62,10 @@
 };
 
 /**
- * struct h1cli_req - a request; all of it is copied
- * @bytes: head and body
+ * struct h1cli_req - a request; all of it but @body is copied
+ * @bytes: head, and body unless that is in @body
+ * @body: follows @bytes; NULL: nothing does.  It is referenced, and must not
+ *	change until the exchange ends
  * @to_head: its method is HEAD
  * @echo_name: header of the answer that repeats @echo_value, or NULL; without
  *	it, an answer to another request can't be told from ours
@@ -75,6 +77,7 @@
 struct h1cli_req {
 	const char *bytes;
 	size_t len;
+	GByteArray *body;
 	bool to_head;
 	const char *echo_name;
 	const char *echo_value;
--- a/lib/sio.c
+++ b/lib/sio.c
@@ -10,6 +10,13 @@
 
 #define PROBES_DEFAULT 2
 
+/* Handed to the kernel at once: small enough that a reader which takes its
+ * answer slowly is seen to make progress. */
+#define PART_BYTES (64U << 10)
+
+/* Memory that an empty queue keeps for the next bytes. */
+#define KEEP_BYTES (16U << 10)
+
 static void
 on_read (h2o_socket_t *sock, const char *why)
 {
@@ -108,16 +115,50 @@
 
 static void on_written (h2o_socket_t *sock, const char *why);
 
+/* A new array, in place of one that holds more memory than it is to keep. */
+static void
+empty (GByteArray **a)
+{
+	if ((*a)->len > KEEP_BYTES) {
+		g_byte_array_unref (*a);
+		*a = g_byte_array_new ();
+	}
+	g_byte_array_set_size (*a, 0);
+}
+
+/* Hands the next part of the flight to the kernel. */
+static void
+send_part (struct sio *s)
+{
+	h2o_iovec_t buf = h2o_iovec_init (s->flight->data + s->flight_at,
+					  MIN (s->flight->len - s->flight_at,
+					       PART_BYTES));
+
+	s->part = (uint32_t)buf.len;
+	h2o_socket_write (s->sock, &buf, 1, on_written);
+}
+
 static void
 flush (struct sio *s)
 {
 	GByteArray *swap = s->flight;
-	h2o_iovec_t buf;
 
 	s->flight = s->queued;
 	s->queued = swap;
-	buf = h2o_iovec_init (s->flight->data, s->flight->len);
-	h2o_socket_write (s->sock, &buf, 1, on_written);
+	s->flight_at = 0;
+	send_part (s);
+}
+
+/* The shared block follows all that was queued before it. */
+static void
+flush_shared (struct sio *s)
+{
+	g_byte_array_unref (s->flight);
+	s->flight = s->shared;
+	s->shared = NULL;
+	s->flight_is_shared = true;
+	s->flight_at = 0;
+	send_part (s);
 }
 
 static void
@@ -129,25 +170,89 @@
 		s->ops->ended (why, s->ctx);
 		return;
 	}
-	g_byte_array_set_size (s->flight, 0);
+	s->flight_at += s->part;
+	if (s->flight_at < s->flight->len) {
+		send_part (s);
+		if (s->ops->wrote != NULL)
+			s->ops->wrote (s->ctx);
+		return;
+	}
+	if (s->flight_is_shared) {
+		g_byte_array_unref (s->flight);
+		s->flight = g_byte_array_new ();
+		s->flight_is_shared = false;
+	}
+	empty (&s->flight);
+	s->flight_at = 0;
 	if (s->queued->len > 0)
 		flush (s);
+	else if (s->shared != NULL)
+		flush_shared (s);
 	else
 		s->ops->drained (s->ctx);
 }
 
+/* Copies the shared block into the queue, so that more can follow it. */
+static void
+sio_unshare (struct sio *s)
+{
+	GByteArray *block = s->shared;
+
+	if (block == NULL)
+		return;
+	s->shared = NULL;
+	g_byte_array_append (s->queued, block->data, block->len);
+	g_byte_array_unref (block);
+}
+
 void
 sio_write (struct sio *s, const void *data, size_t len)
 {
-	if (s->sock == NULL || len == 0)
+	sio_write2 (s, data, len, NULL, 0);
+}
+
+void
+sio_write2 (struct sio *s, const void *a, size_t a_len, const void *b,
+	    size_t b_len)
+{
+	GByteArray *to;
+
+	if (s->sock == NULL || a_len + b_len == 0)
 		return;
-	g_byte_array_append (s->queued, data, (guint)len);
+	sio_unshare (s);
+	to = s->queued;
+	if (a_len > 0)
+		g_byte_array_append (to, a, (guint)a_len);
+	if (b_len > 0)
+		g_byte_array_append (to, b, (guint)b_len);
 	if (s->flight->len == 0)
 		flush (s);
 }
 
+void
+sio_write_shared (struct sio *s, GByteArray *block)
+{
+	if (s->sock == NULL || block->len == 0)
+		return;
+	if (s->shared != NULL) {
+		sio_write (s, block->data, block->len);
+		return;
+	}
+	s->shared = g_byte_array_ref (block);
+	if (s->flight->len == 0)
+		flush_shared (s);
+}
 size_t
 sio_pending (const struct sio *s)
+{
+	if (s->sock == NULL)
+		return 0;
+	return s->queued->len + s->flight->len - s->flight_at +
+	       (s->shared != NULL ? s->shared->len : 0);
+}
+
+size_t
+sio_held (const struct sio *s)
 {
 	return s->sock != NULL ? s->queued->len + s->flight->len : 0;
 }
@@ -167,7 +272,9 @@
 	s->sock = NULL;
 	g_byte_array_unref (s->queued);
 	g_byte_array_unref (s->flight);
-	s->queued = s->flight = NULL;
+	if (s->shared != NULL)
+		g_byte_array_unref (s->shared);
+	s->queued = s->flight = s->shared = NULL;
 }
 
 void
--- a/lib/sio.h
+++ b/lib/sio.h
@@ -20,11 +20,14 @@
  * socket's code does in a turn, so the owner may close it and free it
  * @readable: bytes were added to the input
  * @drained: all that was queued has been handed to the kernel
+ * @wrote: the kernel took a part of what was queued, and more is left; may be
+ *	NULL
  * @ended: the other side closed (@why is NULL) or the connection failed
  */
 struct sio_ops {
 	void (*readable) (void *ctx);
 	void (*drained) (void *ctx);
+	void (*wrote) (void *ctx);
 	void (*ended) (const char *why, void *ctx);
 };
 
@@ -51,6 +54,10 @@
 	void *ctx;
 	GByteArray *queued;
 	GByteArray *flight;
+	GByteArray *shared;  /* follows @queued; NULL: none */
+	uint32_t flight_at;  /* bytes of @flight that the kernel took */
+	uint32_t part;       /* bytes of it that the kernel is to take now */
+	bool flight_is_shared;
 	struct sio_limits limits;
 	bool paused;
 };
@@ -84,9 +91,20 @@
 /** sio_write() - queue bytes; they are copied */
 void sio_write (struct sio *s, const void *data, size_t len);
 
+/** sio_write2() - queue two pieces in one go */
+void sio_write2 (struct sio *s, const void *a, size_t a_len, const void *b,
+		 size_t b_len);
+
+/** sio_write_shared() - queue a block without a copy; it is referenced, and
+ * must not change until it is written or the connection is closed */
+void sio_write_shared (struct sio *s, GByteArray *block);
+
 /** sio_pending() - queued bytes that the kernel has not taken */
 size_t sio_pending (const struct sio *s);
 
+/** sio_held() - bytes of memory that queued data takes, shared blocks apart */
+size_t sio_held (const struct sio *s);
+
 /** sio_shut() - end the output; the input stays open */
 void sio_shut (struct sio *s);
 
--- a/relayd/attempt.c
+++ b/relayd/attempt.c
@@ -394,10 +394,10 @@
 }
 
 static GString *
-format_request (struct call *c, const struct fleet_ep *backup,
+format_head (struct call *c, const struct fleet_ep *backup,
 		uint64_t remaining_ms)
 {
-	GString *out = g_string_sized_new (512 + c->body->len);
+	GString *out = g_string_sized_new (512);
 	struct dia_forward s = {
 		.endpoint_id = c->ep->info.id,
 		.account = c->account[0] != '\0' ? c->account : NULL,
@@ -418,9 +418,7 @@
 	if (c->body->len > 0 || strncmp (c->request_line->str, "GET ", 4) != 0)
 		g_string_append_printf (out, "Content-Length: %u\r\n",
 					c->body->len);
-	g_string_append (out, "\r\n");
-	g_string_append_len (out, (const char *)c->body->data, c->body->len);
-	return out;
+	return g_string_append (out, "\r\n");
 }
 
 /* Records that the engine will cache the prompt's segments.  Shared segments,
@@ -506,9 +504,10 @@
 		   place_reason_name (v->reason), v->ttft_ms, v->prefill_tokens,
 		   c->kv_from, c->ep->inflight, c->tier, remaining_ms,
 		   now_ms - c->r->list_read_ms, c->plan->version);
-	text = format_request (c, choose_backup (c, now_ms), remaining_ms);
+	text = format_head (c, choose_backup (c, now_ms), remaining_ms);
 	req.bytes = text->str;
 	req.len = text->len;
+	req.body = c->body;
 	c->exchange = h1cli_start (&u->host, &req, &attempt_ops, c);
 	g_string_free (text, TRUE);
 }
--- a/tests/soak/cut.c
+++ b/tests/soak/cut.c
@@ -88,7 +88,8 @@
 	e->ended = true;
 }
 
-static const struct sio_ops end_ops = {on_readable, on_drained, on_ended};
+static const struct sio_ops end_ops = {
+	.readable = on_readable, .drained = on_drained, .ended = on_ended};
 
 static void
 end_open (struct pipe *p, int i, h2o_socket_t *sock)
--- a/tests/soak/kept.c
+++ b/tests/soak/kept.c
@@ -172,7 +172,8 @@
 		finish (c, H1CLI_BROKEN);
 }
 
-static const struct sio_ops conn_ops = {on_readable, on_drained, on_ended};
+static const struct sio_ops conn_ops = {
+	.readable = on_readable, .drained = on_drained, .ended = on_ended};
 
 static void
 send_next (struct kept *c, bool reused)
