h1srv: what all clients make a process hold is bounded (lib/quota)

Each connection was bounded, and their number was not: 60 bodies that stop short made a relay hold 269 MB, and 150 clients that read no answers 1,163 MB.

Listeners of a process share a quota, derived from the settings memory_mb and max_fds. It counts what stands in input buffers, heads, bodies (while they run, too) and output queues. Above a bound the incomplete request with the least progress gets 503, or the answer that was not read for longest is cut. Of connections the oldest one without a byte is closed, then the one that rested longest, so that new clients get in.

- A body whose length has no room gets 503 as soon as its head is there.
- A body must bring 16 KiB/s in each idle_timeout_ms, or be whole in the first one.
Before, it had to be whole in the first one.
- Pipelined requests wait while more than 64 KiB of answers are unread.
- Closing connections whose answer is not read end after 30 s; they stayed.
- The owner of a server takes a reference to the body in place of a copy.
- Members parse large configurations one after another, and refuse one whose values would take more than half of the memory: 20 texts of 3 MiB of empty lists took 472 MB.

--- a/groupd/api.c
+++ b/groupd/api.c
@@ -15,6 +15,16 @@
 #define TIMEOUT_MS 10000
 #define IDLE_MS 30000
 
+/* Of a parsed configuration, see parsed_bytes().  One takes up to half of the
+ * machine's memory. */
+#define PARSED_LIST_BYTES 400
+#define PARSED_VALUE_BYTES 100
+
+/* Operators may fill a quarter of the machine's memory, and have a quarter of
+ * the descriptors: the log and the links to relays need the most. */
+#define CLIENTS_MEMORY_PART 4
+#define CLIENTS_FDS_PART 4
+
 static void
 answer (struct h1srv_conn *c, int status, const char *text)
 {
@@ -79,6 +89,9 @@
 	struct pending_call *w = p;
 
 	planjob_finish (&w->job);
+	g_bytes_unref (w->text);
+	if (w->g->parsing == w)
+		w->g->parsing = NULL;
 	g_free (w);
 }
 
@@ -139,6 +152,8 @@
 	const uint8_t *data = g_bytes_get_data (text, &len);
 	struct gstate_plan cmd = {.text = {data, (uint32_t)len}};
 
+	if (w->g->parsing == w)
+		w->g->parsing = NULL;
 	if (p == NULL) {
 		call_refuse (w, 400, e->msg);
 		return;
@@ -154,11 +169,79 @@
 }
 
 static void
-put_plan (struct group *g, struct h1srv_conn *c, const GByteArray *body)
+release_body (void *body)
+{
+	g_byte_array_unref (body);
+}
+
+/* About the memory that a text takes once it is parsed, from its marks: an
+ * object or an array takes up to 400 bytes, another value up to 100. */
+static uint64_t
+parsed_bytes (const GByteArray *text)
+{
+	uint64_t sum = 0;
+
+	for (guint i = 0; i < text->len; i++) {
+		if (text->data[i] == '[' || text->data[i] == '{')
+			sum += PARSED_LIST_BYTES;
+		else if (text->data[i] == ',')
+			sum += PARSED_VALUE_BYTES;
+	}
+	return sum;
+}
+
+static void
+parse (struct pending_call *w, GBytes *text)
+{
+	if (g_bytes_get_size (text) > PLANJOB_AT_ONCE_BYTES)
+		w->g->parsing = w;
+	planjob_start (&w->job, text);
+}
+
+/* Large texts are parsed one after another, since a parsed one takes several
+ * times the memory of its text. */
+static void
+put_plan (struct group *g, struct h1srv_conn *c, GByteArray *body)
 {
-	GBytes *text = g_bytes_new (body->data, body->len);
+	struct pending_call *w;
+	GBytes *text;
 
-	planjob_start (&call_new (g, c)->job, text);
+	if (parsed_bytes (body) > g->quota.max_bytes * 2) {
+		refuse (g, c, 413, "too many values");
+		return;
+	}
+	w = call_new (g, c);
+	text = g_bytes_new_with_free_func (body->data, body->len, release_body,
+					   g_byte_array_ref (body));
+	if (body->len > PLANJOB_AT_ONCE_BYTES && g->parsing != NULL)
+		w->text = g_bytes_ref (text);
+	else
+		parse (w, text);
+	g_bytes_unref (text);
+}
+
+/* Parses the large text that has waited longest, if none is being parsed. */
+static void
+parse_next (struct group *g)
+{
+	struct pending_call *oldest = NULL;
+	GBytes *text;
+
+	if (g->parsing != NULL)
+		return;
+	for (guint i = 0; i < g->pending_calls->len; i++) {
+		struct pending_call *w =
+			g_ptr_array_index (g->pending_calls, i);
+
+		if (w->text != NULL &&
+		    (oldest == NULL || w->since_ms < oldest->since_ms))
+			oldest = w;
+	}
+	if (oldest == NULL)
+		return;
+	text = oldest->text;
+	oldest->text = NULL;
+	parse (oldest, text);
 	g_bytes_unref (text);
 }
 
@@ -176,7 +259,7 @@
 
 static void
 on_request (struct h1srv_conn *c, const struct h1_head *h,
-	    const GByteArray *body, void *ctx)
+	    GByteArray *body, void *ctx)
 {
 	struct group *g = ctx;
 	char domain[GSTATE_NAME_BYTES];
@@ -219,7 +302,7 @@
 
 static void
 on_metrics (struct h1srv_conn *c, const struct h1_head *h,
-	    const GByteArray *body, void *ctx)
+	    GByteArray *body, void *ctx)
 {
 	struct group *g = ctx;
 	GString *out = g_string_new (NULL);
@@ -239,6 +322,7 @@
 	print_metric (out, "version", g->state.version);
 	print_metric (out, "sealed_window", g->state.sealed_window);
 	print_metric (out, "storage_down", g->storage_down);
+	quota_print (&g->quota, "dh_group", out);
 	frame_print_sent ("dh_group_sent_bytes_total", g->sent_bytes, out);
 	h1srv_answer (c, 200, "Content-Type: text/plain\r\n", out->str,
 		      out->len);
@@ -263,12 +347,21 @@
 		HEADER_MAX_BYTES, BODY_MAX_BYTES, TIMEOUT_MS, IDLE_MS};
 
 	g->pending_calls = g_ptr_array_new_with_free_func (call_free);
-	return h1srv_init (&g->api, g->d.loop, &g->api_addr, &limits, &api_ops,
-			   g, e) &&
-	       (g->set.metrics[0] == '\0' ||
-		(link_addr_parse (g->set.metrics, &at, e) &&
-		 h1srv_init (&g->metrics, g->d.loop, &at, &limits, &metrics_ops,
-			     g, e)));
+	quota_init (&g->quota, g->set.memory_mb, g->set.max_fds,
+		    CLIENTS_MEMORY_PART, CLIENTS_FDS_PART);
+	if (!h1srv_init (&g->api, g->d.loop, &g->api_addr, &limits, &api_ops, g,
+			 e))
+		return false;
+	g->api.quota = &g->quota;
+	if (g->set.metrics[0] == '\0')
+		return true;
+	if (!link_addr_parse (g->set.metrics, &at, e) ||
+	    !h1srv_init (&g->metrics, g->d.loop, &at, &limits, &metrics_ops, g,
+			 e))
+		return false;
+	g->metrics.quota = &g->quota;
+	g->metrics.is_reserved = true;
+	return true;
 }
 
 static void
@@ -336,7 +429,7 @@
 						       w->since_ms, now_ms);
 
 		if (w->conn != NULL && !ready &&
-		    (planjob_is_active (&w->job) ||
+		    (w->text != NULL || planjob_is_active (&w->job) ||
 		     now_ms - w->since_ms < COMMIT_TIMEOUT_MS))
 			continue;
 		c = call_end (w);
@@ -345,4 +438,5 @@
 		else if (c != NULL)
 			refuse (g, c, 503, "not confirmed by a majority yet");
 	}
+	parse_next (g);
 }
--- a/groupd/groupd.h
+++ b/groupd/groupd.h
@@ -61,6 +61,8 @@
 	bool is_read; /* reads the configuration, changes nothing */
 	struct group *g;
 	struct planjob job; /* parses the configuration that it brought */
+	GBytes *text;       /* configuration that waits for another one to be
+			     * parsed; NULL: none */
 };
 
 /** struct usage_report - sealing and reporting of usage windows */
@@ -121,6 +123,7 @@
 	struct link_server *server;
 	struct h1srv api;
 	struct h1srv metrics;
+	struct quota quota; /* of @api and @metrics */
 	struct sockaddr_in peer_addr;
 	struct sockaddr_in api_addr;
 	uint64_t id;
@@ -133,6 +136,7 @@
 	GPtrArray *members;       /* of struct member_link * */
 	GPtrArray *accepted;      /* of struct accepted_link * */
 	GPtrArray *pending_calls; /* of struct pending_call * */
+	struct pending_call *parsing; /* that a large text is parsed for */
 	struct h1cli_host platform;
 	struct endpoint_list endpoints;
 	struct usage_report usage_report;
--- a/lib/h1srv.c
+++ b/lib/h1srv.c
@@ -1,11 +1,12 @@
 /*
  * The server side of HTTP/1.1.
  */
+#include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "h1srv.h"
+#include "h1srv_priv.h"
 #include "link.h"
 #include "log.h"
 #include "tmr.h"
@@ -13,32 +14,24 @@
 #define LISTEN_BACKLOG 512
 #define LINGER_MS 1000      /* for a client to read a refusal that closes */
 #define OUTPUT_MAX_MS 30000 /* for a client to read the last answer */
-#define AHEAD_MAX_BYTES (256U << 10) /* read behind a running request */
-
-enum conn_state {
-	CONN_HEAD,   /* waits for a head, or for the rest of it */
-	CONN_BODY,   /* waits for the rest of a body */
-	CONN_BUSY,   /* its request is with the owner */
-	CONN_ENDING, /* closes once the answer is written */
-	CONN_LINGER, /* the answer is written; the client is to close */
-};
+#define AHEAD_MAX_BYTES (64U << 10) /* read behind a running request */
 
-struct h1srv_conn {
-	struct h1srv *srv;
-	struct sio io;
-	enum conn_state state;
-	struct tmr tmr;
-	uint64_t timed_since_ms; /* when the state began that @tmr limits */
-	uint64_t answered_ms;    /* when the owner ended the last answer */
-	GString *head;           /* of the running request */
-	GByteArray *body_bytes;
-	struct h1_body body;
-	bool close;
-	bool head_timed;
-	bool reading; /* conn_read() is on the stack */
-	bool dead;
-	void *data;
-};
+/* Answers of earlier requests that wait for their reader; the next request is
+ * handled once less waits. */
+#define UNREAD_MAX_BYTES (64U << 10)
+
+/* What the kernel holds for a connection in each direction, and so about what
+ * one read brings. */
+#define KERNEL_BUFFER_BYTES (128 << 10)
+
+/* A head that takes more is not kept for the next request. */
+#define KEEP_HEAD_BYTES 1024
+
+/* Between two attempts to accept connections where descriptors are used up. */
+#define ACCEPT_PAUSE_MS 100
+
+/* Retry-After of requests that are refused for a bound. */
+#define OVERLOAD_HEADERS "Retry-After: 1\r\n"
 
 static void conn_read (struct h1srv_conn *c);
 
@@ -49,7 +42,8 @@
 
 	tmr_finish (&c->tmr);
 	g_string_free (c->head, TRUE);
-	g_byte_array_unref (c->body_bytes);
+	if (c->body_bytes != NULL)
+		g_byte_array_unref (c->body_bytes);
 	g_free (c);
 }
 
@@ -70,8 +64,8 @@
 	tmr_start (&c->srv->sweep, 0);
 }
 
-static void
-conn_close (struct h1srv_conn *c, bool reset)
+void
+h1srv_conn_close (struct h1srv_conn *c, bool reset)
 {
 	struct h1srv *s = c->srv;
 
@@ -79,6 +73,7 @@
 		return;
 	if (c->state == CONN_BUSY)
 		s->busy--;
+	quota_leave (&c->quota);
 	if (reset)
 		sio_reset (&c->io);
 	else
@@ -88,15 +83,15 @@
 	conn_free (c);
 }
 
-static void
-on_ended (const char *why, void *ctx)
+void
+h1srv_conn_ended (const char *why, void *ctx)
 {
 	struct h1srv_conn *c = ctx;
 
 	(void)why;
 	if (c->state == CONN_BUSY)
 		c->srv->ops->gone (c, c->srv->ctx);
-	conn_close (c, false);
+	h1srv_conn_close (c, false);
 }
 
 /* Starts the limit on the state that the connection has now. */
@@ -107,16 +102,82 @@
 	tmr_start (&c->tmr, ms);
 }
 
+/* Counts what the connection holds of requests.  Return: false where the
+ * request that arrives must be refused. */
+static bool
+count_input (struct h1srv_conn *c)
+{
+	bool has_request = c->state == CONN_BODY || c->state == CONN_BUSY;
+	size_t len;
+
+	sio_input (&c->io, &len);
+	return quota_set_input (
+		&c->quota, len + (has_request ? c->head->len + c->body_len : 0),
+		tmr_now_ms ());
+}
+
+static bool
+count_output (struct h1srv_conn *c, bool progress)
+{
+	return quota_set_output (&c->quota, sio_held (&c->io), progress);
+}
+
+static void
+set_state (struct h1srv_conn *c, enum h1srv_state state)
+{
+	static const enum quota_state states[] = {
+		[CONN_HEAD] = QUOTA_RESTING, [CONN_BODY] = QUOTA_PARTIAL,
+		[CONN_BUSY] = QUOTA_BUSY,    [CONN_ENDING] = QUOTA_BUSY,
+		[CONN_LINGER] = QUOTA_BUSY,
+	};
+
+	c->state = state;
+	quota_set_state (&c->quota, states[state], tmr_now_ms ());
+}
+
+static void
+release_body (struct h1srv_conn *c)
+{
+	if (c->body_bytes != NULL)
+		g_byte_array_unref (c->body_bytes);
+	c->body_bytes = NULL;
+	c->body_len = 0;
+}
+
+/* Handles the next request once the client has read its earlier answers. */
+static void
+unblock (struct h1srv_conn *c)
+{
+	if (!c->blocked || sio_pending (&c->io) > UNREAD_MAX_BYTES)
+		return;
+	c->blocked = false;
+	sio_resume (&c->io);
+	conn_read (c);
+}
+
+static void
+on_wrote (void *ctx)
+{
+	struct h1srv_conn *c = ctx;
+
+	count_output (c, true);
+	unblock (c);
+}
+
 static void
 on_drained (void *ctx)
 {
 	struct h1srv_conn *c = ctx;
 
+	count_output (c, true);
+
 	if (c->state == CONN_HEAD && !c->head_timed)
 		conn_limit (c, c->srv->limits.idle_timeout_ms);
-	if (c->state != CONN_ENDING)
+	if (c->state != CONN_ENDING) {
+		unblock (c);
 		return;
-	c->state = CONN_LINGER;
+	}
+	set_state (c, CONN_LINGER);
 	sio_shut (&c->io);
 	tmr_start (&c->tmr, LINGER_MS);
 }
@@ -130,17 +191,19 @@
 static const struct sio_ops conn_ops = {
 	.readable = on_readable,
 	.drained = on_drained,
-	.ended = on_ended,
+	.wrote = on_wrote,
+	.ended = h1srv_conn_ended,
 };
 
 /* To be answered before the request has arrived whole. */
-static void
-conn_begin_refusal (struct h1srv_conn *c)
+void
+h1srv_begin_refusal (struct h1srv_conn *c)
 {
 	c->close = true;
-	c->state = CONN_BUSY;
+	set_state (c, CONN_BUSY);
 	c->data = NULL;
 	c->srv->busy++;
+	release_body (c);
 }
 
 /* The request's id, if its head has arrived; free with g_free(). */
@@ -171,11 +234,41 @@
 	log_event (LOG_LV_INFO, "bad-request", "req=%s status=%d why=\"%s\"",
 		   id != NULL ? id : "", status, why);
 	g_free (id);
-	conn_begin_refusal (c);
-	h1srv_answer (c, status, NULL, body, strlen (body));
+	h1srv_begin_refusal (c);
+	h1srv_answer (c, status, status == 503 ? OVERLOAD_HEADERS : NULL, body,
+		      strlen (body));
 	g_free (body);
 }
 
+/* Ends a connection whose room is needed. */
+static void
+on_drop (struct quota_conn *q, enum quota_why why)
+{
+	struct h1srv_conn *c = (struct h1srv_conn *)((char *)q -
+						     offsetof (struct h1srv_conn,
+							       quota));
+
+	switch (why) {
+	case QUOTA_MEMORY:
+		conn_refuse (c, 503, "too many bytes of requests");
+		break;
+	case QUOTA_CONNECTIONS:
+		if (c->state == CONN_BODY)
+			conn_refuse (c, 503, "too many connections");
+		h1srv_conn_close (c, false);
+		break;
+	case QUOTA_OUTPUT:
+		if (c->state == CONN_BUSY)
+			c->srv->ops->gone (c, c->srv->ctx);
+		h1srv_conn_close (c, true);
+		break;
+	case QUOTA_WHYS:
+		break;
+	}
+}
+
+static const struct quota_ops conn_quota_ops = {on_drop};
+
 /* What is left of the limit, which may have changed since it was started: a
  * client that knows the new one counts on it. */
 static uint64_t
@@ -199,18 +292,51 @@
 	       tmr_now_ms () < c->answered_ms + OUTPUT_MAX_MS;
 }
 
+/* Ends a connection whose client has not read anything for a while. */
+static void
+check_reader (struct h1srv_conn *c)
+{
+	if (sio_pending (&c->io) < c->unread) {
+		c->unread = sio_pending (&c->io);
+		tmr_start (&c->tmr, OUTPUT_MAX_MS);
+	} else {
+		h1srv_conn_close (c, true);
+	}
+}
+
+/* Whether enough of a body arrived since its time was checked. */
+static bool
+body_progresses (struct h1srv_conn *c)
+{
+	uint64_t ms = c->srv->limits.idle_timeout_ms;
+
+	if (c->state != CONN_BODY ||
+	    (c->body_len - c->window_len) < ms * QUOTA_BODY_RATE / 1000)
+		return false;
+	c->window_len = c->body_len;
+	return true;
+}
+
 static void
 on_timer (void *ctx)
 {
 	struct h1srv_conn *c = ctx;
 	size_t len;
 
+	if (c->must_end) {
+		on_drop (&c->quota, QUOTA_OUTPUT);
+		return;
+	}
 	if (c->state == CONN_LINGER) {
-		conn_close (c, false);
+		h1srv_conn_close (c, false);
 		return;
 	}
-	if (c->state == CONN_BUSY || c->state == CONN_ENDING)
+	if (c->state == CONN_BUSY)
+		return;
+	if (c->state == CONN_ENDING || c->blocked) {
+		check_reader (c);
 		return;
+	}
 	if (conn_left_ms (c) > 0) {
 		tmr_start (&c->tmr, (uint32_t)conn_left_ms (c));
 		return;
@@ -220,25 +346,34 @@
 		conn_limit (c, c->srv->limits.idle_timeout_ms);
 		return;
 	}
+	if (body_progresses (c)) {
+		conn_limit (c, c->srv->limits.idle_timeout_ms);
+		return;
+	}
+	if (c->state == CONN_BODY)
+		c->srv->quota->slow++;
 	if (c->state == CONN_BODY || len > 0)
 		conn_refuse (c, 408, "not whole in time");
 	else
-		conn_close (c, false);
+		h1srv_conn_close (c, false);
 }
 
 /* The head is parsed again from a copy, since the input moves on. */
 static void
 conn_deliver (struct h1srv_conn *c)
 {
+	GByteArray *body = c->body_bytes;
 	struct h1_head h;
 	size_t used;
 
 	tmr_stop (&c->tmr);
-	c->state = CONN_BUSY;
+	set_state (c, CONN_BUSY);
 	c->data = NULL;
 	c->srv->busy++;
+	c->body_bytes = NULL;
 	if (h1_request (c->head->str, c->head->len, &h, &used) == H1_OK)
-		c->srv->ops->request (c, &h, c->body_bytes, c->srv->ctx);
+		c->srv->ops->request (c, &h, body, c->srv->ctx);
+	g_byte_array_unref (body);
 }
 
 static bool
@@ -249,6 +384,11 @@
 	size_t len, used;
 	const char *in = sio_input (&c->io, &len);
 
+	if (c->blocked) {
+		if (len > AHEAD_MAX_BYTES)
+			sio_pause (&c->io);
+		return false;
+	}
 	/* Empty lines before a request are allowed. */
 	while (len >= 2 && in[0] == '\r' && in[1] == '\n') {
 		sio_consume (&c->io, 2);
@@ -266,6 +406,7 @@
 		else if (!c->head_timed)
 			conn_limit (c, l->header_timeout_ms);
 		c->head_timed = true;
+		quota_set_state (&c->quota, QUOTA_PARTIAL, tmr_now_ms ());
 		return false;
 	case H1_OK:
 		break;
@@ -277,15 +418,23 @@
 			conn_refuse (c, 413, "body too long");
 		return false;
 	}
+	if (h.framing == H1_LENGTH &&
+	    !quota_fits (c->srv->quota, h.length, tmr_now_ms ())) {
+		c->srv->quota->refused[QUOTA_MEMORY]++;
+		conn_refuse (c, 503, "too many bytes of requests");
+		return false;
+	}
 	c->close = h.close;
 	g_string_truncate (c->head, 0);
 	g_string_append_len (c->head, in, (gssize)used);
-	g_byte_array_set_size (c->body_bytes, 0);
+	release_body (c);
+	c->body_bytes = g_byte_array_new ();
+	c->window_len = 0;
 	h1_body_init (&c->body, &h);
 	if (h.expect_continue && h.framing != H1_NO_BODY && used == len)
 		h1srv_write (c, "HTTP/1.1 100 Continue\r\n\r\n", 25);
 	sio_consume (&c->io, used);
-	c->state = CONN_BODY;
+	set_state (c, CONN_BODY);
 	conn_limit (c, l->idle_timeout_ms);
 	return true;
 }
@@ -303,6 +452,7 @@
 	case H1_STEP_DATA:
 		g_byte_array_append (c->body_bytes, (const guint8 *)data,
 				     (guint)n);
+		c->body_len = c->body_bytes->len;
 		sio_consume (&c->io, used);
 		if (c->body_bytes->len <= c->srv->limits.max_body_bytes)
 			return true;
@@ -310,8 +460,12 @@
 		return false;
 	case H1_STEP_END:
 		sio_consume (&c->io, used);
-		conn_deliver (c);
-		return true;
+		if (count_input (c)) {
+			conn_deliver (c);
+			return true;
+		}
+		conn_refuse (c, 503, "too many bytes of requests");
+		return false;
 	case H1_STEP_BAD:
 		break;
 	}
@@ -351,10 +505,18 @@
 		}
 	}
 	c->reading = false;
+	if (c->dead || count_input (c))
+		return;
+	if (c->state == CONN_BUSY) {
+		/* What follows the running request does not fit. */
+		h1srv_conn_ended (NULL, c);
+	} else if (c->state != CONN_ENDING && c->state != CONN_LINGER) {
+		conn_refuse (c, 503, "too many bytes of requests");
+	}
 }
 
-static void
-on_accept (h2o_socket_t *listener, const char *why)
+void
+h1srv_on_accept (h2o_socket_t *listener, const char *why)
 {
 	struct h1srv *s = listener->data;
 	h2o_socket_t *sock;
@@ -365,14 +527,32 @@
 		static const struct sio_limits limits = {0};
 		struct h1srv_conn *c = g_new0 (struct h1srv_conn, 1);
 
+		if (!quota_join (s->quota, &c->quota, &conn_quota_ops,
+				 s->is_reserved, tmr_now_ms ())) {
+			h2o_socket_close (sock);
+			g_free (c);
+			continue;
+		}
 		c->srv = s;
 		c->head = g_string_new (NULL);
-		c->body_bytes = g_byte_array_new ();
 		tmr_init (&c->tmr, s->loop, on_timer, c);
 		conn_limit (c, s->limits.idle_timeout_ms);
 		g_ptr_array_add (s->conns, c);
 		sio_init (&c->io, sock, &conn_ops, c, &limits);
 	}
+	if (errno == EMFILE || errno == ENFILE) {
+		h2o_socket_read_stop (listener);
+		tmr_start (&s->accept_timer, ACCEPT_PAUSE_MS);
+	}
+}
+
+static void
+on_accept_timer (void *ctx)
+{
+	struct h1srv *s = ctx;
+
+	if (s->listener != NULL)
+		h2o_socket_read_start (s->listener, h1srv_on_accept);
 }
 
 bool
@@ -380,119 +560,31 @@
 	    const struct h1srv_limits *limits, const struct h1srv_ops *ops,
 	    void *ctx, struct err *e)
 {
-	int fd;
+	int fd, buffer_bytes = KERNEL_BUFFER_BYTES;
 
 	*s = (struct h1srv){
 		.loop = loop, .ops = ops, .ctx = ctx, .limits = *limits};
 	fd = link_listen_fd (addr, LISTEN_BACKLOG, &s->port, e);
 	if (fd < 0)
 		return false;
+	/* Accepted connections inherit them. */
+	setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
+		    sizeof buffer_bytes);
+	setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &buffer_bytes,
+		    sizeof buffer_bytes);
+	quota_init (&s->own_quota, 0, 0, 2, 1);
+	s->quota = &s->own_quota;
 	s->conns = g_ptr_array_new ();
 	s->graves = g_ptr_array_new_with_free_func (bury);
 	tmr_init (&s->sweep, loop, on_sweep, s);
+	tmr_init (&s->accept_timer, loop, on_accept_timer, s);
 	s->listener =
 		h2o_evloop_socket_create (loop, fd, H2O_SOCKET_FLAG_DONT_READ);
 	s->listener->data = s;
-	h2o_socket_read_start (s->listener, on_accept);
+	h2o_socket_read_start (s->listener, h1srv_on_accept);
 	return true;
 }
 
-void
-h1srv_leave (struct h1srv *s)
-{
-	s->leaving = true;
-}
-
-void
-h1srv_close_listener (struct h1srv *s)
-{
-	if (s->listener == NULL)
-		return;
-	/* The kernel would reset the connections that were not taken from it.
-	 */
-	on_accept (s->listener, NULL);
-	h2o_socket_close (s->listener);
-	s->listener = NULL;
-}
-
-/* Whether the part of a request that was read is not the whole. */
-static bool
-is_partial (const struct h1srv_conn *c)
-{
-	size_t len;
-
-	if (c->state != CONN_HEAD)
-		return c->state == CONN_BODY;
-	sio_input (&c->io, &len);
-	return len > 0;
-}
-
-/* Whether a request is unanswered, or has begun to arrive. */
-static bool
-has_request (const struct h1srv_conn *c)
-{
-	return c->state == CONN_BUSY || is_partial (c) ||
-	       (c->state == CONN_HEAD && !sio_is_quiet (&c->io));
-}
-
-void
-h1srv_close_idle (struct h1srv *s)
-{
-	for (guint i = s->conns->len; i > 0; i--) {
-		struct h1srv_conn *c = g_ptr_array_index (s->conns, i - 1);
-
-		if (c->state == CONN_HEAD && !has_request (c) &&
-		    sio_pending (&c->io) == 0)
-			conn_close (c, false);
-	}
-}
-
-bool
-h1srv_has_requests (const struct h1srv *s)
-{
-	for (guint i = 0; i < s->conns->len; i++) {
-		const struct h1srv_conn *c = g_ptr_array_index (s->conns, i);
-
-		if (has_request (c))
-			return true;
-	}
-	return false;
-}
-
-void
-h1srv_refuse_partial (struct h1srv *s,
-		      void (*refuse) (struct h1srv_conn *c,
-				      const struct h1_head *h, void *ctx),
-		      void *ctx)
-{
-	for (guint i = s->conns->len; i > 0; i--) {
-		struct h1srv_conn *c = g_ptr_array_index (s->conns, i - 1);
-		bool has_head = c->state == CONN_BODY;
-		struct h1_head h;
-		size_t used;
-
-		if (!is_partial (c))
-			continue;
-		tmr_stop (&c->tmr);
-		conn_begin_refusal (c);
-		has_head = has_head && h1_request (c->head->str, c->head->len,
-						   &h, &used) == H1_OK;
-		refuse (c, has_head ? &h : NULL, ctx);
-	}
-}
-
-bool
-h1srv_has_output (const struct h1srv *s)
-{
-	for (guint i = 0; i < s->conns->len; i++) {
-		const struct h1srv_conn *c = g_ptr_array_index (s->conns, i);
-
-		if (sio_pending (&c->io) > 0 || c->state == CONN_LINGER)
-			return true;
-	}
-	return false;
-}
-
 void
 h1srv_finish (struct h1srv *s)
 {
@@ -500,8 +592,9 @@
 	if (s->conns == NULL)
 		return;
 	for (guint i = s->conns->len; i > 0; i--)
-		on_ended (NULL, g_ptr_array_index (s->conns, i - 1));
+		h1srv_conn_ended (NULL, g_ptr_array_index (s->conns, i - 1));
 	tmr_finish (&s->sweep);
+	tmr_finish (&s->accept_timer);
 	g_ptr_array_free (s->conns, TRUE);
 	g_ptr_array_free (s->graves, TRUE);
 	s->conns = s->graves = NULL;
@@ -525,10 +618,22 @@
 	return c->close || c->srv->leaving;
 }
 
+/* Counts bytes that were queued.  A connection that must end for them is closed
+ * a turn later, since its owner is writing. */
+static void
+conn_wrote (struct h1srv_conn *c)
+{
+	if (sio_is_open (&c->io) && !count_output (c, false))
+		c->must_end = true;
+	if (c->must_end)
+		tmr_start (&c->tmr, 0);
+}
+
 void
 h1srv_write (struct h1srv_conn *c, const void *data, size_t len)
 {
 	sio_write (&c->io, data, len);
+	conn_wrote (c);
 }
 
 size_t
@@ -540,22 +645,41 @@
 void
 h1srv_end (struct h1srv_conn *c, bool whole)
 {
+	size_t len;
+
 	if (!whole) {
-		conn_close (c, true);
+		h1srv_conn_close (c, true);
 		return;
 	}
 	c->srv->busy--;
 	c->data = NULL;
+	c->body_len = 0;
+	if (c->head->allocated_len > KEEP_HEAD_BYTES) {
+		g_string_free (c->head, TRUE);
+		c->head = g_string_new (NULL);
+	}
+	c->unread = sio_pending (&c->io);
 	if (c->close) {
-		c->state = CONN_ENDING;
-		if (sio_pending (&c->io) == 0)
+		set_state (c, CONN_ENDING);
+		sio_input (&c->io, &len);
+		sio_consume (&c->io, len);
+		count_input (c);
+		if (!c->must_end)
+			tmr_start (&c->tmr, OUTPUT_MAX_MS);
+		if (c->unread == 0)
 			on_drained (c);
 		return;
 	}
-	c->state = CONN_HEAD;
+	set_state (c, CONN_HEAD);
 	c->head_timed = false;
 	c->answered_ms = tmr_now_ms ();
-	conn_limit (c, c->srv->limits.idle_timeout_ms);
+	c->blocked = c->unread > UNREAD_MAX_BYTES;
+	if (c->blocked)
+		tmr_start (&c->tmr, OUTPUT_MAX_MS);
+	else
+		conn_limit (c, c->srv->limits.idle_timeout_ms);
+	if (c->must_end)
+		tmr_start (&c->tmr, 0);
 	sio_resume (&c->io);
 	conn_read (c);
 }
@@ -580,8 +704,8 @@
 
 	h1srv_head (c, status, headers, out);
 	g_string_append_printf (out, "Content-Length: %zu\r\n\r\n", len);
-	g_string_append_len (out, body, (gssize)len);
-	h1srv_write (c, out->str, out->len);
+	sio_write2 (&c->io, out->str, out->len, body, len);
+	conn_wrote (c);
 	g_string_free (out, TRUE);
 	h1srv_end (c, true);
 }
--- a/lib/h1srv.h
+++ b/lib/h1srv.h
@@ -10,6 +10,7 @@
 
 #include "err.h"
 #include "h1.h"
+#include "quota.h"
 #include "sio.h"
 #include "tmr.h"
 
@@ -23,14 +24,16 @@
 
 /**
  * struct h1srv_ops - the server's owner
- * @request: a request arrived; @h and @body are valid during the call.  It is
- *	answered by h1srv_answer(), or by h1srv_write() and h1srv_end().
+ * @request: a request arrived; @h is valid during the call, and so is @body,
+ *	unless the owner takes a reference; the body must not change.  The
+ *	request is answered by h1srv_answer(), or by h1srv_write() and
+ *	h1srv_end()
  * @gone: the client left before its request was answered; the connection
  *	must not be used after the call
  */
 struct h1srv_ops {
 	void (*request) (struct h1srv_conn *c, const struct h1_head *h,
-			 const GByteArray *body, void *ctx);
+			 GByteArray *body, void *ctx);
 	void (*gone) (struct h1srv_conn *c, void *ctx);
 };
 
@@ -52,6 +55,10 @@
 	GPtrArray *conns;  /* of struct h1srv_conn * */
 	GPtrArray *graves; /* closed ones, freed by @sweep */
 	struct tmr sweep;
+	struct tmr accept_timer; /* while descriptors are used up */
+	struct quota *quota;     /* @own_quota, unless the owner shares one */
+	struct quota own_quota;
+	bool is_reserved;      /* may use the quota's reserved connections */
 	uint32_t busy;         /* of them, with a request */
 	const char *id_header; /* names requests in log lines; NULL: none */
 	uint16_t port;
--- a/lib/set_daemons.c
+++ b/lib/set_daemons.c
@@ -12,6 +12,17 @@
 				       "round_robin", "least_in_flight",
 				       "two_choices", NULL};
 
+/* What the platform states of the machine, for the bounds of quota.h.  The
+ * least values leave room for the process itself and for one client. */
+#define MACHINE_ROWS                                                           \
+	ROW (memory_mb, SET_U32, .def = "0", .max = 1048576,                   \
+	     .doc = "Memory of the machine in MB, of which clients may fill "  \
+		    "a part; 0: 4096."),                                       \
+		ROW (max_fds, SET_U32, .def = "0", .max = 1048576,             \
+		     .doc = "Descriptors that the process may have open, "     \
+			    "200 of them for files; 0: as many as the "        \
+			    "system allows.")
+
 #define STRUCT struct set_entryd
 const struct set_row set_entryd_rows[] = {
 	ROW (name, SET_NAME, .required = true,
@@ -45,6 +56,7 @@
 		    "measure against."),
 	ROW (engine_priority, SET_BOOL, .def = "true",
 	     .doc = "Whether engines are told each request's tier."),
+	MACHINE_ROWS,
 	SET_ROW_END,
 };
 #undef STRUCT
@@ -69,6 +81,7 @@
 	     .doc = "The platform's interface; absent: no orders, no reports."),
 	ROW (ports_file, SET_STRING,
 	     .doc = "File to write the listeners' addresses to."),
+	MACHINE_ROWS,
 	SET_ROW_END,
 };
 #undef STRUCT
@@ -117,6 +130,7 @@
 	ROW (ack_ms, SET_U32, .def = "4000", .min = 100, .max = 60000,
 	     .doc = "Milliseconds for which an operator sends a change "
 		    "again."),
+	MACHINE_ROWS,
 	SET_ROW_END,
 };
 #undef STRUCT
@@ -153,6 +167,7 @@
 	     .doc = "The retry budget's window in seconds."),
 	ROW (usage_window_s, SET_REAL, .def = "60", .min = 1, .max = 86400,
 	     .doc = "Length of a usage window in seconds."),
+	MACHINE_ROWS,
 	SET_ROW_END,
 };
 #undef STRUCT
--- a/lib/set_daemons.h
+++ b/lib/set_daemons.h
@@ -38,6 +38,8 @@
 	uint32_t balancer_wait_ms;
 	enum set_policy policy;
 	bool engine_priority;
+	uint32_t memory_mb;
+	uint32_t max_fds;
 };
 
 /** set_entryd_rows - the table of struct set_entryd */
@@ -54,6 +56,8 @@
 	char admin_token_file[SET_FILE_BYTES];
 	char platform[SET_ADDR_BYTES];
 	char ports_file[SET_FILE_BYTES];
+	uint32_t memory_mb;
+	uint32_t max_fds;
 };
 
 /** set_controld_rows - the table of struct set_controld */
@@ -78,6 +82,8 @@
 	double usage_late_s;
 	uint32_t lease_ms;
 	uint32_t ack_ms;
+	uint32_t memory_mb;
+	uint32_t max_fds;
 };
 
 /** set_groupd_rows - the table of struct set_groupd */
@@ -100,6 +106,8 @@
 	double retry_slack;
 	double retry_window_s;
 	double usage_window_s;
+	uint32_t memory_mb;
+	uint32_t max_fds;
 };
 
 /** set_relayd_rows - the table of struct set_relayd */
--- a/relayd/front.c
+++ b/relayd/front.c
@@ -12,6 +12,11 @@
 #define HEADER_TIMEOUT_MS 3000
 #define IDLE_TIMEOUT_MS 15000
 
+/* Clients may fill half of the machine's memory, and have half of the
+ * descriptors: each running request needs another one to its endpoint. */
+#define CLIENTS_MEMORY_PART 2
+#define CLIENTS_FDS_PART 2
+
 /* Retry-After while there is no configuration: a starting relay gets it at
  * once, or, if the group starts too, once that has elected a leader, which
  * takes an election timeout and two round trips. */
@@ -87,7 +92,7 @@
 
 static void
 create_call (struct relay *r, struct h1srv_conn *conn, const struct h1_head *h,
-	     const GByteArray *body, const struct dia_request *req,
+	     GByteArray *body, const struct dia_request *req,
 	     const struct plan_route *route, const struct plan_account *account,
 	     uint64_t arrived_ms)
 {
@@ -110,8 +115,7 @@
 	g_string_append_len (c->request_line, h->path, (gssize)h->path_len);
 	c->headers = g_string_new (NULL);
 	forward_headers (c, h);
-	c->body = g_byte_array_new ();
-	g_byte_array_append (c->body, body->data, body->len);
+	c->body = g_byte_array_ref (body);
 	c->answer_headers = g_string_new (NULL);
 	c->answer_body = g_string_new (NULL);
 	evstream_init (&c->evstream, req->last_event_id);
@@ -123,7 +127,7 @@
 
 static void
 handle_request (struct relay *r, struct h1srv_conn *conn,
-		const struct h1_head *h, const GByteArray *body,
+		const struct h1_head *h, GByteArray *body,
 		const struct dia_request *req, const char *id,
 		uint64_t arrived_ms)
 {
@@ -165,7 +169,7 @@
 
 void
 front_handle (struct relay *r, struct h1srv_conn *conn, const struct h1_head *h,
-	      const GByteArray *body, uint64_t arrived_ms)
+	      GByteArray *body, uint64_t arrived_ms)
 {
 	struct dia_request req;
 	char *id;
@@ -178,7 +182,7 @@
 
 static void
 on_request (struct h1srv_conn *conn, const struct h1_head *h,
-	    const GByteArray *body, void *ctx)
+	    GByteArray *body, void *ctx)
 {
 	struct relay *r = ctx;
 
@@ -205,7 +209,7 @@
 
 static void
 on_ready (struct h1srv_conn *conn, const struct h1_head *h,
-	  const GByteArray *body, void *ctx)
+	  GByteArray *body, void *ctx)
 {
 	struct relay *r = ctx;
 	char domain[PLAN_NAME_BYTES];
@@ -221,7 +225,7 @@
 
 static void
 on_metrics (struct h1srv_conn *conn, const struct h1_head *h,
-	    const GByteArray *body, void *ctx)
+	    GByteArray *body, void *ctx)
 {
 	GString *out = g_string_new (NULL);
 
@@ -252,19 +256,29 @@
 	struct sockaddr_in at;
 
 	startup_init (r);
+	quota_init (&r->quota, r->set.memory_mb, r->set.max_fds,
+		    CLIENTS_MEMORY_PART, CLIENTS_FDS_PART);
 	if (!link_addr_parse (r->set.listen, &at, e) ||
 	    !h1srv_init (&r->front, r->daemon.loop, &at, &limits, &front_ops, r,
 			 e))
 		return false;
+	r->front.quota = &r->quota;
 	r->front.id_header = r->dialect->request_id_header;
 	if (!link_addr_parse (r->set.ready, &at, e) ||
 	    !h1srv_init (&r->ready, r->daemon.loop, &at, &limits, &ready_ops, r,
 			 e))
 		return false;
-	return r->set.metrics[0] == '\0' ||
-	       (link_addr_parse (r->set.metrics, &at, e) &&
-		h1srv_init (&r->metrics, r->daemon.loop, &at, &limits,
-			    &metrics_ops, r, e));
+	r->ready.quota = &r->quota;
+	r->ready.is_reserved = true;
+	if (r->set.metrics[0] == '\0')
+		return true;
+	if (!link_addr_parse (r->set.metrics, &at, e) ||
+	    !h1srv_init (&r->metrics, r->daemon.loop, &at, &limits,
+			 &metrics_ops, r, e))
+		return false;
+	r->metrics.quota = &r->quota;
+	r->metrics.is_reserved = true;
+	return true;
 }
 
 void
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -288,6 +288,7 @@
 	struct in_addr source_addr;
 	uint16_t peer_port;
 	struct h1srv front, ready, metrics;
+	struct quota quota;
 	GRand *rand;
 	struct plan *plan;
 	struct fleet fleet;
@@ -355,7 +356,7 @@
  * @arrived_ms: when it arrived; its deadline counts from then
  */
 void front_handle (struct relay *r, struct h1srv_conn *conn,
-		   const struct h1_head *h, const GByteArray *body,
+		   const struct h1_head *h, GByteArray *body,
 		   uint64_t arrived_ms);
 
 /**
@@ -374,7 +375,7 @@
 /** startup_add() - queue a request until the relay is configured; Return: false
  * where the queue is full or the client doesn't wait that long */
 bool startup_add (struct relay *r, struct h1srv_conn *conn,
-		  const struct h1_head *h, const GByteArray *body);
+		  const struct h1_head *h, GByteArray *body);
 
 /** startup_client_gone() - the client on @conn disconnected */
 void startup_client_gone (struct relay *r, const struct h1srv_conn *conn);
--- a/relayd/startup.c
+++ b/relayd/startup.c
@@ -57,7 +57,7 @@
 
 bool
 startup_add (struct relay *r, struct h1srv_conn *conn, const struct h1_head *h,
-	     const GByteArray *body)
+	     GByteArray *body)
 {
 	uint64_t now_ms = tmr_now_ms (), deadline_ms;
 	struct dia_request req;
@@ -75,8 +75,7 @@
 	q->conn = conn;
 	q->id = g_strndup (req.id, req.id_len);
 	q->head_text = format_head (h);
-	q->body = g_byte_array_new ();
-	g_byte_array_append (q->body, body->data, body->len);
+	q->body = g_byte_array_ref (body);
 	q->arrived_ms = now_ms;
 	q->deadline_ms = deadline_ms;
 	r->startup_bytes += body->len;
--- a/tests/soak/world.c
+++ b/tests/soak/world.c
@@ -121,7 +121,7 @@
 
 static void
 on_platform (struct h1srv_conn *c, const struct h1_head *h,
-	     const GByteArray *body, void *ctx)
+	     GByteArray *body, void *ctx)
 {
 	struct soak *k = ctx;
 	char *list;
--- a/tests/test_eplist.c
+++ b/tests/test_eplist.c
@@ -63,7 +63,7 @@
 
 static void
 on_request (struct h1srv_conn *c, const struct h1_head *h,
-	    const GByteArray *body, void *ctx)
+	    GByteArray *body, void *ctx)
 {
 	static char large[9U << 20];
 	char page[32];
--- a/tests/test_h1io.c
+++ b/tests/test_h1io.c
@@ -336,7 +336,7 @@
 
 static void
 on_request (struct h1srv_conn *c, const struct h1_head *h,
-	    const GByteArray *body, void *ctx)
+	    GByteArray *body, void *ctx)
 {
 	struct service *s = ctx;
 
--- a/tests/test_h1srv.c
+++ b/tests/test_h1srv.c
@@ -29,7 +29,7 @@
 
 static void
 on_request (struct h1srv_conn *c, const struct h1_head *h,
-	    const GByteArray *body, void *ctx)
+	    GByteArray *body, void *ctx)
 {
 	struct fixture *t = ctx;
 
