h1cli: idle connections of all endpoints together are bounded

A request without an id never goes on a kept connection, and its connection was kept all the same: 150 clients left 1,288 idle ones at one endpoint. The hosts of a relay share a pool; above its bound the connection idle for longest is closed. Running exchanges are bounded by the client connections.

--- a/lib/h1cli.c
+++ b/lib/h1cli.c
@@ -53,8 +53,7 @@
 		c->idle_since_ms = tmr_now_ms ();
 		c->keep_ms = x->keep_s > 0 ? x->keep_s * 1000 : KEEP_DEFAULT_MS;
 		c->keep_ms = MAX (c->keep_ms, KEEP_MARGIN_MS) - KEEP_MARGIN_MS;
-		g_queue_push_head (&x->host->idle, c);
-		c->link = x->host->idle.head;
+		h1cli_conn_keep (c);
 	} else if (c != NULL) {
 		h1cli_conn_close (c);
 	}
@@ -362,7 +361,7 @@
 	c->connecting->data = c;
 	h2o_socket_notify_write (c->connecting, on_connect);
 	x->conn = c;
-	x->host->conns++;
+	h1cli_conn_made (c);
 	x->host->opened++;
 	tmr_start (&x->tmr, connect_ms);
 }
--- a/lib/h1cli.h
+++ b/lib/h1cli.h
@@ -24,11 +24,22 @@
 struct h1cli;
 struct h1cli_conn;
 
+/** struct h1cli_pool - bounds the connections of several hosts
+ * @max: above which the one that is idle for longest is closed; those in use
+ *	may exceed it
+ */
+struct h1cli_pool {
+	GQueue idle; /* of struct h1cli_conn *, idle for longest first */
+	uint32_t conns;
+	uint32_t max;
+};
+
 /** struct h1cli_host - a server; the caller owns the memory */
 struct h1cli_host {
 	h2o_loop_t *loop;
 	struct sockaddr_in addr;
 	struct in_addr from;
+	struct h1cli_pool *pool; /* set by the owner; NULL: no bound */
 	GQueue idle;       /* of struct h1cli_conn *, used last first */
 	uint32_t conns;    /* open, idle or not */
 	uint64_t opened;   /* connections made since the start */
--- a/lib/h1cli_host.c
+++ b/lib/h1cli_host.c
@@ -20,14 +20,48 @@
 	tmr_start (&c->host->sweep, 0);
 }
 
+static void
+unlink_idle (struct h1cli_conn *c)
+{
+	if (c->link == NULL)
+		return;
+	g_queue_delete_link (&c->host->idle, c->link);
+	c->link = NULL;
+	if (c->host->pool != NULL)
+		g_queue_unlink (&c->host->pool->idle, &c->pool_link);
+}
+
+void
+h1cli_conn_keep (struct h1cli_conn *c)
+{
+	struct h1cli_host *h = c->host;
+
+	g_queue_push_head (&h->idle, c);
+	c->link = h->idle.head;
+	c->pool_link.data = c;
+	if (h->pool != NULL)
+		g_queue_push_tail_link (&h->pool->idle, &c->pool_link);
+}
+
+void
+h1cli_conn_made (struct h1cli_conn *c)
+{
+	struct h1cli_pool *p = c->host->pool;
+
+	c->host->conns++;
+	if (p == NULL)
+		return;
+	p->conns++;
+	if (p->conns > p->max && p->idle.head != NULL)
+		h1cli_conn_close (p->idle.head->data);
+}
+
 void
 h1cli_conn_close (struct h1cli_conn *c)
 {
 	struct h1cli_host *h = c->host;
 
-	if (c->link != NULL)
-		g_queue_delete_link (&h->idle, c->link);
-	c->link = NULL;
+	unlink_idle (c);
 	if (c->connecting != NULL)
 		h2o_socket_close (c->connecting);
 	c->connecting = NULL;
@@ -37,6 +71,8 @@
 	else
 		sio_close (&c->io);
 	h->conns--;
+	if (h->pool != NULL)
+		h->pool->conns--;
 	conn_free (c);
 }
 
@@ -81,8 +117,7 @@
 		}
 		if (conn_had_id (c, id))
 			continue;
-		g_queue_delete_link (&h->idle, c->link);
-		c->link = NULL;
+		unlink_idle (c);
 		return c;
 	}
 	return NULL;
--- a/lib/h1cli_priv.h
+++ b/lib/h1cli_priv.h
@@ -25,6 +25,7 @@
 	uint64_t idle_since_ms;
 	uint32_t keep_ms;
 	GList *link;                 /* in host->idle */
+	GList pool_link;             /* in host->pool->idle, while idle */
 	uint32_t sent_ids[SENT_IDS]; /* hashes, 0: unused */
 	uint32_t sent_count;
 	bool had_head_request;
@@ -56,6 +57,13 @@
 	uint32_t interim;
 };
 
+/** h1cli_conn_keep() - put a connection to the idle ones of its host */
+void h1cli_conn_keep (struct h1cli_conn *c);
+
+/** h1cli_conn_made() - count a new connection; an idle one of another host may
+ * be closed for it */
+void h1cli_conn_made (struct h1cli_conn *c);
+
 /** h1cli_conn_close() - close a connection, in use or not */
 void h1cli_conn_close (struct h1cli_conn *c);
 
--- a/relayd/front.c
+++ b/relayd/front.c
@@ -258,6 +258,7 @@
 	startup_init (r);
 	quota_init (&r->quota, r->set.memory_mb, r->set.max_fds,
 		    CLIENTS_MEMORY_PART, CLIENTS_FDS_PART);
+	r->pool.max = r->quota.max_conns;
 	if (!link_addr_parse (r->set.listen, &at, e) ||
 	    !h1srv_init (&r->front, r->daemon.loop, &at, &limits, &front_ops, r,
 			 e))
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -289,6 +289,7 @@
 	uint16_t peer_port;
 	struct h1srv front, ready, metrics;
 	struct quota quota;
+	struct h1cli_pool pool; /* connections to endpoints */
 	GRand *rand;
 	struct plan *plan;
 	struct fleet fleet;
--- a/relayd/upstream.c
+++ b/relayd/upstream.c
@@ -48,6 +48,7 @@
 	else
 		link_addr_parse (ep->info.addr, &addr, NULL);
 	h1cli_host_init (&u->host, r->daemon.loop, &addr, r->source_addr);
+	u->host.pool = &r->pool;
 	if (e.kind != ERR_NONE) {
 		log_event (LOG_LV_WARN, "endpoint",
 			   "ep_hash=%08x unusable=1 why=\"%s\"", ep->ep_hash,
@@ -263,6 +264,7 @@
 {
 	struct sockaddr_in addr;
 
+	g_queue_init (&r->pool.idle);
 	link_addr_parse (r->set.platform, &addr, NULL);
 	h1cli_host_init (&r->platform, r->daemon.loop, &addr, r->source_addr);
 	eplist_init (&r->list_reader, &r->platform, r->dialect, &own_list_ops,
