quota: a body that stopped has no progress; a single large request has all the room

The rate of a body was that since its last mark, so that one which arrived at once and then stopped seemed to progress for minutes; without a byte for 2 s it is 0 now. Large requests together had half of the room, a single one too; it may have all, and one that has no room even alone is refused at its head.

The owner of a connection that is cut for its unread answer is told a turn later: it may be up the stack, going through its requests.

Large blocks are mapped, so that they go back to the system: the limit of glibc rises with each one that is freed.

--- a/fakes/crowd.c
+++ b/fakes/crowd.c
@@ -78,8 +78,7 @@
 	{"bytes", 'b', "BYTES", 0, "Length of a body", 0},
 	{"url-path", 'u', "PATH", 0, "Path of the requests", 0},
 	{"requests", 'q', "N", 0, "Requests of a client that does not read", 0},
-	{"values", 'v', "TEXT", 0, "JSON array to send, of four bytes each",
-	 0},
+	{"values", 'v', "TEXT", 0, "JSON array to send, of four bytes each", 0},
 	{"rounds", 'r', "N", 0, "Connections after one that was closed", 0},
 	{"file", 'f', "FILE", 0, "Written once all clients stand", 0},
 	{0},
@@ -168,8 +167,8 @@
 	case KIND_SILENT:
 		break;
 	case KIND_HEADS:
-		g_string_append_printf (c->out, "POST %s HTTP/1.1\r\nX: ",
-					w->path);
+		g_string_append_printf (c->out,
+					"POST %s HTTP/1.1\r\nX: ", w->path);
 		break;
 	case KIND_UNREAD:
 		for (uint32_t i = 0; i < w->requests; i++)
--- a/groupd/api.c
+++ b/groupd/api.c
@@ -258,8 +258,8 @@
 }
 
 static void
-on_request (struct h1srv_conn *c, const struct h1_head *h,
-	    GByteArray *body, void *ctx)
+on_request (struct h1srv_conn *c, const struct h1_head *h, GByteArray *body,
+	    void *ctx)
 {
 	struct group *g = ctx;
 	char domain[GSTATE_NAME_BYTES];
@@ -301,8 +301,8 @@
 }
 
 static void
-on_metrics (struct h1srv_conn *c, const struct h1_head *h,
-	    GByteArray *body, void *ctx)
+on_metrics (struct h1srv_conn *c, const struct h1_head *h, GByteArray *body,
+	    void *ctx)
 {
 	struct group *g = ctx;
 	GString *out = g_string_new (NULL);
--- a/lib/h1cli.h
+++ b/lib/h1cli.h
@@ -40,11 +40,11 @@
 	struct sockaddr_in addr;
 	struct in_addr from;
 	struct h1cli_pool *pool; /* set by the owner; NULL: no bound */
-	GQueue idle;       /* of struct h1cli_conn *, used last first */
-	uint32_t conns;    /* open, idle or not */
-	uint64_t opened;   /* connections made since the start */
-	GPtrArray *calls;  /* of struct h1cli * */
-	GPtrArray *graves; /* closed connections, freed by @sweep */
+	GQueue idle;             /* of struct h1cli_conn *, used last first */
+	uint32_t conns;          /* open, idle or not */
+	uint64_t opened;         /* connections made since the start */
+	GPtrArray *calls;        /* of struct h1cli * */
+	GPtrArray *graves;       /* closed connections, freed by @sweep */
 	struct tmr sweep;
 };
 
--- a/lib/h1cli_priv.h
+++ b/lib/h1cli_priv.h
@@ -39,7 +39,7 @@
 	const struct h1cli_ops *ops;
 	void *ctx;
 	enum call_phase phase;
-	GByteArray *out;  /* the request, until the connection stands */
+	GByteArray *out;      /* the request, until the connection stands */
 	GByteArray *out_body; /* follows it; NULL: none */
 	bool to_head;
 	char *echo_name;
--- a/lib/h1srv.c
+++ b/lib/h1srv.c
@@ -1,17 +1,13 @@
 /*
  * The server side of HTTP/1.1.
  */
-#include <errno.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include "h1srv_priv.h"
-#include "link.h"
 #include "log.h"
 #include "tmr.h"
 
-#define LISTEN_BACKLOG 512
 #define LINGER_MS 1000      /* for a client to read a refusal that closes */
 #define OUTPUT_MAX_MS 30000 /* for a client to read the last answer */
 #define AHEAD_MAX_BYTES (64U << 10) /* read behind a running request */
@@ -20,23 +16,16 @@
  * handled once less waits. */
 #define UNREAD_MAX_BYTES (64U << 10)
 
-/* What the kernel holds for a connection in each direction, and so about what
- * one read brings. */
-#define KERNEL_BUFFER_BYTES (128 << 10)
-
 /* A head that takes more is not kept for the next request. */
 #define KEEP_HEAD_BYTES 1024
 
-/* Between two attempts to accept connections where descriptors are used up. */
-#define ACCEPT_PAUSE_MS 100
-
 /* Retry-After of requests that are refused for a bound. */
 #define OVERLOAD_HEADERS "Retry-After: 1\r\n"
 
 static void conn_read (struct h1srv_conn *c);
 
-static void
-bury (void *data)
+void
+h1srv_conn_bury (void *data)
 {
 	struct h1srv_conn *c = data;
 
@@ -47,14 +36,6 @@
 	g_free (c);
 }
 
-static void
-on_sweep (void *ctx)
-{
-	struct h1srv *s = ctx;
-
-	g_ptr_array_set_size (s->graves, 0);
-}
-
 /* Callers up the stack may still look at it, so it is freed a turn later. */
 static void
 conn_free (struct h1srv_conn *c)
@@ -116,8 +97,8 @@
 		tmr_now_ms ());
 }
 
-static bool
-count_output (struct h1srv_conn *c, bool progress)
+bool
+h1srv_count_output (struct h1srv_conn *c, bool progress)
 {
 	return quota_set_output (&c->quota, sio_held (&c->io), progress);
 }
@@ -160,7 +141,7 @@
 {
 	struct h1srv_conn *c = ctx;
 
-	count_output (c, true);
+	h1srv_count_output (c, true);
 	unblock (c);
 }
 
@@ -169,7 +150,7 @@
 {
 	struct h1srv_conn *c = ctx;
 
-	count_output (c, true);
+	h1srv_count_output (c, true);
 
 	if (c->state == CONN_HEAD && !c->head_timed)
 		conn_limit (c, c->srv->limits.idle_timeout_ms);
@@ -244,9 +225,9 @@
 static void
 on_drop (struct quota_conn *q, enum quota_why why)
 {
-	struct h1srv_conn *c = (struct h1srv_conn *)((char *)q -
-						     offsetof (struct h1srv_conn,
-							       quota));
+	struct h1srv_conn *c =
+		(struct h1srv_conn *)((char *)q -
+				      offsetof (struct h1srv_conn, quota));
 
 	switch (why) {
 	case QUOTA_MEMORY:
@@ -258,9 +239,14 @@
 		h1srv_conn_close (c, false);
 		break;
 	case QUOTA_OUTPUT:
-		if (c->state == CONN_BUSY)
-			c->srv->ops->gone (c, c->srv->ctx);
-		h1srv_conn_close (c, true);
+		if (c->state != CONN_BUSY) {
+			h1srv_conn_close (c, true);
+			break;
+		}
+		/* Its owner may be up the stack, so it is told a turn later. */
+		quota_leave (q);
+		c->must_end = true;
+		tmr_start (&c->tmr, 0);
 		break;
 	case QUOTA_WHYS:
 		break;
@@ -324,7 +310,9 @@
 	size_t len;
 
 	if (c->must_end) {
-		on_drop (&c->quota, QUOTA_OUTPUT);
+		if (c->state == CONN_BUSY)
+			c->srv->ops->gone (c, c->srv->ctx);
+		h1srv_conn_close (c, true);
 		return;
 	}
 	if (c->state == CONN_LINGER) {
@@ -515,133 +503,26 @@
 	}
 }
 
-void
-h1srv_on_accept (h2o_socket_t *listener, const char *why)
-{
-	struct h1srv *s = listener->data;
-	h2o_socket_t *sock;
-
-	if (why != NULL)
-		return;
-	while ((sock = h2o_evloop_socket_accept (listener)) != NULL) {
-		static const struct sio_limits limits = {0};
-		struct h1srv_conn *c = g_new0 (struct h1srv_conn, 1);
-
-		if (!quota_join (s->quota, &c->quota, &conn_quota_ops,
-				 s->is_reserved, tmr_now_ms ())) {
-			h2o_socket_close (sock);
-			g_free (c);
-			continue;
-		}
-		c->srv = s;
-		c->head = g_string_new (NULL);
-		tmr_init (&c->tmr, s->loop, on_timer, c);
-		conn_limit (c, s->limits.idle_timeout_ms);
-		g_ptr_array_add (s->conns, c);
-		sio_init (&c->io, sock, &conn_ops, c, &limits);
-	}
-	if (errno == EMFILE || errno == ENFILE) {
-		h2o_socket_read_stop (listener);
-		tmr_start (&s->accept_timer, ACCEPT_PAUSE_MS);
-	}
-}
-
-static void
-on_accept_timer (void *ctx)
-{
-	struct h1srv *s = ctx;
-
-	if (s->listener != NULL)
-		h2o_socket_read_start (s->listener, h1srv_on_accept);
-}
-
 bool
-h1srv_init (struct h1srv *s, h2o_loop_t *loop, const struct sockaddr_in *addr,
-	    const struct h1srv_limits *limits, const struct h1srv_ops *ops,
-	    void *ctx, struct err *e)
+h1srv_conn_new (struct h1srv *s, h2o_socket_t *sock)
 {
-	int fd, buffer_bytes = KERNEL_BUFFER_BYTES;
+	static const struct sio_limits limits = {0};
+	struct h1srv_conn *c = g_new0 (struct h1srv_conn, 1);
 
-	*s = (struct h1srv){
-		.loop = loop, .ops = ops, .ctx = ctx, .limits = *limits};
-	fd = link_listen_fd (addr, LISTEN_BACKLOG, &s->port, e);
-	if (fd < 0)
+	if (!quota_join (s->quota, &c->quota, &conn_quota_ops, s->is_reserved,
+			 tmr_now_ms ())) {
+		g_free (c);
 		return false;
-	/* Accepted connections inherit them. */
-	setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
-		    sizeof buffer_bytes);
-	setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &buffer_bytes,
-		    sizeof buffer_bytes);
-	quota_init (&s->own_quota, 0, 0, 2, 1);
-	s->quota = &s->own_quota;
-	s->conns = g_ptr_array_new ();
-	s->graves = g_ptr_array_new_with_free_func (bury);
-	tmr_init (&s->sweep, loop, on_sweep, s);
-	tmr_init (&s->accept_timer, loop, on_accept_timer, s);
-	s->listener =
-		h2o_evloop_socket_create (loop, fd, H2O_SOCKET_FLAG_DONT_READ);
-	s->listener->data = s;
-	h2o_socket_read_start (s->listener, h1srv_on_accept);
+	}
+	c->srv = s;
+	c->head = g_string_new (NULL);
+	tmr_init (&c->tmr, s->loop, on_timer, c);
+	conn_limit (c, s->limits.idle_timeout_ms);
+	g_ptr_array_add (s->conns, c);
+	sio_init (&c->io, sock, &conn_ops, c, &limits);
 	return true;
 }
 
-void
-h1srv_finish (struct h1srv *s)
-{
-	h1srv_close_listener (s);
-	if (s->conns == NULL)
-		return;
-	for (guint i = s->conns->len; i > 0; i--)
-		h1srv_conn_ended (NULL, g_ptr_array_index (s->conns, i - 1));
-	tmr_finish (&s->sweep);
-	tmr_finish (&s->accept_timer);
-	g_ptr_array_free (s->conns, TRUE);
-	g_ptr_array_free (s->graves, TRUE);
-	s->conns = s->graves = NULL;
-}
-
-void
-h1srv_set_data (struct h1srv_conn *c, void *data)
-{
-	c->data = data;
-}
-
-void *
-h1srv_data (const struct h1srv_conn *c)
-{
-	return c->data;
-}
-
-bool
-h1srv_closes (const struct h1srv_conn *c)
-{
-	return c->close || c->srv->leaving;
-}
-
-/* Counts bytes that were queued.  A connection that must end for them is closed
- * a turn later, since its owner is writing. */
-static void
-conn_wrote (struct h1srv_conn *c)
-{
-	if (sio_is_open (&c->io) && !count_output (c, false))
-		c->must_end = true;
-	if (c->must_end)
-		tmr_start (&c->tmr, 0);
-}
-
-void
-h1srv_write (struct h1srv_conn *c, const void *data, size_t len)
-{
-	sio_write (&c->io, data, len);
-	conn_wrote (c);
-}
-
-size_t
-h1srv_pending (const struct h1srv_conn *c)
-{
-	return sio_pending (&c->io);
-}
-
 void
 h1srv_end (struct h1srv_conn *c, bool whole)
 {
@@ -683,29 +564,3 @@
 	sio_resume (&c->io);
 	conn_read (c);
 }
-
-void
-h1srv_head (struct h1srv_conn *c, int status, const char *headers, GString *out)
-{
-	c->close = h1srv_closes (c);
-	g_string_append_printf (out, "HTTP/1.1 %d %s\r\n", status,
-				h1_status_text (status));
-	if (headers != NULL)
-		g_string_append (out, headers);
-	if (c->close)
-		g_string_append (out, "Connection: close\r\n");
-}
-
-void
-h1srv_answer (struct h1srv_conn *c, int status, const char *headers,
-	      const void *body, size_t len)
-{
-	GString *out = g_string_new (NULL);
-
-	h1srv_head (c, status, headers, out);
-	g_string_append_printf (out, "Content-Length: %zu\r\n\r\n", len);
-	sio_write2 (&c->io, out->str, out->len, body, len);
-	conn_wrote (c);
-	g_string_free (out, TRUE);
-	h1srv_end (c, true);
-}
--- a/lib/h1srv_priv.h
+++ b/lib/h1srv_priv.h
@@ -51,6 +51,17 @@
 	void *data;
 };
 
+/** h1srv_conn_new() - take over a connection; false where the quota refuses it
+ */
+bool h1srv_conn_new (struct h1srv *s, h2o_socket_t *sock);
+
+/** h1srv_conn_bury() - free a closed connection */
+void h1srv_conn_bury (void *data);
+
+/** h1srv_count_output() - count answers that wait; @progress: the client took
+ * some.  Return: false where the connection must end */
+bool h1srv_count_output (struct h1srv_conn *c, bool progress);
+
 /** h1srv_conn_close() - close a connection; @reset: by a reset */
 void h1srv_conn_close (struct h1srv_conn *c, bool reset);
 
--- a/lib/quota.c
+++ b/lib/quota.c
@@ -1,16 +1,24 @@
 /*
  * Bounds on what clients make a process hold.
  */
+#include <malloc.h>
 #include <sys/resource.h>
 
 #include "quota.h"
 
+/* Larger blocks go back to the system when they are freed. */
+#define MAPPED_MIN_BYTES (256 << 10)
+
 /* Requests that hold less are not dropped for their bytes. */
 #define DROP_MIN_BYTES 4096U
 
 /* Between two moments at which the progress of a request is noted. */
 #define MARK_MS 1000
 
+/* A client of which no byte came for this long has stalled: longer than a lost
+ * packet takes to be sent again. */
+#define STALLED_MS 2000
+
 /* A connection without a byte may be dropped for another one after this time:
  * clients send their request at once, after a round trip. */
 #define FRESH_MS 1000
@@ -32,9 +40,12 @@
 	uint32_t fds = max_fds > 0 ? max_fds : system_fds ();
 
 	*q = (struct quota){0};
-	q->max_bytes =
-		((uint64_t)(memory_mb > 0 ? memory_mb : QUOTA_MEMORY_MB) << 20) /
-		memory_part;
+	/* By itself the limit rises with each large block that is freed, up to
+	 * 32 MiB, and the blocks below it stay with the process. */
+	mallopt (M_MMAP_THRESHOLD, MAPPED_MIN_BYTES);
+	q->max_bytes = ((uint64_t)(memory_mb > 0 ? memory_mb : QUOTA_MEMORY_MB)
+			<< 20) /
+		       memory_part;
 	q->max_large = q->max_bytes / 2;
 	q->max_output = q->max_bytes / 4;
 	q->max_conns = MAX (fds, QUOTA_FILES + QUOTA_RESERVED_CONNS * fds_part);
@@ -57,13 +68,15 @@
 	return q->input + q->output + (uint64_t)q->conns * QUOTA_CONN_BYTES;
 }
 
-/* Bytes a second of the last one to two seconds; a younger request is taken to
- * have used a whole second. */
+/* Bytes a second of the last one to two seconds, 0 where none came in the last
+ * STALLED_MS; a younger request is taken to have used a whole second. */
 static uint64_t
 rate (const struct quota_conn *c, uint64_t now_ms)
 {
 	uint64_t bytes = c->input - MIN (c->older_input, c->input);
 
+	if (now_ms - c->grown_ms >= STALLED_MS)
+		return 0;
 	return bytes * 1000 / MAX (now_ms - c->older_ms, MARK_MS);
 }
 
@@ -92,6 +105,12 @@
 	return found;
 }
 
+static bool
+large_exceeded (const struct quota *q, const struct quota_conn *c)
+{
+	return q->large > q->max_large && q->large > large_part (c->input);
+}
+
 static void
 drop (struct quota_conn *c, enum quota_why why)
 {
@@ -129,9 +148,8 @@
 	*c = (struct quota_conn){.ops = ops, .since_ms = now_ms};
 	c->link.data = c->reader.data = c;
 	while (q->conns >= max) {
-		struct quota_conn *fresh = q->fresh.head != NULL
-						   ? q->fresh.head->data
-						   : NULL;
+		struct quota_conn *fresh =
+			q->fresh.head != NULL ? q->fresh.head->data : NULL;
 		struct quota_conn *victim = fresh;
 
 		if (fresh == NULL || now_ms - fresh->since_ms < FRESH_MS)
@@ -170,7 +188,7 @@
 		c->queue = &q->resting;
 	if (state == QUOTA_PARTIAL) {
 		c->queue = &q->partial;
-		c->mark_ms = c->older_ms = now_ms;
+		c->mark_ms = c->older_ms = c->grown_ms = now_ms;
 		c->mark_input = c->older_input = 0;
 	}
 	if (c->queue != NULL)
@@ -209,14 +227,15 @@
 	if (q == NULL)
 		return true;
 	grows = bytes > c->input;
-	if (c->state == QUOTA_PARTIAL)
+	if (grows && c->state == QUOTA_PARTIAL) {
 		note_progress (c, now_ms);
+		c->grown_ms = now_ms;
+	}
 	count_input (c, bytes);
-	while (grows &&
-	       (q->large > q->max_large || total (q) > q->max_bytes)) {
+	while (grows && (large_exceeded (q, c) || total (q) > q->max_bytes)) {
 		enum quota_why why = QUOTA_MEMORY;
 		struct quota_conn *victim =
-			q->large > q->max_large
+			large_exceeded (q, c)
 				? slowest (q, true, now_ms)
 				: choose_by_bytes (q, now_ms, &why);
 
@@ -270,6 +289,8 @@
 
 	if (bytes <= QUOTA_LARGE_BYTES || bytes <= room)
 		return true;
+	if (q->large == 0)
+		return total (q) + bytes <= q->max_bytes;
 	for (GList *at = q->partial.head; at != NULL && room < bytes;
 	     at = at->next) {
 		const struct quota_conn *c = at->data;
--- a/lib/quota.h
+++ b/lib/quota.h
@@ -13,7 +13,8 @@
  * useful connection is told to drop it.  No I/O; time is passed in.
  *
  * The bytes are divided so that no kind of client takes all of them:
- * - requests that hold more than QUOTA_LARGE_BYTES: at most one half;
+ * - requests that hold more than QUOTA_LARGE_BYTES: at most one half, but a
+ *   single one may have all;
  * - answers that wait: at most one quarter;
  * - all other requests: what the former leave, at least one quarter.
  */
@@ -89,21 +90,24 @@
 	struct quota *q;
 	const struct quota_ops *ops;
 	enum quota_state state;
-	GQueue *queue;    /* that @link is in; NULL: none */
-	GList link;       /* of the queue of its state */
-	GList reader;     /* of quota.readers */
+	GQueue *queue; /* that @link is in; NULL: none */
+	GList link;    /* of the queue of its state */
+	GList reader;  /* of quota.readers */
 	bool is_reader;
 	uint64_t since_ms; /* of @state */
 	uint64_t input, output;
-	uint64_t mark_ms, mark_input;   /* a moment of the last two seconds */
+	uint64_t grown_ms;              /* when @input grew last */
+	uint64_t mark_ms, mark_input;   /* a moment of the second before */
 	uint64_t older_ms, older_input; /* one a second before */
 };
 
 /**
- * quota_init() - derive the bounds from those of the machine
+ * quota_init() - derive the bounds from those of the machine, and have the
+ * process give large blocks of memory back when they are freed
  * @memory_mb: its memory; 0: QUOTA_MEMORY_MB
  * @max_fds: descriptors of the process; 0: what the system allows
- * @memory_part: the part of the memory that clients may fill is 1 / @memory_part
+ * @memory_part: the part of the memory that clients may fill is 1 /
+ * @memory_part
  * @fds_part: likewise the descriptors, less QUOTA_FILES
  */
 void quota_init (struct quota *q, uint32_t memory_mb, uint32_t max_fds,
--- a/lib/set_daemons.c
+++ b/lib/set_daemons.c
@@ -12,8 +12,7 @@
 				       "round_robin", "least_in_flight",
 				       "two_choices", NULL};
 
-/* What the platform states of the machine, for the bounds of quota.h.  The
- * least values leave room for the process itself and for one client. */
+/* What the platform states of the machine, for the bounds of quota.h. */
 #define MACHINE_ROWS                                                           \
 	ROW (memory_mb, SET_U32, .def = "0", .max = 1048576,                   \
 	     .doc = "Memory of the machine in MB, of which clients may fill "  \
--- a/lib/sio.c
+++ b/lib/sio.c
@@ -130,9 +130,9 @@
 static void
 send_part (struct sio *s)
 {
-	h2o_iovec_t buf = h2o_iovec_init (s->flight->data + s->flight_at,
-					  MIN (s->flight->len - s->flight_at,
-					       PART_BYTES));
+	h2o_iovec_t buf = h2o_iovec_init (
+		s->flight->data + s->flight_at,
+		MIN (s->flight->len - s->flight_at, PART_BYTES));
 
 	s->part = (uint32_t)buf.len;
 	h2o_socket_write (s->sock, &buf, 1, on_written);
--- a/lib/sio.h
+++ b/lib/sio.h
@@ -54,9 +54,9 @@
 	void *ctx;
 	GByteArray *queued;
 	GByteArray *flight;
-	GByteArray *shared;  /* follows @queued; NULL: none */
-	uint32_t flight_at;  /* bytes of @flight that the kernel took */
-	uint32_t part;       /* bytes of it that the kernel is to take now */
+	GByteArray *shared; /* follows @queued; NULL: none */
+	uint32_t flight_at; /* bytes of @flight that the kernel took */
+	uint32_t part;      /* bytes of it that the kernel is to take now */
 	bool flight_is_shared;
 	struct sio_limits limits;
 	bool paused;
--- a/relayd/attempt.c
+++ b/relayd/attempt.c
@@ -395,7 +395,7 @@
 
 static GString *
 format_head (struct call *c, const struct fleet_ep *backup,
-		uint64_t remaining_ms)
+	     uint64_t remaining_ms)
 {
 	GString *out = g_string_sized_new (512);
 	struct dia_forward s = {
--- a/relayd/front.c
+++ b/relayd/front.c
@@ -181,8 +181,8 @@
 }
 
 static void
-on_request (struct h1srv_conn *conn, const struct h1_head *h,
-	    GByteArray *body, void *ctx)
+on_request (struct h1srv_conn *conn, const struct h1_head *h, GByteArray *body,
+	    void *ctx)
 {
 	struct relay *r = ctx;
 
@@ -208,8 +208,8 @@
 };
 
 static void
-on_ready (struct h1srv_conn *conn, const struct h1_head *h,
-	  GByteArray *body, void *ctx)
+on_ready (struct h1srv_conn *conn, const struct h1_head *h, GByteArray *body,
+	  void *ctx)
 {
 	struct relay *r = ctx;
 	char domain[PLAN_NAME_BYTES];
@@ -224,8 +224,8 @@
 }
 
 static void
-on_metrics (struct h1srv_conn *conn, const struct h1_head *h,
-	    GByteArray *body, void *ctx)
+on_metrics (struct h1srv_conn *conn, const struct h1_head *h, GByteArray *body,
+	    void *ctx)
 {
 	GString *out = g_string_new (NULL);
 
--- a/tests/soak/endpoints.c
+++ b/tests/soak/endpoints.c
@@ -333,8 +333,8 @@
 }
 
 static void
-on_request (struct h1srv_conn *c, const struct h1_head *h,
-	    GByteArray *body, void *ctx)
+on_request (struct h1srv_conn *c, const struct h1_head *h, GByteArray *body,
+	    void *ctx)
 {
 	struct soak_ep *e = ctx;
 	char *id = h1_copy (h1_find (h, "X-Request-Id"));
--- a/tests/soak/world.c
+++ b/tests/soak/world.c
@@ -120,8 +120,8 @@
 }
 
 static void
-on_platform (struct h1srv_conn *c, const struct h1_head *h,
-	     GByteArray *body, void *ctx)
+on_platform (struct h1srv_conn *c, const struct h1_head *h, GByteArray *body,
+	     void *ctx)
 {
 	struct soak *k = ctx;
 	char *list;
--- a/tests/test_eplist.c
+++ b/tests/test_eplist.c
@@ -62,8 +62,8 @@
 static bool fail_rate_limited;
 
 static void
-on_request (struct h1srv_conn *c, const struct h1_head *h,
-	    GByteArray *body, void *ctx)
+on_request (struct h1srv_conn *c, const struct h1_head *h, GByteArray *body,
+	    void *ctx)
 {
 	static char large[9U << 20];
 	char page[32];
--- a/tests/test_h1io.c
+++ b/tests/test_h1io.c
@@ -335,8 +335,8 @@
 };
 
 static void
-on_request (struct h1srv_conn *c, const struct h1_head *h,
-	    GByteArray *body, void *ctx)
+on_request (struct h1srv_conn *c, const struct h1_head *h, GByteArray *body,
+	    void *ctx)
 {
 	struct service *s = ctx;
 
--- a/tests/test_h1srv.c
+++ b/tests/test_h1srv.c
@@ -28,8 +28,8 @@
 };
 
 static void
-on_request (struct h1srv_conn *c, const struct h1_head *h,
-	    GByteArray *body, void *ctx)
+on_request (struct h1srv_conn *c, const struct h1_head *h, GByteArray *body,
+	    void *ctx)
 {
 	struct fixture *t = ctx;
 
