httpd: connections and bodies of clients are bounded at entries and control members

40 connections that stop short of their body's end made an entry hold 234,868 kB and a control member 786,848 kB; 800 silent ones took 816 descriptors.

The listeners join the quota. h2o does not tell when a part of a body arrives, so the process's memory is read every 10 ms while connections stand, and connections are looked at only while it holds more than clients may fill. A connection to be dropped is shut down; one with a running request is not.

HTTP/2 streams are not looked at.

--- a/controld/admin.c
+++ b/controld/admin.c
@@ -10,6 +10,11 @@
 #define BODY_MAX_BYTES (16U << 20)
 #define IDLE_MS 10000
 
+/* Operators may fill half of the machine's memory, so that a change of the full
+ * size has room, and have a quarter of the descriptors. */
+#define CLIENTS_MEMORY_PART 2
+#define CLIENTS_FDS_PART 4
+
 static const struct {
 	const char *method;
 	const char *path;
@@ -119,11 +124,14 @@
 {
 	struct httpd_conf conf = {.max_body_bytes = BODY_MAX_BYTES,
 				  .io_timeout_ms = IDLE_MS,
+				  .quota = &c->quota,
 				  .handler = on_request,
 				  .ctx = c};
 	char host[INET_ADDRSTRLEN];
 
 	c->waits = g_ptr_array_new ();
+	quota_init (&c->quota, c->set.memory_mb, c->set.max_fds,
+		    CLIENTS_MEMORY_PART, CLIENTS_FDS_PART);
 	if (!link_addr_parse (c->set.admin, &conf.addr, e) ||
 	    !httpd_init (&c->admin, c->d.loop, &conf, e))
 		return false;
--- a/controld/controld.h
+++ b/controld/controld.h
@@ -76,6 +76,7 @@
 	struct link_self self;
 	struct link_server *server;
 	struct httpd admin;
+	struct quota quota;
 	struct tmr tick;
 	struct tmr flush;
 	bool flush_armed;
--- a/entryd/entryd.h
+++ b/entryd/entryd.h
@@ -176,6 +176,7 @@
 	uint64_t sent_bytes[FRAME_KINDS];
 	char admin_token[128];
 	struct httpd callers, admin;
+	struct quota quota;
 	struct link_server *server;
 	GRand *rand;
 	/* configuration */
--- a/entryd/main.c
+++ b/entryd/main.c
@@ -18,6 +18,11 @@
 #define BODY_MAX_BYTES (4U << 20)
 #define ADMIN_BODY_MAX_BYTES (64U << 10)
 #define CALLER_IDLE_MS 10000
+
+/* Clients may fill a quarter of the machine's memory, and have half of the
+ * descriptors: each running request needs another one to its endpoint. */
+#define CLIENTS_MEMORY_PART 4
+#define CLIENTS_FDS_PART 2
 /* Control gave no inventory for so long: ask a peer. */
 #define PULL_AFTER_MS 2000
 
@@ -127,16 +132,20 @@
 	struct httpd_conf callers = {
 		.max_body_bytes = BODY_MAX_BYTES,
 		.io_timeout_ms = CALLER_IDLE_MS,
+		.quota = &e->quota,
 		.handler = front_request,
 		.ctx = e,
 	};
 	struct httpd_conf admin = {
 		.max_body_bytes = ADMIN_BODY_MAX_BYTES,
 		.io_timeout_ms = CALLER_IDLE_MS,
+		.quota = &e->quota,
 		.handler = admin_request,
 		.ctx = e,
 	};
 
+	quota_init (&e->quota, e->set.memory_mb, e->set.max_fds,
+		    CLIENTS_MEMORY_PART, CLIENTS_FDS_PART);
 	if (e->set.tls_cert[0] != '\0') {
 		callers.tls_cert = e->set.tls_cert;
 		callers.tls_key = e->set.tls_key;
--- a/entryd/stat.c
+++ b/entryd/stat.c
@@ -219,6 +219,7 @@
 		"dragonflyhinge_control_bytes_total %" G_GUINT64_FORMAT "\n",
 		e->running, e->adm.queued, httpd_connections (&e->callers),
 		e->chunks, e->revision, peer_bytes_sent (e));
+	quota_print (&e->quota, "dragonflyhinge", out);
 	frame_print_sent ("dragonflyhinge_sent_bytes_total", e->sent_bytes,
 			  out);
 	g_string_append_printf (
--- a/lib/httpd.h
+++ b/lib/httpd.h
@@ -8,6 +8,8 @@
 #include <h2o.h>
 
 #include "err.h"
+#include "quota.h"
+#include "tmr.h"
 
 /*
  * An HTTP/1.1 and HTTP/2 listener by h2o, with or without TLS.  One handler
@@ -21,6 +23,8 @@
  * @tls_cert: PEM file, or NULL for plain text
  * @tls_key: PEM file
  * @max_connections: further ones wait in the kernel; 0 for the default
+ * @quota: bounds what clients make the process hold, and may be shared by its
+ *	listeners; NULL: the listener has its own, with the defaults
  * @io_timeout_ms: idle time after which a connection is closed
  * @handler: called for each request whose body has arrived whole; as h2o's
  *	on_req: 0 where it took the request, -1 for 404
@@ -33,6 +37,7 @@
 	const char *tls_key;
 	uint32_t io_timeout_ms;
 	uint32_t max_connections;
+	struct quota *quota;
 	int (*handler) (h2o_req_t *req, void *ctx);
 	void *ctx;
 };
@@ -49,6 +54,10 @@
 	struct httpd_conf conf;
 	h2o_socket_cb on_accept;
 	uint32_t connections;
+	GPtrArray *conns; /* of struct httpd_conn * */
+	struct quota own_quota;
+	struct tmr sample_timer;
+	int statm_fd; /* what the process holds */
 	uint16_t port;
 };
 
