--- a/lib/h1cli.h
+++ b/lib/h1cli.h
@@ -24,16 +24,27 @@
 struct h1cli;
 struct h1cli_conn;
 
+/** struct h1cli_pool - bounds the connections of several hosts
+ * @max: above which the one that is idle for longest is closed; those in use
+ *	may exceed it
+ */
+struct h1cli_pool {
+	GQueue idle; /* of struct h1cli_conn *, idle for longest first */
+	uint32_t conns;
+	uint32_t max;
+};
+
 /** struct h1cli_host - a server; the caller owns the memory */
 struct h1cli_host {
 	h2o_loop_t *loop;
 	struct sockaddr_in addr;
 	struct in_addr from;
-	GQueue idle;       /* of struct h1cli_conn *, used last first */
-	uint32_t conns;    /* open, idle or not */
-	uint64_t opened;   /* connections made since the start */
-	GPtrArray *calls;  /* of struct h1cli * */
-	GPtrArray *graves; /* closed connections, freed by @sweep */
+	struct h1cli_pool *pool; /* set by the owner; NULL: no bound */
+	GQueue idle;             /* of struct h1cli_conn *, used last first */
+	uint32_t conns;          /* open, idle or not */
+	uint64_t opened;         /* connections made since the start */
+	GPtrArray *calls;        /* of struct h1cli * */
+	GPtrArray *graves;       /* closed connections, freed by @sweep */
 	struct tmr sweep;
 };
 
@@ -62,8 +73,10 @@
 };
 
 /**
- * struct h1cli_req - a request; all of it is copied
- * @bytes: head and body
+ * struct h1cli_req - a request; all of it but @body is copied
+ * @bytes: head, and body unless that is in @body
+ * @body: follows @bytes; NULL: nothing does.  It is referenced, and must not
+ *	change until the exchange ends
  * @to_head: its method is HEAD
  * @echo_name: header of the answer that repeats @echo_value, or NULL; without
  *	it, an answer to another request can't be told from ours
@@ -75,6 +88,7 @@
 struct h1cli_req {
 	const char *bytes;
 	size_t len;
+	GByteArray *body;
 	bool to_head;
 	const char *echo_name;
 	const char *echo_value;
