rollouts: messages and shared types

The relay side builds on these frames, so they come first. A relay's report also carries its highest grant (a new leader continues from it) and the state that it acts on (SHIFTING ends only once every relay acts on it); evidence is split by failure domain, so that a domain that is cut off can be told from a bad version, and its times are sent as the cells in use.

--- a/lib/frame.c
+++ b/lib/frame.c
@@ -42,6 +42,8 @@
 		[FRAME_GROUP_OTHERS] = "group_others",
 		[FRAME_GROUP_BLAME] = "group_blame",
 		[FRAME_GROUP_CHUNK] = "group_chunk",
+		[FRAME_GROUP_ROLLOUTS] = "group_rollouts",
+		[FRAME_GROUP_ROLLOUT_REPORT] = "group_rollout_report",
 	};
 
 	return kind < FRAME_KINDS ? names[kind] : NULL;
--- a/lib/frame.h
+++ b/lib/frame.h
@@ -64,6 +64,8 @@
 	FRAME_GROUP_OTHERS = 37, /* leader to relay */
 	FRAME_GROUP_BLAME = 38,  /* both ways */
 	FRAME_GROUP_CHUNK = 39,
+	FRAME_GROUP_ROLLOUTS = 62,       /* member to relay */
+	FRAME_GROUP_ROLLOUT_REPORT = 63, /* relay to leader */
 };
 
 /** FRAME_KINDS - every kind is a lower number */
--- a/lib/gmsg.c
+++ b/lib/gmsg.c
@@ -58,6 +58,7 @@
 	MSG_FIELD (4, MSG_U64, struct gmsg_list, base_digest),
 	MSG_FIELD_LIST (5, struct gmsg_list, removed, struct load_ep,
 			load_ep_fields, FLEET_LIST_MAX),
+	MSG_FIELD (6, MSG_U64, struct gmsg_list, rollout_index),
 	MSG_FIELD_END,
 };
 
@@ -73,3 +74,43 @@
 			blame_record_fields, BLAME_RECORDS_MAX),
 	MSG_FIELD_END,
 };
+
+static const struct msg_field rollout_fields[] = {
+	MSG_FIELD (1, MSG_U64, struct gmsg_rollout, id),
+	MSG_FIELD (2, MSG_STR, struct gmsg_rollout, service),
+	MSG_FIELD (3, MSG_STR, struct gmsg_rollout, target),
+	MSG_FIELD (4, MSG_U32, struct gmsg_rollout, state),
+	MSG_FIELD (5, MSG_U64, struct gmsg_rollout, grant),
+	MSG_FIELD_END,
+};
+
+const struct msg_field gmsg_rollouts_fields[] = {
+	MSG_FIELD (1, MSG_U64, struct gmsg_rollouts, index),
+	MSG_FIELD (2, MSG_U64, struct gmsg_rollouts, term),
+	MSG_FIELD (3, MSG_BOOL, struct gmsg_rollouts, is_leader),
+	MSG_FIELD (4, MSG_BOOL, struct gmsg_rollouts, has_leader),
+	MSG_FIELD_LIST (5, struct gmsg_rollouts, rollouts, struct gmsg_rollout,
+			rollout_fields, ROLLOUTS_MAX),
+	MSG_FIELD_END,
+};
+
+static const struct msg_field rollout_report_fields[] = {
+	MSG_FIELD (1, MSG_U64, struct gmsg_rollout_report, id),
+	MSG_FIELD (2, MSG_STR, struct gmsg_rollout_report, service),
+	MSG_FIELD (3, MSG_U64, struct gmsg_rollout_report, requests),
+	MSG_FIELD (4, MSG_U64, struct gmsg_rollout_report, sent_new),
+	MSG_FIELD (5, MSG_U32, struct gmsg_rollout_report, old_inflight),
+	MSG_FIELD (6, MSG_U64, struct gmsg_rollout_report, grant),
+	MSG_FIELD (7, MSG_U32, struct gmsg_rollout_report, state),
+	MSG_FIELD_LIST (8, struct gmsg_rollout_report, evidence,
+			struct rollout_evidence, rollout_evidence_fields,
+			ROLLOUT_EVIDENCE_MAX),
+	MSG_FIELD_END,
+};
+
+const struct msg_field gmsg_rollout_reports_fields[] = {
+	MSG_FIELD_LIST (1, struct gmsg_rollout_reports, reports,
+			struct gmsg_rollout_report, rollout_report_fields,
+			ROLLOUTS_MAX),
+	MSG_FIELD_END,
+};
--- a/lib/gmsg.h
+++ b/lib/gmsg.h
@@ -7,6 +7,7 @@
 #include "loads.h"
 #include "msg.h"
 #include "raft.h"
+#include "rollout.h"
 
 /*
  * Messages between relays and the members of the group that serves them, and
@@ -105,6 +106,7 @@
  * @entries: of struct fleet_info; in a delta, the new and the changed ones
  * @base_digest: digest of the list that a delta applies to, 0: full list
  * @removed: of struct load_ep; in a delta, endpoints no longer listed
+ * @rollout_index: struct gmsg_rollouts.index of the sender when it sent this
  */
 struct gmsg_list {
 	uint64_t digest;
@@ -112,6 +114,7 @@
 	struct msg_list entries;
 	uint64_t base_digest;
 	struct msg_list removed;
+	uint64_t rollout_index;
 };
 
 /**
@@ -133,6 +136,76 @@
 	struct msg_list records;
 };
 
+/**
+ * struct gmsg_rollout - one rollout, as a relay is told of it
+ * @id: log index of its start
+ * @state: enum rollout_state
+ * @grant: requests to the target version that the receiving relay may send, a
+ *	total since the relay started; only from the leader.  Never lower than
+ *	the highest grant that the relay reported.
+ */
+struct gmsg_rollout {
+	uint64_t id;
+	char service[PLAN_NAME_BYTES];
+	char target[ROLLOUT_VERSION_BYTES];
+	uint32_t state;
+	uint64_t grant;
+};
+
+/**
+ * struct gmsg_rollouts - the newest rollout of each service, in full
+ * (FRAME_GROUP_ROLLOUTS, member to relay)
+ * @index: log index of the last rollout command that the sender applied, 0:
+ *	none; a message with a lower index than a relay already has is obsolete
+ * @term: raft term of the sender
+ * @is_leader: the sender is the leader, @grant of the rollouts counts
+ * @has_leader: it is the leader and holds the lease, or heard a leader
+ *recently; grants that a relay holds stay valid for ROLLOUT_GRANT_VALID_MS
+ * @rollouts: of struct gmsg_rollout
+ *
+ * Sent at each change, and after each struct gmsg_state where the deployment
+ * has rollouts, also with an empty list.
+ */
+struct gmsg_rollouts {
+	uint64_t index;
+	uint64_t term;
+	bool is_leader;
+	bool has_leader;
+	struct msg_list rollouts;
+};
+
+/**
+ * struct gmsg_rollout_report - a relay's totals of a rollout
+ * @id: struct gmsg_rollout.id
+ * @requests: for the service, since the relay learned of the rollout
+ * @sent_new: requests sent to the target version, retries included, since the
+ *	relay started
+ * @old_inflight: requests in progress at endpoints of other versions
+ * @grant: highest grant received, since the relay started
+ * @state: enum rollout_state that the relay acts on
+ * @evidence: of struct rollout_evidence.  Entries that did not change since the
+ *	last report on this link may be left out; the first one has all.
+ */
+struct gmsg_rollout_report {
+	uint64_t id;
+	char service[PLAN_NAME_BYTES];
+	uint64_t requests;
+	uint64_t sent_new;
+	uint32_t old_inflight;
+	uint64_t grant;
+	uint32_t state;
+	struct msg_list evidence;
+};
+
+/**
+ * struct gmsg_rollout_reports - what a relay reports to the leader
+ * (FRAME_GROUP_ROLLOUT_REPORT)
+ * @reports: of struct gmsg_rollout_report, for rollouts that are not over
+ */
+struct gmsg_rollout_reports {
+	struct msg_list reports;
+};
+
 /** GROUP_STATE_LEADER_MS - longest interval between two states of the leader */
 #define GROUP_STATE_LEADER_MS 400
 
@@ -147,5 +220,7 @@
 extern const struct msg_field gmsg_list_fields[];
 extern const struct msg_field gmsg_report_fields[];
 extern const struct msg_field gmsg_blame_fields[];
+extern const struct msg_field gmsg_rollouts_fields[];
+extern const struct msg_field gmsg_rollout_reports_fields[];
 
 #endif
