gstate: replicated record of rollouts

Start, issue and state commands (values 4 to 6). A start that is sent again has no effect while the rollout runs, or within the repeat time after it began; states only move forward. Issued requests are added, not set: a leader that has not yet applied its predecessor's entries can't take those for its own.

--- a/lib/gmsg.c
+++ b/lib/gmsg.c
@@ -75,7 +75,7 @@
 	MSG_FIELD_END,
 };
 
-static const struct msg_field rollout_fields[] = {
+static const struct msg_field told_fields[] = {
 	MSG_FIELD (1, MSG_U64, struct gmsg_rollout, id),
 	MSG_FIELD (2, MSG_STR, struct gmsg_rollout, service),
 	MSG_FIELD (3, MSG_STR, struct gmsg_rollout, target),
@@ -90,7 +90,7 @@
 	MSG_FIELD (3, MSG_BOOL, struct gmsg_rollouts, is_leader),
 	MSG_FIELD (4, MSG_BOOL, struct gmsg_rollouts, has_leader),
 	MSG_FIELD_LIST (5, struct gmsg_rollouts, rollouts, struct gmsg_rollout,
-			rollout_fields, ROLLOUTS_MAX),
+			told_fields, ROLLOUTS_MAX),
 	MSG_FIELD_END,
 };
 
--- a/lib/gstate.c
+++ b/lib/gstate.c
@@ -38,6 +38,8 @@
 	uint64_t drain_index;
 	uint64_t sealed;
 	struct msg_list windows;
+	struct msg_list rollouts;
+	uint64_t rollout_index;
 };
 
 static const struct msg_field snapshot_fields[] = {
@@ -49,6 +51,9 @@
 	MSG_FIELD (5, MSG_U64, struct snapshot, sealed),
 	MSG_FIELD_LIST (6, struct snapshot, windows, struct gstate_window,
 			gstate_window_fields, GSTATE_WINDOWS_KEPT),
+	MSG_FIELD_LIST (7, struct snapshot, rollouts, struct rollout,
+			rollout_fields, ROLLOUTS_MAX),
+	MSG_FIELD (8, MSG_U64, struct snapshot, rollout_index),
 	MSG_FIELD_END,
 };
 
@@ -70,6 +75,7 @@
 	*s = (struct gstate){0};
 	s->drained = g_ptr_array_new_with_free_func (g_free);
 	s->windows = g_ptr_array_new_with_free_func (window_free);
+	s->rollouts = g_array_new (FALSE, TRUE, sizeof (struct rollout));
 }
 
 void
@@ -79,6 +85,7 @@
 		g_bytes_unref (s->text);
 	g_ptr_array_free (s->drained, TRUE);
 	g_ptr_array_free (s->windows, TRUE);
+	g_array_free (s->rollouts, TRUE);
 	*s = (struct gstate){0};
 }
 
@@ -189,6 +196,12 @@
 		if (ok)
 			seal_window (s, &u.window);
 		break;
+	case GSTATE_ROLLOUT_START:
+	case GSTATE_ROLLOUT_ISSUE:
+	case GSTATE_ROLLOUT_STATE:
+		ok = gstate_apply_rollout (s, index, data[0], data + 1, len - 1,
+					   e);
+		break;
 	}
 	msgpack_zone_destroy (&zone);
 	return ok;
@@ -220,6 +233,9 @@
 	m.domains.count = s->drained->len;
 	m.windows.items = windows;
 	m.windows.count = s->windows->len;
+	m.rollouts.items = s->rollouts->data;
+	m.rollouts.count = s->rollouts->len;
+	m.rollout_index = s->rollout_index;
 	msg_pack (snapshot_fields, &m, out);
 }
 
@@ -247,6 +263,10 @@
 			seal_window (s, &windows[i]);
 		s->drain_index = m.drain_index;
 		s->sealed_window = m.sealed;
+		if (m.rollouts.count > 0)
+			g_array_append_vals (s->rollouts, m.rollouts.items,
+					     m.rollouts.count);
+		s->rollout_index = m.rollout_index;
 	} else if (e != NULL) {
 		e->kind = ERR_CORRUPT;
 	}
@@ -302,6 +322,15 @@
 	case GSTATE_WINDOW:
 		fields = gstate_window_fields;
 		break;
+	case GSTATE_ROLLOUT_START:
+		fields = gstate_rollout_start_fields;
+		break;
+	case GSTATE_ROLLOUT_ISSUE:
+		fields = gstate_rollout_issue_fields;
+		break;
+	case GSTATE_ROLLOUT_STATE:
+		fields = gstate_rollout_state_fields;
+		break;
 	}
 	msgpack_sbuffer_write (out, &kind_byte, 1);
 	msg_pack (fields, cmd, out);
--- a/lib/gstate.h
+++ b/lib/gstate.h
@@ -10,11 +10,12 @@
 #include "err.h"
 #include "msg.h"
 #include "plan.h"
+#include "rollout.h"
 
 /*
  * The state that the members of a group replicate for relays: the newest
- * configuration as the operator sent it, the drained failure domains, and the
- * usage windows sealed last.
+ * configuration as the operator sent it, the drained failure domains, the usage
+ * windows sealed last, and the newest rollout of each service.
  */
 
 #define GSTATE_NAME_BYTES PLAN_NAME_BYTES
@@ -28,6 +29,11 @@
 	GSTATE_PLAN = 1,
 	GSTATE_DRAIN = 2,
 	GSTATE_WINDOW = 3,
+	/* Members of versions without rollouts can't decode these; no such
+	 * member may remain when rollouts are enabled. */
+	GSTATE_ROLLOUT_START = 4,
+	GSTATE_ROLLOUT_ISSUE = 5,
+	GSTATE_ROLLOUT_STATE = 6,
 };
 
 /**
@@ -67,6 +73,45 @@
 	struct msg_list counts;
 };
 
+/**
+ * struct gstate_rollout_start - command that starts a rollout
+ * @duration_ms: its time limit
+ * @wall_ms: wall clock of the leader that received the request
+ * @repeat_ms: an equal request within this time after a start is the same
+ *	request sent again, also where the rollout is over
+ *
+ * The command has no effect while the service's rollout runs, or where it
+ * repeats its start.
+ */
+struct gstate_rollout_start {
+	char service[GSTATE_NAME_BYTES];
+	char target[ROLLOUT_VERSION_BYTES];
+	uint64_t duration_ms;
+	uint64_t wall_ms;
+	uint64_t repeat_ms;
+};
+
+/**
+ * struct gstate_rollout_issue - command that adds to a rollout's issued
+ * requests
+ * @id: the rollout; the command has no effect unless it is RUNNING
+ * @count: requests that the leader may grant once the command is applied
+ */
+struct gstate_rollout_issue {
+	uint64_t id;
+	uint64_t count;
+};
+
+/**
+ * struct gstate_rollout_state - command that changes a rollout's state
+ * @id: the rollout
+ * @state: enum rollout_state; see rollout_may_become()
+ */
+struct gstate_rollout_state {
+	uint64_t id;
+	uint32_t state;
+};
+
 extern const struct msg_field gstate_plan_fields[];
 extern const struct msg_field gstate_drain_fields[];
 extern const struct msg_field gstate_count_fields[];
@@ -80,6 +125,8 @@
 	uint64_t drain_index;   /* log index of the last drain command */
 	uint64_t sealed_window; /* number of the newest sealed window */
 	GPtrArray *windows;     /* of struct gstate_window *, oldest first */
+	GArray *rollouts;       /* of struct rollout, in order of their ids */
+	uint64_t rollout_index; /* log index of the last rollout command */
 };
 
 /** gstate_init() - initialize an empty state */
@@ -94,6 +141,26 @@
 /** gstate_is_drained() - whether @domain is drained */
 bool gstate_is_drained (const struct gstate *s, const char *domain);
 
+/** gstate_rollout() - newest rollout of @service, or NULL */
+const struct rollout *gstate_rollout (const struct gstate *s,
+				      const char *service);
+
+/** gstate_rollout_by_id() - the rollout with @id, or NULL */
+struct rollout *gstate_rollout_by_id (const struct gstate *s, uint64_t id);
+
+/** gstate_rollout_accepts() - whether @r is the rollout that @cmd asks for */
+bool gstate_rollout_accepts (const struct rollout *r,
+			     const struct gstate_rollout_start *cmd);
+
+/** gstate_apply_rollout() - apply a rollout command; see gstate_apply() */
+bool gstate_apply_rollout (struct gstate *s, uint64_t index,
+			   enum gstate_kind kind, const uint8_t *data,
+			   size_t len, struct err *e);
+
+extern const struct msg_field gstate_rollout_start_fields[];
+extern const struct msg_field gstate_rollout_issue_fields[];
+extern const struct msg_field gstate_rollout_state_fields[];
+
 /**
  * gstate_apply() - apply a committed command
  * @index: log index of the command
--- a/lib/rollout.c
+++ b/lib/rollout.c
@@ -14,6 +14,17 @@
 	2,   3.6, 6.5, 11.7, 21,   37.8, 68,  122,
 	220, 397, 714, 1285, 2313, 4164, 7495};
 
+const struct msg_field rollout_fields[] = {
+	MSG_FIELD (1, MSG_U64, struct rollout, id),
+	MSG_FIELD (2, MSG_STR, struct rollout, service),
+	MSG_FIELD (3, MSG_STR, struct rollout, target),
+	MSG_FIELD (4, MSG_U64, struct rollout, duration_ms),
+	MSG_FIELD (5, MSG_U64, struct rollout, started_wall_ms),
+	MSG_FIELD (6, MSG_U32, struct rollout, state),
+	MSG_FIELD (7, MSG_U64, struct rollout, issued),
+	MSG_FIELD_END,
+};
+
 static const struct msg_field rollout_time_fields[] = {
 	MSG_FIELD (1, MSG_U32, struct rollout_time, cell),
 	MSG_FIELD (2, MSG_U32, struct rollout_time, count),
@@ -63,6 +74,15 @@
 	return "none";
 }
 
+bool
+rollout_may_become (enum rollout_state from, enum rollout_state to)
+{
+	return (from == ROLLOUT_RUNNING && to == ROLLOUT_SHIFTING) ||
+	       (from == ROLLOUT_SHIFTING && to == ROLLOUT_SUCCEEDED) ||
+	       ((from == ROLLOUT_RUNNING || from == ROLLOUT_SHIFTING) &&
+		to == ROLLOUT_ROLLED_BACK);
+}
+
 bool
 rollout_is_over (enum rollout_state s)
 {
--- a/lib/rollout.h
+++ b/lib/rollout.h
@@ -44,6 +44,26 @@
 	ROLLOUT_ROLLED_BACK = 4,
 };
 
+/**
+ * struct rollout - the replicated record of a rollout
+ * @id: log index of its start
+ * @duration_ms: time limit, from the start request
+ * @started_wall_ms: wall clock of the leader that accepted the start request
+ * @state: enum rollout_state
+ * @issued: requests to the target version granted so far, to all relays
+ */
+struct rollout {
+	uint64_t id;
+	char service[PLAN_NAME_BYTES];
+	char target[ROLLOUT_VERSION_BYTES];
+	uint64_t duration_ms;
+	uint64_t started_wall_ms;
+	uint32_t state;
+	uint64_t issued;
+};
+
+extern const struct msg_field rollout_fields[];
+
 /**
  * struct rollout_time - answers in one cell of class and bucket
  * @cell: rollout_cell() of the answers
@@ -88,6 +108,9 @@
 /** rollout_state_name() - "running", "shifting", ... for log lines */
 const char *rollout_state_name (enum rollout_state s);
 
+/** rollout_may_become() - whether state @from may be followed by @to */
+bool rollout_may_become (enum rollout_state from, enum rollout_state to);
+
 /** rollout_is_over() - whether the state never changes again */
 bool rollout_is_over (enum rollout_state s);
 
--- a/tests/test_gstate.c
+++ b/tests/test_gstate.c
@@ -1,7 +1,8 @@
 /*
  * The group's replicated state: the highest configuration version is kept,
- * domains are drained and restored, only the first seal of a window counts, and
- * a snapshot restores the whole state.
+ * domains are drained and restored, only the first seal of a window counts,
+ * rollouts neither start twice nor revert, and a snapshot restores the whole
+ * state.
  */
 #include <string.h>
 
@@ -153,14 +154,158 @@
 	gstate_finish (&s);
 }
 
+static void
+start_rollout (struct gstate *s, uint64_t index, const char *target,
+	       uint64_t duration_ms, uint64_t wall_ms)
+{
+	struct gstate_rollout_start cmd = {.service = "svc",
+					   .duration_ms = duration_ms,
+					   .wall_ms = wall_ms,
+					   .repeat_ms = 7000};
+
+	g_strlcpy (cmd.target, target, sizeof cmd.target);
+	apply (s, index, GSTATE_ROLLOUT_START, &cmd);
+}
+
+static void
+set_rollout (struct gstate *s, uint64_t index, uint64_t id,
+	     enum rollout_state state)
+{
+	struct gstate_rollout_state cmd = {id, state};
+
+	apply (s, index, GSTATE_ROLLOUT_STATE, &cmd);
+}
+
+/* A start request that is sent again must not start a second rollout, neither
+ * while the first runs nor shortly after its end; a later one must. */
+static void
+test_rollout_start (void)
+{
+	struct gstate s;
+
+	gstate_init (&s);
+	CU_ASSERT (gstate_rollout (&s, "svc") == NULL);
+	start_rollout (&s, 10, "v2", 3000, 100000);
+	start_rollout (&s, 11, "v2", 3000, 104000);
+	start_rollout (&s, 12, "v3", 3000, 104000);
+	CU_ASSERT (s.rollouts->len == 1 &&
+		   gstate_rollout (&s, "svc")->id == 10);
+	set_rollout (&s, 13, 10, ROLLOUT_ROLLED_BACK);
+	start_rollout (&s, 14, "v2", 3000, 106999);
+	CU_ASSERT (gstate_rollout (&s, "svc")->id == 10);
+	CU_ASSERT (gstate_rollout (&s, "svc")->state == ROLLOUT_ROLLED_BACK);
+	start_rollout (&s, 15, "v2", 3000, 107000);
+	CU_ASSERT (s.rollouts->len == 1 &&
+		   gstate_rollout (&s, "svc")->id == 15);
+	CU_ASSERT (gstate_rollout (&s, "svc")->state == ROLLOUT_RUNNING);
+	gstate_finish (&s);
+}
+
+/* A state that was answered must not revert, whichever commands of an earlier
+ * leader are applied later. */
+static void
+test_rollout_final (void)
+{
+	static const struct {
+		enum rollout_state to, then;
+	} steps[] = {
+		{ROLLOUT_SUCCEEDED, ROLLOUT_RUNNING},
+		{ROLLOUT_SHIFTING, ROLLOUT_SHIFTING},
+		{ROLLOUT_RUNNING, ROLLOUT_SHIFTING},
+		{ROLLOUT_SUCCEEDED, ROLLOUT_SUCCEEDED},
+		{ROLLOUT_ROLLED_BACK, ROLLOUT_SUCCEEDED},
+		{ROLLOUT_RUNNING, ROLLOUT_SUCCEEDED},
+		{ROLLOUT_SHIFTING, ROLLOUT_SUCCEEDED},
+	};
+	struct gstate_rollout_issue issue = {5, 40};
+	struct gstate s;
+
+	gstate_init (&s);
+	start_rollout (&s, 5, "v2", 12000, 1);
+	apply (&s, 6, GSTATE_ROLLOUT_ISSUE, &issue);
+	apply (&s, 7, GSTATE_ROLLOUT_ISSUE, &issue);
+	CU_ASSERT (gstate_rollout_by_id (&s, 5)->issued == 80);
+	CU_ASSERT (s.rollout_index == 5);
+	for (unsigned i = 0; i < G_N_ELEMENTS (steps); i++) {
+		set_rollout (&s, 8 + i, 5, steps[i].to);
+		CU_ASSERT (gstate_rollout_by_id (&s, 5)->state ==
+			   steps[i].then);
+	}
+	CU_ASSERT (s.rollout_index == 7 + G_N_ELEMENTS (steps));
+	apply (&s, 20, GSTATE_ROLLOUT_ISSUE, &issue);
+	CU_ASSERT (gstate_rollout_by_id (&s, 5)->issued == 80);
+	gstate_finish (&s);
+}
+
+/* A snapshot must not lose rollouts, and one without any, as the previous
+ * software version writes it, must stay readable and equal byte by byte. */
+static void
+test_rollout_snapshot (void)
+{
+	static const uint8_t previous[] = {0x82, 0x01, 0x07, 0x02, 0xc4, 0x05,
+					   's',  'e',  'v',  'e',  'n'};
+	struct gstate_rollout_issue issue = {2, 12};
+	struct gstate s, t;
+	msgpack_sbuffer buf;
+
+	gstate_init (&s);
+	gstate_init (&t);
+	put_plan (&s, 1, 7, "seven");
+	msgpack_sbuffer_init (&buf);
+	gstate_snapshot (&s, &buf);
+	CU_ASSERT (buf.size == sizeof previous &&
+		   memcmp (buf.data, previous, sizeof previous) == 0);
+	start_rollout (&s, 2, "v2", 12000, 99);
+	apply (&s, 3, GSTATE_ROLLOUT_ISSUE, &issue);
+	set_rollout (&s, 4, 2, ROLLOUT_SHIFTING);
+	msgpack_sbuffer_clear (&buf);
+	gstate_snapshot (&s, &buf);
+	CU_ASSERT (gstate_restore (&t, buf.data, buf.size, NULL));
+	CU_ASSERT_FATAL (t.rollouts->len == 1 && t.rollout_index == 4);
+	CU_ASSERT (memcmp (t.rollouts->data, s.rollouts->data,
+			   sizeof (struct rollout)) == 0);
+	CU_ASSERT (gstate_restore (&t, previous, sizeof previous, NULL));
+	CU_ASSERT (t.rollouts->len == 0 && t.rollout_index == 0);
+	msgpack_sbuffer_destroy (&buf);
+	gstate_finish (&s);
+	gstate_finish (&t);
+}
+
+/* Members keep a bounded number of rollouts; those that run are never
+ * dropped for a new one. */
+static void
+test_rollout_room (void)
+{
+	struct gstate_rollout_start cmd = {.target = "v2", .duration_ms = 1};
+	struct gstate s;
+
+	gstate_init (&s);
+	for (uint32_t i = 0; i < ROLLOUTS_MAX + 1; i++) {
+		g_snprintf (cmd.service, sizeof cmd.service, "s%u", i);
+		apply (&s, 100 + i, GSTATE_ROLLOUT_START, &cmd);
+	}
+	CU_ASSERT (s.rollouts->len == ROLLOUTS_MAX);
+	CU_ASSERT (gstate_rollout (&s, cmd.service) == NULL);
+	set_rollout (&s, 1000, 107, ROLLOUT_ROLLED_BACK);
+	apply (&s, 1001, GSTATE_ROLLOUT_START, &cmd);
+	CU_ASSERT (gstate_rollout (&s, cmd.service) != NULL);
+	CU_ASSERT (gstate_rollout (&s, "s7") == NULL);
+	gstate_finish (&s);
+}
+
 int
 main (void)
 {
-	static const struct t_case cases[] = {{"versions", test_versions},
-					      {"snapshot", test_snapshot},
-					      {"seal once", test_seal_once},
-					      {"next report", test_next_report},
-					      {NULL, NULL}};
+	static const struct t_case cases[] = {
+		{"versions", test_versions},
+		{"snapshot", test_snapshot},
+		{"seal once", test_seal_once},
+		{"next report", test_next_report},
+		{"rollout start", test_rollout_start},
+		{"rollout final", test_rollout_final},
+		{"rollout snapshot", test_rollout_snapshot},
+		{"rollout room", test_rollout_room},
+		{NULL, NULL}};
 
 	return t_run ("gstate", cases);
 }
