--- a/lib/gstate.h
+++ b/lib/gstate.h
@@ -96,10 +96,16 @@
  * requests
  * @id: the rollout; the command has no effect unless it is RUNNING
  * @count: requests that the leader may grant once the command is applied
+ * @requests: requests of the service that relays reported
+ * @answers: answers of the target version that they reported
+ *
+ * Totals of relays that ended are known to a later leader only from here.
  */
 struct gstate_rollout_issue {
 	uint64_t id;
 	uint64_t count;
+	uint64_t requests;
+	uint64_t answers;
 };
 
 /**
--- a/lib/gstate_rollout.c
+++ b/lib/gstate_rollout.c
@@ -17,6 +17,8 @@
 const struct msg_field gstate_rollout_issue_fields[] = {
 	MSG_FIELD (1, MSG_U64, struct gstate_rollout_issue, id),
 	MSG_FIELD (2, MSG_U64, struct gstate_rollout_issue, count),
+	MSG_FIELD (3, MSG_U64, struct gstate_rollout_issue, requests),
+	MSG_FIELD (4, MSG_U64, struct gstate_rollout_issue, answers),
 	MSG_FIELD_END,
 };
 
@@ -70,9 +72,8 @@
 	if (s->rollouts->len < ROLLOUTS_MAX)
 		return true;
 	for (guint i = 0; i < s->rollouts->len; i++) {
-		if (!rollout_is_over (at (s, i)->state)) {
+		if (!rollout_is_over (at (s, i)->state))
 			continue;
-		}
 		g_array_remove_index (s->rollouts, i);
 		return true;
 	}
@@ -132,8 +133,11 @@
 		start (s, index, &u.start);
 	} else if (kind == GSTATE_ROLLOUT_ISSUE) {
 		r = gstate_rollout_by_id (s, u.issue.id);
-		if (r != NULL && r->state == ROLLOUT_RUNNING)
+		if (r != NULL && r->state == ROLLOUT_RUNNING) {
 			r->issued += u.issue.count;
+			r->requests = MAX (r->requests, u.issue.requests);
+			r->answers = MAX (r->answers, u.issue.answers);
+		}
 		/* Relays act on starts and states only, so the index that they
 		 * wait for does not move with each step. */
 		return true;
--- a/lib/rollout.c
+++ b/lib/rollout.c
@@ -22,6 +22,8 @@
 	MSG_FIELD (5, MSG_U64, struct rollout, started_wall_ms),
 	MSG_FIELD (6, MSG_U32, struct rollout, state),
 	MSG_FIELD (7, MSG_U64, struct rollout, issued),
+	MSG_FIELD (8, MSG_U64, struct rollout, requests),
+	MSG_FIELD (9, MSG_U64, struct rollout, answers),
 	MSG_FIELD_END,
 };
 
--- a/lib/rollout.h
+++ b/lib/rollout.h
@@ -51,6 +51,8 @@
  * @started_wall_ms: wall clock of the leader that accepted the start request
  * @state: enum rollout_state
  * @issued: requests to the target version granted so far, to all relays
+ * @requests: requests of the service at the last change of @issued, at least
+ * @answers: answers of the target version then, at least
  */
 struct rollout {
 	uint64_t id;
@@ -60,6 +62,8 @@
 	uint64_t started_wall_ms;
 	uint32_t state;
 	uint64_t issued;
+	uint64_t requests;
+	uint64_t answers;
 };
 
 extern const struct msg_field rollout_fields[];
--- a/tests/test_gstate.c
+++ b/tests/test_gstate.c
@@ -217,7 +217,7 @@
 		{ROLLOUT_RUNNING, ROLLOUT_SUCCEEDED},
 		{ROLLOUT_SHIFTING, ROLLOUT_SUCCEEDED},
 	};
-	struct gstate_rollout_issue issue = {5, 40};
+	struct gstate_rollout_issue issue = {5, 40, 900, 33};
 	struct gstate s;
 
 	gstate_init (&s);
@@ -225,6 +225,8 @@
 	apply (&s, 6, GSTATE_ROLLOUT_ISSUE, &issue);
 	apply (&s, 7, GSTATE_ROLLOUT_ISSUE, &issue);
 	CU_ASSERT (gstate_rollout_by_id (&s, 5)->issued == 80);
+	CU_ASSERT (gstate_rollout_by_id (&s, 5)->requests == 900 &&
+		   gstate_rollout_by_id (&s, 5)->answers == 33);
 	CU_ASSERT (s.rollout_index == 5);
 	for (unsigned i = 0; i < G_N_ELEMENTS (steps); i++) {
 		set_rollout (&s, 8 + i, 5, steps[i].to);
@@ -244,7 +246,7 @@
 {
 	static const uint8_t previous[] = {0x82, 0x01, 0x07, 0x02, 0xc4, 0x05,
 					   's',  'e',  'v',  'e',  'n'};
-	struct gstate_rollout_issue issue = {2, 12};
+	struct gstate_rollout_issue issue = {2, 12, 100, 3};
 	struct gstate s, t;
 	msgpack_sbuffer buf;
 
