--- a/lib/rollout_lead.c
+++ b/lib/rollout_lead.c
@@ -12,9 +12,10 @@
  * with those that it has. */
 #define REPORT_TIMEOUT_MS 1000
 
-/* Unused grants that a relay may hold: a few, and what it sends between two
- * reports if it has most of the traffic. */
-#define UNUSED_MIN 4
+/* Unused grants that a relay may hold: one, a few if it sends them soon, and
+ * what it sends between two reports if it has most of the traffic. */
+#define UNUSED_FEW_S 0.4
+#define UNUSED_MIN 3
 #define UNUSED_RATE_S 0.1
 
 /* Until the old version has been seen, the new one gets a portion of what has
@@ -218,7 +219,9 @@
 static uint64_t
 room_of (const struct rollout_relay *y, bool idle, uint64_t now_ms)
 {
-	uint64_t most = UNUSED_MIN + (uint64_t)(y->rate * UNUSED_RATE_S);
+	uint64_t most =
+		1 + (uint64_t)MIN (y->rate * UNUSED_FEW_S,
+				   UNUSED_MIN + y->rate * UNUSED_RATE_S);
 	uint64_t unused = y->grant - MIN (y->sent_new, y->grant);
 
 	if (!y->linked || !y->heard ||
