groupd: rollouts are started, decided, granted and told to relays

Operators start and read them by quorum; the leader proposes issues and states, and sends grants only once they are committed. Without exposure_share the calls answer 404 and nothing is sent.

--- a/groupd/api.c
+++ b/groupd/api.c
@@ -1,5 +1,6 @@
 /*
- * The operators' API: set and read the configuration, drain failure domains.
+ * The operators' API: set and read the configuration, drain failure domains,
+ * start and read rollouts.
  */
 #include <arpa/inet.h>
 #include <string.h>
@@ -15,6 +16,10 @@
 #define TIMEOUT_MS 10000
 #define IDLE_MS 30000
 
+/* A start request may arrive so much later than its sender's last one, by the
+ * network and by clocks that differ. */
+#define ROLLOUT_REPEAT_MARGIN_MS 2000
+
 static void
 answer (struct h1srv_conn *c, int status, const char *text)
 {
@@ -60,12 +65,13 @@
 		       void *ctx);
 
 static struct pending_call *
-call_new (struct group *g, struct h1srv_conn *c)
+call_new (struct group *g, struct h1srv_conn *c, enum dia_api_call call)
 {
 	struct pending_call *w = g_new0 (struct pending_call, 1);
 
 	w->g = g;
 	w->conn = c;
+	w->call = call;
 	w->since_ms = tmr_now_ms ();
 	planjob_init (&w->job, g->d.loop, g->dialect, on_parsed, w);
 	h1srv_set_data (c, w);
@@ -158,7 +164,7 @@
 {
 	GBytes *text = g_bytes_new (body->data, body->len);
 
-	planjob_start (&call_new (g, c)->job, text);
+	planjob_start (&call_new (g, c, DIA_CONFIG_PUT)->job, text);
 	g_bytes_unref (text);
 }
 
@@ -171,7 +177,101 @@
 	g_strlcpy (cmd.domain, domain, sizeof cmd.domain);
 	log_event (LOG_LV_INFO, "drain-propose", "domain=%s drained=%d", domain,
 		   drained);
-	propose (call_new (g, c), GSTATE_DRAIN, &cmd);
+	propose (call_new (g, c, DIA_DRAIN), GSTATE_DRAIN, &cmd);
+}
+
+/* An unknown service is refused for good, so the call waits for a quorum's word
+ * that this member is the leader, and for the configuration to be parsed. */
+static void
+start_rollout (struct group *g, struct h1srv_conn *c, const GByteArray *body)
+{
+	struct pending_call *w;
+	struct dia_rollout r;
+	struct err e = {0};
+
+	if (!g->dialect->parse_rollout ((const char *)body->data, body->len, &r,
+					&e)) {
+		refuse (g, c, 400, e.msg);
+		return;
+	}
+	w = call_new (g, c, DIA_ROLLOUT_START);
+	w->rollout = r;
+	wait_for (w, g->raft.commit, true);
+}
+
+static void
+get_rollout (struct group *g, struct h1srv_conn *c, const char *service)
+{
+	struct pending_call *w = call_new (g, c, DIA_ROLLOUT_GET);
+
+	g_strlcpy (w->rollout.service, service, sizeof w->rollout.service);
+	wait_for (w, g->raft.commit, true);
+}
+
+static void
+rollout_command (const struct group *g, const struct pending_call *w,
+		 struct gstate_rollout_start *cmd)
+{
+	*cmd = (struct gstate_rollout_start){
+		.duration_ms = w->rollout.duration_ms,
+		.wall_ms = tmr_wall_ms (),
+		.repeat_ms = g->set.ack_ms + ROLLOUT_REPEAT_MARGIN_MS};
+	g_strlcpy (cmd->service, w->rollout.service, sizeof cmd->service);
+	g_strlcpy (cmd->target, w->rollout.target, sizeof cmd->target);
+}
+
+/* A start request whose read is ready; false where it must wait for the
+ * configuration to be parsed. */
+static bool
+propose_rollout (struct pending_call *w)
+{
+	struct gstate_rollout_start cmd;
+	bool known, served = group_serves (w->g, w->rollout.service, &known);
+
+	if (w->g->state.text != NULL && !known)
+		return false;
+	if (w->g->state.text == NULL) {
+		call_refuse (w, 503, "no configuration yet");
+	} else if (!served) {
+		call_refuse (w, 400, "unknown service");
+	} else {
+		rollout_command (w->g, w, &cmd);
+		log_event (
+			LOG_LV_INFO, "rollout-propose",
+			"service=%s target=%s duration_ms=%" G_GUINT64_FORMAT,
+			cmd.service, cmd.target, cmd.duration_ms);
+		propose (w, GSTATE_ROLLOUT_START, &cmd);
+	}
+	return true;
+}
+
+/* Whether the applied state has the rollout that the call asked for, as its own
+ * or as that of an earlier request. */
+static bool
+rollout_accepted (struct group *g, const struct pending_call *w)
+{
+	const struct rollout *r =
+		gstate_rollout (&g->state, w->rollout.service);
+	struct gstate_rollout_start cmd;
+
+	rollout_command (g, w, &cmd);
+	return r != NULL && gstate_rollout_accepts (r, &cmd);
+}
+
+static void
+answer_rollout (struct group *g, struct h1srv_conn *c, const char *service)
+{
+	const struct rollout *r = gstate_rollout (&g->state, service);
+	GString *text;
+
+	if (r == NULL) {
+		refuse (g, c, 404, "no rollout of the service");
+		return;
+	}
+	text = g_string_new (NULL);
+	g->dialect->format_rollout (r, text);
+	answer (c, 200, text->str);
+	g_string_free (text, TRUE);
 }
 
 static void
@@ -179,20 +279,26 @@
 	    const GByteArray *body, void *ctx)
 {
 	struct group *g = ctx;
-	char domain[GSTATE_NAME_BYTES];
+	char name[GSTATE_NAME_BYTES];
 	enum dia_api_call call =
-		g->dialect->match_api_call (h, domain, sizeof domain);
+		g->dialect->match_api_call (h, name, sizeof name);
+	bool is_rollout = call == DIA_ROLLOUT_START || call == DIA_ROLLOUT_GET;
 
-	if (call == DIA_OTHER || call == DIA_READY)
+	if (call == DIA_OTHER || call == DIA_READY ||
+	    (is_rollout && !group_has_rollouts (g)))
 		refuse (g, c, 404, "no such call");
 	else if (g->raft.role != RAFT_LEADER)
 		redirect_to_leader (g, c, h);
 	else if (call == DIA_CONFIG_PUT)
 		put_plan (g, c, body);
 	else if (call == DIA_CONFIG_GET)
-		wait_for (call_new (g, c), g->raft.commit, true);
+		wait_for (call_new (g, c, call), g->raft.commit, true);
+	else if (call == DIA_ROLLOUT_START)
+		start_rollout (g, c, body);
+	else if (call == DIA_ROLLOUT_GET)
+		get_rollout (g, c, name);
 	else
-		put_drain (g, c, domain, call == DIA_DRAIN);
+		put_drain (g, c, name, call == DIA_DRAIN);
 }
 
 static void
@@ -239,6 +345,7 @@
 	print_metric (out, "version", g->state.version);
 	print_metric (out, "sealed_window", g->state.sealed_window);
 	print_metric (out, "storage_down", g->storage_down);
+	group_rollout_print (g, out);
 	frame_print_sent ("dh_group_sent_bytes_total", g->sent_bytes, out);
 	h1srv_answer (c, 200, "Content-Type: text/plain\r\n", out->str,
 		      out->len);
@@ -293,13 +400,19 @@
 		struct pending_call *w =
 			g_ptr_array_index (g->pending_calls, i - 1);
 		bool ours = w->term == entry->term;
+		bool conflicts;
 		uint64_t since_ms = w->since_ms;
 		struct h1srv_conn *c;
 
 		if (w->is_read || w->index != entry->index)
 			continue;
+		conflicts = w->call == DIA_ROLLOUT_START &&
+			    !rollout_accepted (g, w);
 		c = call_end (w);
-		if (c != NULL && ours) {
+		if (c != NULL && ours && conflicts) {
+			refuse (g, c, 409,
+				"another rollout of the service runs");
+		} else if (c != NULL && ours) {
 			g->acks++;
 			log_event (LOG_LV_INFO, "acknowledge",
 				   "index=%" G_GUINT64_FORMAT
@@ -330,17 +443,28 @@
 	for (guint i = g->pending_calls->len; i > 0; i--) {
 		struct pending_call *w =
 			g_ptr_array_index (g->pending_calls, i - 1);
+		char service[PLAN_NAME_BYTES];
 		struct h1srv_conn *c;
+		bool is_get;
 		bool ready =
 			w->is_read && raft_read_ready (&g->raft, w->index,
 						       w->since_ms, now_ms);
 
+		if (ready && w->conn != NULL && w->call == DIA_ROLLOUT_START) {
+			if (propose_rollout (w))
+				continue;
+			ready = false;
+		}
 		if (w->conn != NULL && !ready &&
 		    (planjob_is_active (&w->job) ||
 		     now_ms - w->since_ms < COMMIT_TIMEOUT_MS))
 			continue;
+		is_get = w->call == DIA_ROLLOUT_GET;
+		g_strlcpy (service, w->rollout.service, sizeof service);
 		c = call_end (w);
-		if (c != NULL && ready)
+		if (c != NULL && ready && is_get)
+			answer_rollout (g, c, service);
+		else if (c != NULL && ready)
 			answer_plan (g, c);
 		else if (c != NULL)
 			refuse (g, c, 503, "not confirmed by a majority yet");
--- a/groupd/groupd.h
+++ b/groupd/groupd.h
@@ -21,6 +21,7 @@
 #include "planjob.h"
 #include "plantext.h"
 #include "raft.h"
+#include "rollout_lead.h"
 #include "set_daemons.h"
 #include "capacity.h"
 #include "tmr.h"
@@ -49,6 +50,7 @@
 	uint64_t sent_digest; /* of the endpoint list sent last, 0: none */
 	bool list_requested;  /* the full endpoint list is to be sent */
 	uint64_t loads_sent_ms;
+	uint64_t rollout_grants; /* sum of the grants sent last */
 };
 
 /** struct pending_call - API call that waits for its configuration to be
@@ -58,7 +60,9 @@
 	uint64_t index;          /* log index that it waits for; 0: none yet */
 	uint64_t term;
 	uint64_t since_ms;
-	bool is_read; /* reads the configuration, changes nothing */
+	bool is_read; /* reads, changes nothing */
+	enum dia_api_call call;
+	struct dia_rollout rollout; /* that it starts or reads */
 	struct group *g;
 	struct planjob job; /* parses the configuration that it brought */
 };
@@ -112,6 +116,14 @@
 	GArray *removed;       /* since that list, of struct load_ep */
 };
 
+/** struct group_rollouts - rollouts that are not over */
+struct group_rollouts {
+	GPtrArray *watches; /* on the leader, one for each */
+	uint64_t term;      /* in which @watches began */
+	bool changed;       /* relays are to be told at once */
+	uint64_t sent_ms;
+};
+
 /** struct group - this member of the group */
 struct group {
 	struct set_groupd set;
@@ -141,6 +153,7 @@
 	struct planjob plan_job;
 	uint64_t plan_job_version;
 	struct scaler scaler;
+	struct group_rollouts rollouts;
 	struct plantext_store texts; /* configurations that relays fetch */
 	struct blame blame;
 	uint64_t blame_budget_ms; /* when @blame_forwarded was 0 */
@@ -323,6 +336,10 @@
 /** scale_tick() - on the leader, order endpoints where demand asks for it */
 void scale_tick (struct group *g, uint64_t now_ms);
 
+/** plan_refresh() - parse the configuration in force if it changed; whether one
+ * is parsed, this or an older one */
+bool plan_refresh (struct group *g);
+
 /* scale_order.c */
 
 /**
@@ -339,4 +356,40 @@
 /** scale_order_tick() - give up an order whose answer is overdue */
 void scale_order_tick (struct group *g, uint64_t now_ms);
 
+/* rollout.c */
+
+/** group_has_rollouts() - whether the deployment has them */
+bool group_has_rollouts (const struct group *g);
+
+/** group_rollout_init() - none is watched yet */
+void group_rollout_init (struct group *g);
+void group_rollout_finish (struct group *g);
+
+/**
+ * group_serves() - whether the configuration in force has @service
+ * @known: set to whether that configuration is parsed
+ */
+bool group_serves (struct group *g, const char *service, bool *known);
+
+/** group_rollout_tick() - on the leader, decide and grant; tell relays */
+void group_rollout_tick (struct group *g, uint64_t now_ms);
+
+/** group_rollout_applied() - @entry is committed and applied */
+void group_rollout_applied (struct group *g, const struct raft_entry *entry);
+
+/** group_rollout_link_up() - tell a relay whose link is up */
+void group_rollout_link_up (struct group *g, struct accepted_link *a,
+			    uint64_t now_ms);
+
+/** group_rollout_link_down() - a relay's link is down */
+void group_rollout_link_down (struct group *g, const struct accepted_link *a);
+
+/** group_rollout_receive() - take the reports of a relay */
+void group_rollout_receive (struct group *g, const struct link *from,
+			    const struct gmsg_rollout_reports *m,
+			    uint64_t now_ms);
+
+/** group_rollout_print() - append metrics */
+void group_rollout_print (const struct group *g, GString *out);
+
 #endif
--- a/groupd/main.c
+++ b/groupd/main.c
@@ -125,6 +125,7 @@
 	endpoint_list_tick (g, now_ms);
 	usage_report_tick (g, now_ms);
 	scale_tick (g, now_ms);
+	group_rollout_tick (g, now_ms);
 	if (g->leaving)
 		leave_tick (g, now_ms);
 }
@@ -167,6 +168,7 @@
 		return false;
 	tmr_init (&g->tick, g->d.loop, on_tick, g);
 	tmr_init (&g->flush, g->d.loop, on_flush, g);
+	group_rollout_init (g);
 	if (!store_open (g, e) || !api_init (g, e))
 		return false;
 	endpoint_list_init (g);
@@ -189,6 +191,7 @@
 	h1srv_finish (&g->api);
 	h1srv_finish (&g->metrics);
 	peer_finish (g);
+	group_rollout_finish (g);
 	scale_finish (g);
 	usage_report_finish (g);
 	endpoint_list_finish (g);
--- a/groupd/peer.c
+++ b/groupd/peer.c
@@ -183,6 +183,7 @@
 		.age_ms = (uint32_t)(tmr_now_ms () - l->read_ms),
 		.entries = {list->data, list->len},
 		.base_digest = full ? 0 : l->base_digest,
+		.rollout_index = g->state.rollout_index,
 	};
 
 	if (!full)
@@ -365,6 +366,7 @@
 		struct gmsg_list list;
 		struct loads_msg loads;
 		struct gmsg_blame blame;
+		struct gmsg_rollout_reports rollouts;
 	} u;
 	bool ok = true;
 
@@ -414,6 +416,11 @@
 				 &e);
 		if (ok)
 			group_blame_receive (g, l, &u.blame, now_ms);
+	} else if (kind == FRAME_GROUP_ROLLOUT_REPORT && a != NULL) {
+		ok = msg_unpack (gmsg_rollout_reports_fields, body, len,
+				 &u.rollouts, &zone, &e);
+		if (ok)
+			group_rollout_receive (g, l, &u.rollouts, now_ms);
 	} else if (kind == FRAME_GROUP_REPORT) {
 		ok = msg_unpack (gmsg_report_fields, body, len, &u.report,
 				 &zone, &e);
@@ -473,6 +480,7 @@
 	send_state (g, l, now_ms);
 	if (a->is_relay)
 		group_blame_send_all (g, l, now_ms);
+	group_rollout_link_up (g, a, now_ms);
 }
 
 static void
@@ -494,6 +502,8 @@
 	if (a == NULL)
 		return;
 	loads_drop_relay (&g->loads, a);
+	if (a->is_relay)
+		group_rollout_link_down (g, a);
 	g->loads_changed = true;
 	g_ptr_array_remove_fast (g->accepted, a);
 	g_free (a);
--- a/groupd/scale.c
+++ b/groupd/scale.c
@@ -174,7 +174,7 @@
 }
 
 /* Parses the configuration in force if it changed; whether there is one. */
-static bool
+bool
 plan_refresh (struct group *g)
 {
 	if (g->state.text != NULL && !planjob_is_active (&g->plan_job) &&
--- a/groupd/store.c
+++ b/groupd/store.c
@@ -94,6 +94,7 @@
 	struct group *g = ctx;
 	uint64_t old_version = g->state.version;
 	uint64_t old_drain_index = g->state.drain_index;
+	uint64_t old_rollout_index = g->state.rollout_index;
 	struct err e = {0};
 
 	if (entry->kind == RAFT_ENTRY_COMMAND &&
@@ -111,6 +112,13 @@
 			   g->state.drained->len);
 		g->state_changed = true;
 	}
+	if (g->state.rollout_index != old_rollout_index) {
+		log_event (LOG_LV_INFO, "applied-rollout",
+			   "index=%" G_GUINT64_FORMAT " rollouts=%u",
+			   entry->index, g->state.rollouts->len);
+		g->rollouts.changed = true;
+	}
+	group_rollout_applied (g, entry);
 	api_entry_applied (g, entry);
 }
 
@@ -157,6 +165,7 @@
 				 .len = len};
 
 	g->state_changed = true;
+	g->rollouts.changed = true;
 	log_event (LOG_LV_INFO, "snapshot-install",
 		   "index=%" G_GUINT64_FORMAT " bytes=%zu", index, len);
 	return check_storage (
--- a/lib/dialect.h
+++ b/lib/dialect.h
@@ -11,6 +11,7 @@
 #include "gstate.h"
 #include "h1.h"
 #include "plan.h"
+#include "rollout.h"
 
 /*
  * The wire format of a deployment: a table of callbacks that translate between
@@ -136,6 +137,20 @@
 	DIA_CONFIG_GET,
 	DIA_DRAIN,
 	DIA_UNDRAIN,
+	DIA_ROLLOUT_START,
+	DIA_ROLLOUT_GET,
+};
+
+/**
+ * struct dia_rollout - what an operator asks for
+ * @service: name of the service
+ * @target: version that its traffic is to be moved to
+ * @duration_ms: time limit
+ */
+struct dia_rollout {
+	char service[PLAN_NAME_BYTES];
+	char target[ROLLOUT_VERSION_BYTES];
+	uint64_t duration_ms;
 };
 
 /** struct dia_plan_reader - a configuration that is being parsed */
@@ -145,8 +160,9 @@
  * struct dialect - parsers and formatters of a wire format
  * @request_id_header: name of the header that carries a request's id, and that
  *	endpoints copy into their responses
- * @match_api_call: which call @h is; writes the failure domain to @domain, of
- *	@size bytes, for DIA_DRAIN and DIA_UNDRAIN
+ * @match_api_call: which call @h is; writes the name in its path to @name, of
+ *	@size bytes: the failure domain for DIA_DRAIN and DIA_UNDRAIN, the
+ *	service for DIA_ROLLOUT_GET
  * @parse_request: parses the headers of a client's request
  * @forwards_header: whether a client's header is forwarded to the endpoint
  * @format_headers: appends the headers that a relay adds for an endpoint
@@ -170,11 +186,14 @@
  *	its fencing token.
  * @format_order: appends the request, head and body, that sets a number of
  *	endpoints; @holder and @fence as in @format_usage
+ * @parse_rollout: parses the body of DIA_ROLLOUT_START; returns false with
+ *	ERR_BAD_REQUEST
+ * @format_rollout: appends the body that answers DIA_ROLLOUT_GET
  */
 struct dialect {
 	const char *request_id_header;
 	enum dia_api_call (*match_api_call) (const struct h1_head *h,
-					     char *domain, size_t size);
+					     char *name, size_t size);
 	void (*parse_request) (const struct h1_head *h,
 			       struct dia_request *out);
 	bool (*forwards_header) (const struct h1_header *x);
@@ -192,6 +211,9 @@
 			      uint64_t fence, GString *out);
 	void (*format_order) (const struct dia_order *o, const char *holder,
 			      uint64_t fence, GString *out);
+	bool (*parse_rollout) (const char *text, size_t len,
+			       struct dia_rollout *out, struct err *e);
+	void (*format_rollout) (const struct rollout *r, GString *out);
 };
 
 #endif
--- a/lib/set_daemons.c
+++ b/lib/set_daemons.c
@@ -117,6 +117,14 @@
 	ROW (ack_ms, SET_U32, .def = "4000", .min = 100, .max = 60000,
 	     .doc = "Milliseconds for which an operator sends a change "
 		    "again."),
+	ROW (exposure_share, SET_REAL, .max = 1,
+	     .doc = "Share of a service's requests that a new version may get "
+		    "while its rollout runs; 0: there are no rollouts."),
+	ROW (exposure_slack, SET_REAL, .def = "50", .max = 1000000,
+	     .doc = "Requests that it may get beside that share."),
+	ROW (rollback_ms, SET_U32, .def = "5000", .min = 2500, .max = 600000,
+	     .doc = "Milliseconds after enough bad answers by which a bad "
+		    "version gets no more requests."),
 	SET_ROW_END,
 };
 #undef STRUCT
--- a/lib/set_daemons.h
+++ b/lib/set_daemons.h
@@ -78,6 +78,9 @@
 	double usage_late_s;
 	uint32_t lease_ms;
 	uint32_t ack_ms;
+	double exposure_share;
+	double exposure_slack;
+	uint32_t rollback_ms;
 };
 
 /** set_groupd_rows - the table of struct set_groupd */
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -43,6 +43,14 @@
 		 DIA_OTHER, ""},
 		{"POST /api/config/get HTTP/1.1\r\n\r\n", DIA_OTHER, ""},
 		{"GET /api/readyx HTTP/1.1\r\n\r\n", DIA_OTHER, ""},
+		{"POST /api/rollouts/start HTTP/1.1\r\n\r\n", DIA_ROLLOUT_START,
+		 ""},
+		{"GET /api/rollouts/svc-1/get HTTP/1.1\r\n\r\n",
+		 DIA_ROLLOUT_GET, "svc-1"},
+		{"GET /api/rollouts/start HTTP/1.1\r\n\r\n", DIA_OTHER, ""},
+		{"POST /api/rollouts/svc-1/get HTTP/1.1\r\n\r\n", DIA_OTHER,
+		 ""},
+		{"GET /api/rollouts//get HTTP/1.1\r\n\r\n", DIA_OTHER, ""},
 	};
 
 	for (unsigned i = 0; i < G_N_ELEMENTS (rows); i++) {
@@ -56,6 +64,61 @@
 	}
 }
 
+/* A start request that is not valid must be refused, and not read as another
+ * one: 0 seconds, a name cut short, or a second document behind the first. */
+static void
+test_rollout (void)
+{
+	static const char *const bad[] = {
+		"",
+		"{",
+		"[]",
+		"7",
+		"{}",
+		"{\"service\":\"s\",\"duration_s\":12}",
+		"{\"target\":\"v2\",\"duration_s\":12}",
+		"{\"service\":\"s\",\"target\":\"v2\"}",
+		"{\"service\":\"s\",\"target\":\"\",\"duration_s\":12}",
+		"{\"service\":\"s\",\"target\":7,\"duration_s\":12}",
+		"{\"service\":\"s\",\"target\":\"v2\",\"duration_s\":0}",
+		"{\"service\":\"s\",\"target\":\"v2\",\"duration_s\":-1}",
+		"{\"service\":\"s\",\"target\":\"v2\",\"duration_s\":1e300}",
+		"{\"service\":\"s\",\"target\":\"v2\",\"duration_s\":\"12\"}",
+		"{\"service\":\"s\",\"target\":\"v2\",\"duration_s\":true}",
+		"{\"service\":\"s\",\"target\":\"v2\\u0000x\","
+		"\"duration_s\":12}",
+		"{\"service\":\"s\",\"target\":\"0123456789012345678901234567"
+		"890123456789012345678901234567890123\",\"duration_s\":12}",
+		"{\"service\":\"s\",\"target\":\"v2\",\"duration_s\":12}{}",
+	};
+	static const char good[] = "{\"service\":\"huvo11a\",\"target\":"
+				   "\"v2\",\"duration_s\":12.5,\"x\":[1]}";
+	struct rollout r = {.target = "v2"};
+	GString *text = g_string_new (NULL);
+	struct dia_rollout out;
+	struct err e = {0};
+
+	for (unsigned i = 0; i < G_N_ELEMENTS (bad); i++) {
+		if (d->parse_rollout (bad[i], strlen (bad[i]), &out, &e))
+			CU_FAIL_FATAL (bad[i]);
+		CU_ASSERT (e.kind == ERR_BAD_REQUEST);
+	}
+	CU_ASSERT (d->parse_rollout (good, strlen (good), &out, &e));
+	CU_ASSERT_STRING_EQUAL (out.service, "huvo11a");
+	CU_ASSERT_STRING_EQUAL (out.target, "v2");
+	CU_ASSERT (out.duration_ms == 12500);
+	r.state = ROLLOUT_SHIFTING;
+	d->format_rollout (&r, text);
+	CU_ASSERT_STRING_EQUAL (text->str,
+				"{\"state\":\"running\",\"target\":\"v2\"}");
+	r.state = ROLLOUT_ROLLED_BACK;
+	g_string_truncate (text, 0);
+	d->format_rollout (&r, text);
+	CU_ASSERT_STRING_EQUAL (
+		text->str, "{\"state\":\"rolled_back\",\"target\":\"v2\"}");
+	g_string_free (text, TRUE);
+}
+
 static void
 test_request (void)
 {
@@ -419,6 +482,7 @@
 {
 	static const struct t_case cases[] = {
 		{"calls", test_calls},
+		{"rollout", test_rollout},
 		{"request", test_request},
 		{"forward", test_forward},
 		{"response", test_response},
