--- a/tests/e2e_rollout_serve.sh
+++ b/tests/e2e_rollout_serve.sh
@@ -10,7 +10,7 @@
 API=$("$BIN/soak" -p)
 FRONT=$("$BIN/soak" -p)
 printf '%064d\n' 7 >"$TMP/key"
-start_fake ends versions -l 0.0.0.0:0
+start_fake ends versions -l "0.0.0.0:$("$BIN/soak" -p)"
 ENDS=127.0.0.1:$(port_of ends | sed 's/.*://')
 SEEDS="\"127.0.0.31:$API\", \"127.0.0.32:$API\", \"127.0.0.33:$API\""
 member () { # MEMBER FOUND
@@ -25,7 +25,7 @@
 relay () { # RELAY
 	cat >"$TMP/r$1.json" <<JSON
 {"name": "r$1", "domain": "z$1", "listen": "127.0.0.4$1:$FRONT",
- "ready": "127.0.0.5$1:$FRONT", "peer": "127.0.0.6$1:$FRONT",
+ "ready": "127.0.0.5$1:$FRONT", "peer": "127.0.0.4$1:$PEER",
  "cluster_key_file": "$TMP/key", "platform": "$ENDS", "seeds": [$SEEDS]}
 JSON
 	start "r$1" "$BIN/relayd" -f "$TMP/r$1.json"
