rollouts: a leader that takes over late does not let a bad version succeed

Seen with real relays: after several elections a leader began past the time limit and shifted at once, without any relay's report. It waits for the reports now, and many more failures than the old version's in the totals keep it from shifting.

--- a/lib/rollout_judge.c
+++ b/lib/rollout_judge.c
@@ -470,3 +470,19 @@
 		n += j->total[i].answers[is_new];
 	return n;
 }
+
+bool
+rollout_judge_is_worse (const struct rollout_judge *j)
+{
+	double answers[2] = {0}, failures[2] = {0};
+
+	for (uint32_t i = 0; i < j->route_count; i++) {
+		for (int v = 0; v < 2; v++) {
+			answers[v] += (double)j->total[i].answers[v];
+			failures[v] += (double)j->total[i].failures[v];
+		}
+	}
+	return failures[1] >= 10 &&
+	       failures[1] / answers[1] >
+		       0.2 + 3 * failures[0] / MAX (answers[0], 1);
+}
--- a/lib/rollout_judge.h
+++ b/lib/rollout_judge.h
@@ -102,6 +102,10 @@
 /** rollout_judge_value() - value of the test now; call at least every epoch */
 double rollout_judge_value (struct rollout_judge *j, uint64_t now_ms);
 
+/** rollout_judge_is_worse() - whether the totals show far more failures of the
+ * new version, however they are spread over time */
+bool rollout_judge_is_worse (const struct rollout_judge *j);
+
 /** rollout_judge_answers() - answers so far, of the new or the old version */
 uint64_t rollout_judge_answers (const struct rollout_judge *j, bool is_new);
 
--- a/lib/rollout_lead.c
+++ b/lib/rollout_lead.c
@@ -407,9 +407,12 @@
 		return decide_shifting (l, r, elapsed_ms, now_ms, why);
 	/* The reports of all relays first, not only those of the fastest. */
 	if (part < ROLLOUT_SHIFT_AT ||
-	    (elapsed_ms < end_ms (r) && now_ms < l->begun_ms + TAKEOVER_MS &&
-	     l->taken_over))
+	    (now_ms < l->begun_ms + TAKEOVER_MS && l->taken_over))
 		return ROLLOUT_RUNNING;
+	/* Evidence of an earlier leader's time counts as one epoch, which alone
+	 * raises the value by little. */
+	if (l->taken_over && rollout_judge_is_worse (&l->judge))
+		value = MAX (value, ROLLOUT_LATE_BAD_VALUE);
 	if (answers >= ROLLOUT_MIN_ANSWERS && value < ROLLOUT_DOUBT_VALUE) {
 		*why = "no sign of badness";
 		return ROLLOUT_SHIFTING;
