--- a/lib/set_daemons.h
+++ b/lib/set_daemons.h
@@ -84,6 +84,9 @@
 	uint32_t ack_ms;
 	uint32_t memory_mb;
 	uint32_t max_fds;
+	double exposure_share;
+	double exposure_slack;
+	uint32_t rollback_ms;
 };
 
 /** set_groupd_rows - the table of struct set_groupd */
