fleet: the version of an endpoint

The platform's list names the version of the service that each endpoint runs. Rollouts need it at the relays.

The version is an optional field of the list's entries in messages, which older software versions skip. It isn't part of the digest, since members of older versions compute digests without it, and a version differs between starts only. An odd version doesn't make its entry unusable: such entries were used before.

Tests: test_fleet, test_platform_list.

--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -42,6 +42,8 @@
 	MSG_FIELD (7, MSG_BOOL, struct fleet_info, leaving),
 	MSG_FIELD (8, MSG_BOOL, struct fleet_info, reclaimable),
 	MSG_FIELD (9, MSG_U64, struct fleet_info, started_ms),
+	/* Tags 10 to 12 are those of long names. */
+	MSG_FIELD (13, MSG_STR, struct fleet_info, version),
 	MSG_FIELD_END,
 };
 
@@ -182,6 +184,10 @@
 	ep->info.reclaimable = info->reclaimable;
 	if (info->started_ms != 0)
 		ep->info.started_ms = info->started_ms;
+	/* A member of an older software version leaves it out. */
+	if (info->version[0] != '\0')
+		g_strlcpy (ep->info.version, info->version,
+			   sizeof ep->info.version);
 }
 
 static struct fleet_pool *
--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -22,6 +22,13 @@
 #define FLEET_NAME_BYTES PLAN_NAME_BYTES
 #define FLEET_ADDR_BYTES 64
 
+/* Size of the buffer for a version, with the final NUL. */
+#define FLEET_VERSION_BYTES 64
+
+/* Stands for a version that is listed and can't be read.  It differs from that
+ * of an entry without one, which is "". */
+#define FLEET_VERSION_UNREADABLE "?"
+
 /* Longest cold start that is believed; real ones take seconds to minutes. */
 #define FLEET_COLD_MAX_MS (60U * 60 * 1000)
 
@@ -39,6 +46,9 @@
  * @leaving: it is being shut down and must get no new work
  * @reclaimable: the platform may take it back (spot capacity)
  * @started_ms: wall clock time of its start; 0 when not stated
+ * @version: version of the service that it runs, "" when not stated.  It
+ *	differs between starts only, and isn't part of the digest: members of
+ *	older software versions compute the same digest without it.
  */
 struct fleet_info {
 	char id[FLEET_NAME_BYTES];
@@ -50,6 +60,7 @@
 	bool leaving;
 	bool reclaimable;
 	uint64_t started_ms;
+	char version[FLEET_VERSION_BYTES];
 };
 
 extern const struct msg_field fleet_info_fields[];
@@ -63,6 +74,9 @@
  */
 bool fleet_info_check (const struct fleet_info *info, struct err *e);
 
+/** fleet_version_check() - whether a version can stand in log lines; "" can */
+bool fleet_version_check (const char *version);
+
 /* In a table of up to this many endpoints, a relay receives the peer load of
  * all of them.  Only changes are sent, for about a fifth of the endpoints in
  * one update and a few times a second, which makes some 2 kB/s. */
@@ -240,7 +254,7 @@
 			uint64_t age_ms);
 
 /** fleet_info_digest() - digest of an entry; of cold_remaining_ms, it covers
- * only whether it is 0 */
+ * only whether it is 0, and the version not at all */
 uint64_t fleet_info_digest (const struct fleet_info *info);
 
 /* Digest of an empty list; 0 stands for no list. */
--- a/lib/fleet_list.c
+++ b/lib/fleet_list.c
@@ -22,6 +22,12 @@
 	return true;
 }
 
+bool
+fleet_version_check (const char *version)
+{
+	return version[0] == '\0' || is_printable (version);
+}
+
 /* Whether @text is the address and port of one machine. */
 static bool
 is_server_address (const char *text)
@@ -108,7 +114,9 @@
 		const struct fleet_info *b = g_hash_table_lookup (old, a->id);
 
 		g_hash_table_insert (new, a->id, a);
-		if (b == NULL || fleet_info_digest (a) != fleet_info_digest (b))
+		if (b == NULL ||
+		    fleet_info_digest (a) != fleet_info_digest (b) ||
+		    strcmp (a->version, b->version) != 0)
 			g_array_append_val (changed, *a);
 	}
 	list_diff_removed (new, before, removed);
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -507,6 +507,38 @@
 	fleet_finish (&f);
 }
 
+/* Members of older software versions compute digests without the version, and
+ * relays compare them: a version in the digest would make each delta between
+ * the two a full list.  Deltas still carry it, and a list of an older member
+ * must not take it away. */
+static void
+test_versions (void)
+{
+	GArray *before = g_array_new (FALSE, FALSE, sizeof (struct fleet_info));
+	GArray *after = g_array_new (FALSE, FALSE, sizeof (struct fleet_info));
+	GArray *changed = g_array_new (FALSE, FALSE, sizeof (struct fleet_info));
+	GArray *removed = g_array_new (FALSE, FALSE, sizeof (struct load_ep));
+	struct fleet_info plain = info ("a", "n"), versioned = plain;
+	struct fleet f;
+
+	g_strlcpy (versioned.version, "v1", sizeof versioned.version);
+	CU_ASSERT (fleet_info_digest (&plain) ==
+		   fleet_info_digest (&versioned));
+	g_array_append_val (before, plain);
+	g_array_append_val (after, versioned);
+	fleet_list_diff (before, after, changed, removed);
+	CU_ASSERT (changed->len == 1 && removed->len == 0);
+	fleet_init (&f, NULL, NULL);
+	fleet_set_list (&f, &versioned, 1, 1000, 0);
+	fleet_set_list (&f, &plain, 1, 1100, 0);
+	CU_ASSERT_STRING_EQUAL (fleet_find (&f, "a")->info.version, "v1");
+	fleet_finish (&f);
+	g_array_free (before, TRUE);
+	g_array_free (after, TRUE);
+	g_array_free (changed, TRUE);
+	g_array_free (removed, TRUE);
+}
+
 int
 main (void)
 {
@@ -524,6 +556,7 @@
 		{"error rate", test_error_rate},
 		{"segments", test_segments},
 		{"deltas", test_deltas},
+		{"versions", test_versions},
 		{NULL, NULL}};
 
 	return t_run ("fleet", cases);
--- a/tests/test_platform_list.c
+++ b/tests/test_platform_list.c
@@ -324,6 +324,51 @@
 	g_array_free (out, TRUE);
 }
 
+/* The version is optional and concerns rollouts only: an entry whose version is
+ * odd was usable before there were versions, and stays so.  One that can't be
+ * read must not pass for an endpoint without a version, which is an old one. */
+static void
+test_version (void)
+{
+	static const struct {
+		const char *more, *version;
+	} rows[] = {
+		{"", ""},
+		{",\"version\":null", ""},
+		{",\"version\":\"\"", ""},
+		{",\"version\":\"v2\"", "v2"},
+		{",\"version\":2", FLEET_VERSION_UNREADABLE},
+		{",\"version\":\"a\\nb\"", FLEET_VERSION_UNREADABLE},
+		{",\"version\":\"a\\u0000b\"", FLEET_VERSION_UNREADABLE},
+	};
+	GArray *out = g_array_new (FALSE, TRUE, sizeof (struct fleet_info));
+	GString *page = g_string_new ("{\"instances\":[");
+	const struct fleet_info *i;
+	struct dia_skipped skipped = {0};
+	char *next = NULL, *longest = g_strnfill (63, 'v');
+
+	for (unsigned n = 0; n < G_N_ELEMENTS (rows); n++)
+		g_string_append_printf (page, ENTRY ("a", "%s") ",",
+					rows[n].more);
+	g_string_append_printf (
+		page,
+		ENTRY ("b", ",\"version\":\"%s\"") "," ENTRY (
+			"c", ",\"version\":\"%sv\"") "]}",
+		longest, longest);
+	CU_ASSERT (d->parse_list (page->str, page->len, out, &next, &skipped,
+				  NULL));
+	CU_ASSERT_FATAL (out->len == G_N_ELEMENTS (rows) + 2);
+	i = (const struct fleet_info *)out->data;
+	for (unsigned n = 0; n < G_N_ELEMENTS (rows); n++)
+		CU_ASSERT_STRING_EQUAL (i[n].version, rows[n].version);
+	CU_ASSERT_STRING_EQUAL (i[out->len - 2].version, longest);
+	CU_ASSERT_STRING_EQUAL (i[out->len - 1].version,
+				FLEET_VERSION_UNREADABLE);
+	g_free (longest);
+	g_string_free (page, TRUE);
+	g_array_free (out, TRUE);
+}
+
 int
 main (void)
 {
@@ -335,6 +380,7 @@
 		{"odd address", test_odd_address},
 		{"reasons", test_reasons},
 		{"cut", test_cut},
+		{"version", test_version},
 		{NULL, NULL}};
 
 	return t_run ("platform_list", cases);
