rollouts: a relay's choice of versions and use of grants

Moves a service to a new version under the leader's control: a relay sends to the new version only what it was granted, nothing after a rollback, and everything once the verdict is good.

lib/rollout_share computes a side for each endpoint from its version when the list or a rollout changes, and the fleet has one pool for each side of a service. A filter in each choice was ruled out: it would compare strings for each candidate, and endpoints of the new version would take part in lanes, samples and hash rings. relayd/rollout.c applies it to attempts, counts their outcomes as evidence and reports to the leader.

Without a struct gmsg_rollouts from a member, versions are not looked at.

--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -191,14 +191,15 @@
 }
 
 static struct fleet_pool *
-pool_get (struct fleet *f, const char *service)
+pool_get (struct fleet *f, const char *service, enum fleet_side side)
 {
-	struct fleet_pool *p = fleet_pool (f, service);
+	struct fleet_pool *p = fleet_pool (f, service, side);
 
 	if (p != NULL)
 		return p;
 	p = g_new0 (struct fleet_pool, 1);
 	g_strlcpy (p->service, service, sizeof p->service);
+	p->side = side;
 	p->eps = g_ptr_array_new ();
 	for (uint32_t lane = 0; lane < FLEET_LANES; lane++)
 		p->subset[lane] = g_ptr_array_new ();
@@ -219,13 +220,13 @@
 
 /* Until place_assign_lanes() runs, there is one lane and all endpoints are in
  * the subset. */
-static void
-pools_build (struct fleet *f)
+void
+fleet_build_pools (struct fleet *f)
 {
 	g_ptr_array_set_size (f->pools, 0);
 	for (guint i = 0; i < f->eps->len; i++) {
 		struct fleet_ep *ep = g_ptr_array_index (f->eps, i);
-		struct fleet_pool *p = pool_get (f, ep->info.service);
+		struct fleet_pool *p = pool_get (f, ep->info.service, ep->side);
 
 		ep->in_subset = true;
 		g_ptr_array_add (p->eps, ep);
@@ -239,12 +240,12 @@
 }
 
 struct fleet_pool *
-fleet_pool (const struct fleet *f, const char *service)
+fleet_pool (const struct fleet *f, const char *service, enum fleet_side side)
 {
 	for (guint i = 0; i < f->pools->len; i++) {
 		struct fleet_pool *p = g_ptr_array_index (f->pools, i);
 
-		if (strcmp (p->service, service) == 0)
+		if (p->side == side && strcmp (p->service, service) == 0)
 			return p;
 	}
 	return NULL;
@@ -281,7 +282,7 @@
 		g_ptr_array_remove_index_fast (f->eps, i - 1);
 		ep_free (f, ep);
 	}
-	pools_build (f);
+	fleet_build_pools (f);
 }
 
 void
--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -101,6 +101,18 @@
 	FLEET_SUSPECT, /* did not answer; gets no work until a probe succeeds */
 };
 
+/**
+ * enum fleet_side - the part of its service that an endpoint belongs to, by its
+ * version; see rollout_share.h.  Without rollouts, all are in FLEET_MAIN.
+ */
+enum fleet_side {
+	FLEET_MAIN,     /* gets requests as usual */
+	FLEET_TARGET,   /* the target of a rollout that isn't over */
+	FLEET_RETIRING, /* an older version than one that was rolled out */
+	FLEET_HELD,     /* a new version that may become a target */
+	FLEET_BARRED,   /* was rolled back, gets no request */
+};
+
 struct fleet;
 
 /** struct fleet_ep - one endpoint */
@@ -112,6 +124,7 @@
 	bool listed;           /* in the current list */
 	uint64_t entry_digest; /* of its list entry; 0 when it has none */
 	bool leaving;          /* never cleared: a restart is a new fleet_ep */
+	enum fleet_side side;  /* set by rollout_share_assign() */
 	uint64_t cold_until_ms;
 	enum fleet_health health;
 	uint64_t suspect_since_ms;
@@ -166,8 +179,9 @@
 #define FLEET_LANES 2
 
 /**
- * struct fleet_pool - the endpoints of one service
+ * struct fleet_pool - the endpoints of one side of one service
  * @service: name of the service
+ * @side: fleet_ep.side of all of them
  * @eps: of struct fleet_ep *; the short lane comes first, and each lane is
  *	sorted by rank_hash
  * @short_count: endpoints in the short lane
@@ -177,6 +191,7 @@
  */
 struct fleet_pool {
 	char service[FLEET_NAME_BYTES];
+	enum fleet_side side;
 	GPtrArray *eps;
 	guint short_count;
 	GPtrArray *subset[FLEET_LANES];
@@ -297,8 +312,14 @@
 /** fleet_find_hash() - find an endpoint by ep_hash; NULL if there is none */
 struct fleet_ep *fleet_find_hash (const struct fleet *f, uint32_t hash);
 
-/** fleet_pool() - find a service's endpoints; NULL if there are none */
-struct fleet_pool *fleet_pool (const struct fleet *f, const char *service);
+/** fleet_pool() - find a service's endpoints of one side; NULL if there are
+ * none */
+struct fleet_pool *fleet_pool (const struct fleet *f, const char *service,
+			       enum fleet_side side);
+
+/** fleet_build_pools() - rebuild the pools after fleet_ep.side of some endpoint
+ * changed; place_assign_lanes() has to follow */
+void fleet_build_pools (struct fleet *f);
 
 /** fleet_usable() - whether an endpoint may get new work: it is listed,
  * healthy, not leaving and not in a drained domain */
--- a/lib/place.c
+++ b/lib/place.c
@@ -140,7 +140,7 @@
 		uint32_t held;
 
 		if (!ep->listed || ep->health != FLEET_HEALTHY ||
-		    ep->peer_suspect ||
+		    ep->peer_suspect || ep->side != req->side ||
 		    strcmp (ep->info.service, req->service->name) != 0)
 			continue;
 		held = fleet_cached_tokens (ep, req->segments,
@@ -288,6 +288,22 @@
 	add_any (c);
 }
 
+/* Adds the first available endpoints in the order of the pool, which all relays
+ * share. */
+static void
+add_focus (struct choice *c)
+{
+	const struct fleet_pool *p = c->pool;
+	uint32_t max = MIN (c->req->focus, CANDIDATES_MAX);
+
+	for (guint i = 0; i < p->eps->len && c->count < max; i++) {
+		struct fleet_ep *ep = g_ptr_array_index (p->eps, i);
+
+		if (allowed (c, ep))
+			add_candidate (c, ep, FROM_SAMPLE);
+	}
+}
+
 /* Chooses the candidate with the least cost; the first one is preferred. */
 static struct place_result
 choose_engine (struct choice *c)
@@ -337,25 +353,29 @@
 	return v;
 }
 
-/* Replaces the choice in @v by an available endpoint of @eps with less load. */
+/* Replaces the choice in @v by @ep if that is available and has less load. */
 static void
-least_loaded_of (struct choice *c, const GPtrArray *eps, struct place_result *v)
+consider_load (struct choice *c, struct fleet_ep *ep, struct place_result *v)
 {
-	for (guint i = 0; i < eps->len; i++) {
-		struct fleet_ep *ep =
-			g_ptr_array_index (eps, (i + c->rng) % eps->len);
-		double cost_ms = REQUEST_MS * place_running (c, ep);
-
-		if (strcmp (ep->info.domain, c->relay->domain) != 0)
-			cost_ms += CROSS_DOMAIN_MS;
-		if ((v->ep == NULL || cost_ms < v->ttft_ms) &&
-		    allowed (c, ep)) {
-			v->ep = ep;
-			v->ttft_ms = cost_ms;
-		}
+	double cost_ms = REQUEST_MS * place_running (c, ep);
+
+	if (strcmp (ep->info.domain, c->relay->domain) != 0)
+		cost_ms += CROSS_DOMAIN_MS;
+	if ((v->ep == NULL || cost_ms < v->ttft_ms) && allowed (c, ep)) {
+		v->ep = ep;
+		v->ttft_ms = cost_ms;
 	}
 }
 
+/* Does the same with each endpoint of @eps. */
+static void
+least_loaded_of (struct choice *c, const GPtrArray *eps, struct place_result *v)
+{
+	for (guint i = 0; i < eps->len; i++)
+		consider_load (
+			c, g_ptr_array_index (eps, (i + c->rng) % eps->len), v);
+}
+
 /* Compares all endpoints whose load is reported, beginning with a random one;
  * lanes don't matter here. */
 static struct place_result
@@ -363,6 +383,12 @@
 {
 	struct place_result v = {.reason = PLACE_LEAST};
 
+	if (c->req->focus > 0) {
+		add_focus (c);
+		for (uint32_t i = 0; i < c->count; i++)
+			consider_load (c, c->candidates[i].ep, &v);
+		return v;
+	}
 	for (uint32_t lane = 0; lane < FLEET_LANES; lane++)
 		least_loaded_of (c, c->pool->subset[lane], &v);
 	if (v.ep == NULL)
@@ -377,7 +403,10 @@
 
 	if (!c->req->service->is_engine)
 		return choose_least_loaded (c);
-	collect_candidates (c);
+	if (c->req->focus > 0)
+		add_focus (c);
+	else
+		collect_candidates (c);
 	return c->count > 0 ? choose_engine (c) : v;
 }
 
@@ -387,7 +416,7 @@
 {
 	struct place_result v = {.reason = PLACE_NONE};
 	struct choice c = {.f = f,
-			   .pool = fleet_pool (f, req->service->name),
+			   .pool = fleet_pool (f, req->service->name, req->side),
 			   .relay = relay,
 			   .req = req,
 			   .now_ms = now_ms,
--- a/lib/place.h
+++ b/lib/place.h
@@ -58,6 +58,8 @@
  * @tried: endpoints that received it already, which are left out
  * @tried_count: number of @tried
  * @random: random value, for sampling and tie breaking
+ * @side: side of the service whose endpoints may take it
+ * @focus: only so many available endpoints, the same ones at all relays; 0: all
  */
 struct place_req {
 	const struct plan_service *service;
@@ -70,6 +72,8 @@
 	const struct fleet_ep *tried[PLACE_TRIED_MAX];
 	uint32_t tried_count;
 	uint32_t random;
+	enum fleet_side side;
+	uint32_t focus;
 };
 
 /**
--- a/relayd/attempt.c
+++ b/relayd/attempt.c
@@ -89,6 +89,7 @@
 	c->first_byte_seen = true;
 	if (c->is_stream)
 		ep->answering++;
+	rollout_answer_begun (c, took_ms);
 	c->r->load_changed = true;
 	ep->prefill_tokens = MAX (ep->prefill_tokens - c->prefill_tokens, 0);
 	call_place_waiting (c->r);
@@ -348,6 +349,7 @@
 
 	record_outcome (c, end, h1cli_reused (x));
 	blame_attempt_ended (c, end);
+	rollout_attempt_ended (c, end);
 	if (end == H1CLI_UNSENT) {
 		c->r->stats.connect_failed++;
 		c->attempts--; /* no endpoint received it */
@@ -481,6 +483,7 @@
 	c->prefill_ms = v->nominal_ms;
 	c->first_byte_seen = c->is_stream = false;
 	blame_attempt_started (c);
+	rollout_attempt_started (c);
 	c->status = 0;
 	c->answer = (struct dia_response){0};
 	g_string_truncate (c->answer_body, 0);
--- a/relayd/blame.c
+++ b/relayd/blame.c
@@ -131,10 +131,8 @@
 			tmr_now_ms ());
 }
 
-/* Whether an endpoint of the domain is suspect because all of them fell silent,
- * so that its connections broke with a link. */
-static bool
-domain_is_cut (const struct relay *r, const struct fleet_ep *ep)
+bool
+blame_domain_is_cut (const struct relay *r, const struct fleet_ep *ep)
 {
 	for (guint i = 0; i < r->fleet.eps->len; i++) {
 		const struct fleet_ep *e = g_ptr_array_index (r->fleet.eps, i);
@@ -180,7 +178,7 @@
 		return;
 	count = collect_keys (c, keys);
 	/* Segments are in many requests that such an end breaks together. */
-	if (ep->leaving || domain_is_cut (c->r, ep))
+	if (ep->leaving || blame_domain_is_cut (c->r, ep))
 		count = 1;
 	blame_broke (&c->r->blame, keys, count, ep->ep_hash, now_ms);
 	log_event (LOG_LV_INFO, "blame",
--- a/relayd/call.c
+++ b/relayd/call.c
@@ -193,7 +193,7 @@
 
 	for (uint32_t i = 0; i < c->tried_count; i++)
 		req.tried[i] = c->tried[i];
-	*v = place_choose (&c->r->fleet, &self, &req, now_ms);
+	*v = rollout_choose (c, &self, &req, now_ms);
 }
 
 /* The prefill of a request counts as demand from its arrival on, not only once
@@ -456,6 +456,7 @@
 		call_fail (c, 503, random_retry_after_ms (c),
 			   "no endpoint in time");
 	} else {
+		rollout_attempt_timed_out (c, tmr_now_ms ());
 		call_fail (c, 504, 0, "no answer in time");
 	}
 }
--- a/relayd/continue.c
+++ b/relayd/continue.c
@@ -28,12 +28,18 @@
 continue_at_copy (struct call *c)
 {
 	struct place_result v = {.reason = PLACE_COPY};
+	uint64_t now_ms = tmr_now_ms ();
 
 	v.ep = fleet_find (&c->r->fleet, c->backup_id);
-	if (v.ep == NULL || !fleet_usable (&c->r->fleet, v.ep, tmr_now_ms ())) {
+	if (v.ep == NULL || !fleet_usable (&c->r->fleet, v.ep, now_ms)) {
 		cut (c, "the copy is gone");
 		return;
 	}
+	/* The copy is of the same version, whose use may have ended. */
+	if (!rollout_share_allows (&c->r->rollouts, v.ep, now_ms)) {
+		cut (c, "the version may get nothing");
+		return;
+	}
 	c->continues = true;
 	c->r->stats.continued++;
 	attempt_start (c, &v);
--- a/relayd/main.c
+++ b/relayd/main.c
@@ -79,6 +79,7 @@
 	call_tick (r, now_ms);
 	member_tick (r, now_ms);
 	relay_blame_tick (r, now_ms);
+	relay_rollout_tick (r, now_ms);
 	upstream_tick (r, now_ms);
 	startup_tick (r, now_ms);
 	usage_tick (r, now_ms);
@@ -123,6 +124,7 @@
 	r->started_ms = tmr_now_ms ();
 	call_init (r);
 	relay_blame_init (r);
+	relay_rollout_init (r);
 	usage_init (r);
 	upstream_init (r);
 	if (!front_init (r, e))
@@ -144,6 +146,7 @@
 	upstream_finish (r);
 	usage_finish (r);
 	blame_finish (&r->blame);
+	relay_rollout_finish (r);
 	rbudget_free (r->rbudget);
 	g_ptr_array_free (r->calls, TRUE);
 	plan_unref (r->plan);
--- a/relayd/member.c
+++ b/relayd/member.c
@@ -227,7 +227,7 @@
 		return;
 	applied = apply_list (r, g, now_ms);
 	if (applied || g->base_digest == r->list_digest) {
-		place_assign_lanes (&r->fleet);
+		relay_rollout_list_changed (r, g->rollout_index);
 		r->list_digest = applied ? g->digest : 0;
 	}
 	log_event (LOG_LV_INFO, "list",
@@ -390,6 +390,7 @@
 		struct gmsg_list list;
 		struct loads_msg loads;
 		struct gmsg_blame blame;
+		struct gmsg_rollouts rollouts;
 	} u;
 	bool ok = true;
 
@@ -424,6 +425,11 @@
 				 &e);
 		if (ok)
 			relay_blame_receive (m->r, &u.blame);
+	} else if (kind == FRAME_GROUP_ROLLOUTS) {
+		ok = msg_unpack (gmsg_rollouts_fields, body, len, &u.rollouts,
+				 &zone, &e);
+		if (ok)
+			relay_rollout_receive (m->r, &u.rollouts);
 	}
 	msgpack_zone_destroy (&zone);
 	if (!ok)
@@ -449,7 +455,7 @@
 	(void)l;
 	m->hears_leader = m->is_leader = false;
 	m->clock_offset_ms = 0;
-	m->usage_sent_change = 0;
+	m->usage_sent_change = m->rollout_sent_change = 0;
 	m->is_load_target = false;
 	source_drop (&m->r->list_source, m);
 	log_event (LOG_LV_INFO, "member-down", "addr=%s why=\"%s\"", m->addr,
--- a/relayd/metrics.c
+++ b/relayd/metrics.c
@@ -40,6 +40,7 @@
 	print_counter (out, "config_requests_total", r->config.requests);
 	print_counter (out, "config_received_bytes_total",
 		       r->config.wire_bytes);
+	relay_rollout_print (r, out);
 	frame_print_sent ("dh_relay_sent_bytes_total", r->sent_bytes, out);
 	hist_print (&s->first_byte_us, "dh_relay_first_byte_seconds", "", 1e6,
 		    out);
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -27,6 +27,8 @@
 #include "planjob.h"
 #include "set_daemons.h"
 #include "rbudget.h"
+#include "rollout.h"
+#include "rollout_share.h"
 #include "stopplan.h"
 #include "tmr.h"
 #include "wincount.h"
@@ -74,6 +76,9 @@
  * @first_byte_seen: the endpoint's answer began
  * @answer_begun: a whole event, or a whole successful answer, arrived from it
  * @request_key: blame_request_key() of the request; 0: not yet computed
+ * @sent_new: it was sent to the target version of a rollout
+ * @rollout_counted: its first attempt was counted for rollouts
+ * @rollout_answered: the outcome of the attempt was
  *
  * @status: status of the endpoint's answer; 0: none, or one that can't be used
  * @answer_headers: header lines of the endpoint's answer
@@ -126,6 +131,7 @@
 	bool answer_begun;
 	bool is_blame_trial;
 	uint64_t request_key;
+	bool sent_new, rollout_counted, rollout_answered;
 	/* answer */
 	int status;
 	struct dia_response answer;
@@ -149,6 +155,7 @@
  * @probe_started_ms: when the last health check started
  * @probe_answer: headers of its answer
  * @probe_status: status of its answer; 0: none
+ * @broke_ms: when it broke an exchange that was evidence, see rollout.c
  */
 struct upstream {
 	struct relay *r;
@@ -158,6 +165,7 @@
 	uint64_t probe_started_ms;
 	struct dia_response probe_answer;
 	int probe_status;
+	uint64_t broke_ms;
 };
 
 /**
@@ -174,6 +182,7 @@
  * @relay_count: relays that are linked to it
  * @usage_sent_change: up to which change usage was sent, see wincount_report()
  * @usage_sent_ms: when usage was sent last
+ * @rollout_sent_change: rollout_share.change_seq up to which evidence was sent
  */
 struct group_member {
 	struct relay *r;
@@ -189,6 +198,7 @@
 	uint32_t relay_count;
 	uint64_t usage_sent_change;
 	uint64_t usage_sent_ms;
+	uint64_t rollout_sent_change;
 };
 
 /**
@@ -271,6 +281,8 @@
  * @probe_check_ms: when endpoints were checked for due health checks last
  * @group_list_interval_ms: interval at which the group reads the list
  * @blame: requests and prompt segments that crash endpoints
+ * @rollouts: the relay's part in rollouts
+ * @rollout_reported_ms: when rollouts were reported last
  * @usage: requests by client account
  * @sealed_window: newest usage window that takes no more counts
  * @dispatch_timer: retries waiting calls, see call_place_waiting()
@@ -320,6 +332,8 @@
 	uint64_t probe_check_ms;
 	uint32_t group_list_interval_ms;
 	struct blame blame;
+	struct rollout_share rollouts;
+	uint64_t rollout_reported_ms;
 	/* usage */
 	struct wincount usage;
 	uint64_t sealed_window;
@@ -486,6 +500,10 @@
  * still that of the call */
 void blame_attempt_ended (struct call *c, enum h1cli_end end);
 
+/** blame_domain_is_cut() - whether an endpoint of the domain of @ep is suspect
+ * because all of them fell silent, so that its connections broke with a link */
+bool blame_domain_is_cut (const struct relay *r, const struct fleet_ep *ep);
+
 /** relay_blame_receive() - merge records that a member sent */
 void relay_blame_receive (struct relay *r, const struct gmsg_blame *m);
 
--- a/relayd/upstream.c
+++ b/relayd/upstream.c
@@ -190,7 +190,7 @@
 		   list->len, skipped);
 	fleet_set_list (&r->fleet, (struct fleet_info *)list->data, list->len,
 			now_ms, now_ms - r->list_reader.started_ms);
-	place_assign_lanes (&r->fleet);
+	relay_rollout_list_changed (r, 0);
 	r->list_read_ms = r->list_reader.started_ms;
 	r->list_digest = 0;
 	r->list_backoff_ms = 0;
--- a/tests/relay_world.c
+++ b/tests/relay_world.c
@@ -119,6 +119,7 @@
 	r->rbudget = rbudget_new (&limits);
 	call_init (r);
 	relay_blame_init (r);
+	relay_rollout_init (r);
 	usage_init (r);
 	upstream_init (r);
 	CU_ASSERT_FATAL (front_init (r, &e));
@@ -143,6 +144,7 @@
 	usage_finish (r);
 	rbudget_free (r->rbudget);
 	blame_finish (&r->blame);
+	relay_rollout_finish (r);
 	plan_unref (r->plan);
 	g_rand_free (r->rand);
 	g_ptr_array_free (r->calls, TRUE);
--- a/tests/test_place_many.c
+++ b/tests/test_place_many.c
@@ -87,8 +87,8 @@
 
 	t_fleet_init (&f, ALL, 0, 7);
 	t_fleet_init (&fewer, KEPT, 0, 7);
-	lane = fleet_pool (&f, "engines")->eps->len -
-	       fleet_pool (&f, "engines")->short_count;
+	lane = fleet_pool (&f, "engines", FLEET_MAIN)->eps->len -
+	       fleet_pool (&f, "engines", FLEET_MAIN)->short_count;
 	for (uint64_t i = 0; i < PROMPTS; i++) {
 		struct place_result a = choose_long (&f, i, 1);
 		struct place_result b = choose_long (&f, i, 999);
