--- a/lib/place.c
+++ b/lib/place.c
@@ -415,12 +415,13 @@
 	      const struct place_req *req, uint64_t now_ms)
 {
 	struct place_result v = {.reason = PLACE_NONE};
-	struct choice c = {.f = f,
-			   .pool = fleet_pool (f, req->service->name, req->side),
-			   .relay = relay,
-			   .req = req,
-			   .now_ms = now_ms,
-			   .rng = req->random};
+	struct choice c = {
+		.f = f,
+		.pool = fleet_pool (f, req->service->name, req->side),
+		.relay = relay,
+		.req = req,
+		.now_ms = now_ms,
+		.rng = req->random};
 
 	for (uint32_t i = 0; i + 1 < req->segment_count; i++)
 		c.shared_tokens += req->segments[i].tokens;
--- a/lib/place_backup.c
+++ b/lib/place_backup.c
@@ -25,8 +25,7 @@
 		     uint32_t random, uint64_t now_ms)
 {
 	/* Versions can't read each other's KV caches. */
-	const struct fleet_pool *p =
-		fleet_pool (f, ep->info.service, ep->side);
+	const struct fleet_pool *p = fleet_pool (f, ep->info.service, ep->side);
 	struct fleet_ep *near = NULL;
 	uint64_t rng = random;
 
--- a/lib/rollout_evidence.c
+++ b/lib/rollout_evidence.c
@@ -140,8 +140,8 @@
 rollout_share_report_free (GArray *reports)
 {
 	for (guint i = 0; i < reports->len; i++) {
-		struct gmsg_rollout_report *m = &g_array_index (
-			reports, struct gmsg_rollout_report, i);
+		struct gmsg_rollout_report *m =
+			&g_array_index (reports, struct gmsg_rollout_report, i);
 		struct rollout_evidence *list = m->evidence.items;
 
 		for (uint32_t j = 0; j < m->evidence.count; j++)
--- a/lib/rollout_share.c
+++ b/lib/rollout_share.c
@@ -32,8 +32,8 @@
 	bool cleared; /* no rollout concerns it */
 	bool barred;  /* it is, or was, the target of one that didn't succeed */
 	bool listed;
-	uint64_t index;   /* rollout_share.list_index when it appeared */
-	uint64_t seen_ms; /* when it appeared */
+	uint64_t index;          /* rollout_share.list_index when it appeared */
+	uint64_t seen_ms;        /* when it appeared */
 	uint64_t first_start_ms; /* of its endpoints; 0: not stated */
 	uint32_t count;          /* its endpoints */
 };
@@ -61,8 +61,8 @@
 {
 	*s = (struct rollout_share){0};
 	s->rollouts = g_ptr_array_new_with_free_func (rollout_free);
-	s->versions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-					     g_free);
+	s->versions =
+		g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
 }
 
 void
@@ -105,15 +105,15 @@
 	r->focus = 1;
 	r->routes = g_array_new (FALSE, FALSE, sizeof (struct share_route));
 	r->evidence = g_ptr_array_new_with_free_func (g_free);
-	r->older = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-					  NULL);
+	r->older =
+		g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
 	return r;
 }
 
 /* Returns whether the message changes sides. */
 static bool
 receive_one (struct rollout_share *s, const struct gmsg_rollouts *all,
-		 const struct gmsg_rollout *m)
+	     const struct gmsg_rollout *m)
 {
 	struct share_rollout *r = rollout_share_find (s, m->service);
 	uint64_t grant = all->is_leader ? m->grant : 0;
@@ -399,8 +399,8 @@
 	}
 	for (guint i = 0; i < f->eps->len; i++) {
 		struct fleet_ep *ep = g_ptr_array_index (f->eps, i);
-		const struct share_version *v = version_find (
-			s, ep->info.service, ep->info.version);
+		const struct share_version *v =
+			version_find (s, ep->info.service, ep->info.version);
 		enum fleet_side side = ep->side;
 
 		if (v != NULL)
@@ -438,8 +438,8 @@
 			       r->routes->len - 1);
 }
 
-/* Whether the route may use the grant now: routes take turns, so that a fault of
- * one route shows also where most requests are of another. */
+/* Whether the route may use the grant now: routes take turns, so that a fault
+ * of one route shows also where most requests are of another. */
 static bool
 is_turn (struct share_rollout *r, uint64_t route, uint64_t now_ms)
 {
--- a/lib/rollout_share.h
+++ b/lib/rollout_share.h
@@ -178,10 +178,9 @@
  *	an empty prefix cache.
  * @is_cold: the endpoint was cold, its times say nothing
  */
-void rollout_share_answered (struct rollout_share *s,
-			     const struct fleet_ep *ep, uint64_t route,
-			     uint32_t prefill_tokens, double first_byte_ms,
-			     bool is_cold);
+void rollout_share_answered (struct rollout_share *s, const struct fleet_ep *ep,
+			     uint64_t route, uint32_t prefill_tokens,
+			     double first_byte_ms, bool is_cold);
 
 /** rollout_share_failed() - an exchange failed through the endpoint
  * @counted: rollout_share_answered() was called for it */
@@ -194,9 +193,8 @@
  * @reports: receives struct gmsg_rollout_report, of the rollouts that aren't
  *	over; to be freed by rollout_share_report_free()
  */
-void rollout_share_report (const struct rollout_share *s,
-			   const struct fleet *f, uint64_t since,
-			   GArray *reports);
+void rollout_share_report (const struct rollout_share *s, const struct fleet *f,
+			   uint64_t since, GArray *reports);
 void rollout_share_report_free (GArray *reports);
 
 #endif
--- a/relayd/attempt.c
+++ b/relayd/attempt.c
@@ -346,10 +346,11 @@
 {
 	struct call *c = ctx;
 	bool complete = answer_is_complete (c, end);
+	bool cut = end == H1CLI_BROKEN && blame_domain_is_cut (c->r, c->ep);
 
 	record_outcome (c, end, h1cli_reused (x));
 	blame_attempt_ended (c, end);
-	rollout_attempt_ended (c, end);
+	rollout_attempt_ended (c, end, cut);
 	if (end == H1CLI_UNSENT) {
 		c->r->stats.connect_failed++;
 		c->attempts--; /* no endpoint received it */
--- a/relayd/rollout.c
+++ b/relayd/rollout.c
@@ -7,8 +7,8 @@
 
 #include "relayd.h"
 
-/* An exchange that breaks after the endpoint was silent for so long mostly broke
- * with the network.  Shorter than the time-out of its connection. */
+/* An exchange that breaks after the endpoint was silent for so long mostly
+ * broke with the network.  Shorter than the time-out of its connection. */
 #define SILENT_MS 1400
 
 /* An endpoint that crashes breaks all its exchanges at once; within this time
@@ -42,8 +42,7 @@
 		return;
 	fleet_build_pools (&r->fleet);
 	for (guint i = 0; i < r->fleet.eps->len; i++) {
-		const struct fleet_ep *ep =
-			g_ptr_array_index (r->fleet.eps, i);
+		const struct fleet_ep *ep = g_ptr_array_index (r->fleet.eps, i);
 
 		sides[ep->side] += ep->listed;
 	}
@@ -103,9 +102,8 @@
 			      list);
 	all.reports.items = list->data;
 	all.reports.count = list->len;
-	if (list->len > 0 &&
-	    link_send (m->link, FRAME_GROUP_ROLLOUT_REPORT,
-		       gmsg_rollout_reports_fields, &all))
+	if (list->len > 0 && link_send (m->link, FRAME_GROUP_ROLLOUT_REPORT,
+					gmsg_rollout_reports_fields, &all))
 		m->rollout_sent_change = r->rollouts.change_seq;
 	rollout_share_report_free (list);
 }
@@ -113,8 +111,8 @@
 void
 relay_rollout_tick (struct relay *r, uint64_t now_ms)
 {
-	uint64_t interval_ms = r->rollouts.urgent ? ROLLOUT_REPORT_MIN_MS
-						  : ROLLOUT_REPORT_MS;
+	uint64_t interval_ms =
+		r->rollouts.urgent ? ROLLOUT_REPORT_MIN_MS : ROLLOUT_REPORT_MS;
 
 	if (!r->rollouts.enabled ||
 	    now_ms < r->rollout_reported_ms + interval_ms)
@@ -145,20 +143,18 @@
 		granted += x->msg.grant;
 	}
 	for (guint i = 0; i < r->fleet.eps->len; i++) {
-		const struct fleet_ep *ep =
-			g_ptr_array_index (r->fleet.eps, i);
+		const struct fleet_ep *ep = g_ptr_array_index (r->fleet.eps, i);
 
 		held += ep->listed && ep->side == FLEET_HELD;
 	}
-	g_string_append_printf (out,
-				"dh_relay_rollout_sent %" G_GUINT64_FORMAT "\n"
-				"dh_relay_rollout_granted %" G_GUINT64_FORMAT
-				"\n"
-				"dh_relay_rollout_requests %" G_GUINT64_FORMAT
-				"\n"
-				"dh_relay_rollout_held_endpoints "
-				"%" G_GUINT64_FORMAT "\n",
-				sent, granted, requests, held);
+	g_string_append_printf (
+		out,
+		"dh_relay_rollout_sent %" G_GUINT64_FORMAT "\n"
+		"dh_relay_rollout_granted %" G_GUINT64_FORMAT "\n"
+		"dh_relay_rollout_requests %" G_GUINT64_FORMAT "\n"
+		"dh_relay_rollout_held_endpoints "
+		"%" G_GUINT64_FORMAT "\n",
+		sent, granted, requests, held);
 }
 
 struct place_result
@@ -167,8 +163,8 @@
 {
 	struct relay *r = c->r;
 	struct share_request q = {.service = c->service->name,
-				  .is_retry = c->tried_count > 0 ||
-					      c->headers_sent,
+				  .is_retry =
+					  c->tried_count > 0 || c->headers_sent,
 				  .sent_new = c->sent_new};
 	struct share_choice sides;
 	struct place_result v = {.reason = PLACE_NONE};
@@ -237,13 +233,13 @@
 }
 
 void
-rollout_attempt_ended (struct call *c, enum h1cli_end end)
+rollout_attempt_ended (struct call *c, enum h1cli_end end, bool cut)
 {
 	if (end == H1CLI_UNSENT || c->answer.not_executed ||
 	    c->answer.misdirected)
 		return;
 	if (end == H1CLI_BROKEN) {
-		if (!is_broken_by_loss (c, tmr_now_ms ()))
+		if (!cut && !is_broken_by_loss (c, tmr_now_ms ()))
 			count_failure (c);
 		return;
 	}
@@ -258,8 +254,7 @@
 	/* An attempt that began late says little about the endpoint. */
 	if (now_ms < c->deadline_ms || c->first_byte_seen || c->ep == NULL ||
 	    c->exchange == NULL || !h1cli_sent (c->exchange) ||
-	    2 * (c->sent_ms - c->arrived_ms) >
-		    c->deadline_ms - c->arrived_ms ||
+	    2 * (c->sent_ms - c->arrived_ms) > c->deadline_ms - c->arrived_ms ||
 	    c->ep->health == FLEET_SUSPECT || c->ep->leaving)
 		return;
 	count_failure (c);
--- a/relayd/rollout.h
+++ b/relayd/rollout.h
@@ -41,8 +41,8 @@
 void rollout_answer_begun (struct call *c, double took_ms);
 
 /** rollout_attempt_ended() - the attempt is over; called while the endpoint is
- * still that of the call */
-void rollout_attempt_ended (struct call *c, enum h1cli_end end);
+ * still that of the call; @cut: its domain was cut off before */
+void rollout_attempt_ended (struct call *c, enum h1cli_end end, bool cut);
 
 /** rollout_attempt_timed_out() - the call's time is up without an answer */
 void rollout_attempt_timed_out (struct call *c, uint64_t now_ms);
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -516,7 +516,8 @@
 {
 	GArray *before = g_array_new (FALSE, FALSE, sizeof (struct fleet_info));
 	GArray *after = g_array_new (FALSE, FALSE, sizeof (struct fleet_info));
-	GArray *changed = g_array_new (FALSE, FALSE, sizeof (struct fleet_info));
+	GArray *changed =
+		g_array_new (FALSE, FALSE, sizeof (struct fleet_info));
 	GArray *removed = g_array_new (FALSE, FALSE, sizeof (struct load_ep));
 	struct fleet_info plain = info ("a", "n"), versioned = plain;
 	struct fleet f;
--- a/tests/test_fleet_subset.c
+++ b/tests/test_fleet_subset.c
@@ -115,7 +115,8 @@
 	fleet_subscription (&f, out);
 	place_assign_lanes (&f);
 	CU_ASSERT (!f.subscription_changed);
-	a = g_ptr_array_index (fleet_pool (&f, "engines", FLEET_MAIN)->subset[0], 0);
+	a = g_ptr_array_index (
+		fleet_pool (&f, "engines", FLEET_MAIN)->subset[0], 0);
 	for (guint i = 0; (b = f.eps->pdata[i])->in_subset; i++)
 		;
 	loads[0] = (struct load){a->ep_hash, 5000, 2, false};
--- a/tests/test_platform_list.c
+++ b/tests/test_platform_list.c
@@ -350,11 +350,10 @@
 	for (unsigned n = 0; n < G_N_ELEMENTS (rows); n++)
 		g_string_append_printf (page, ENTRY ("a", "%s") ",",
 					rows[n].more);
-	g_string_append_printf (
-		page,
-		ENTRY ("b", ",\"version\":\"%s\"") "," ENTRY (
-			"c", ",\"version\":\"%sv\"") "]}",
-		longest, longest);
+	g_string_append_printf (page,
+				ENTRY ("b", ",\"version\":\"%s\"") "," ENTRY (
+					"c", ",\"version\":\"%sv\"") "]}",
+				longest, longest);
 	CU_ASSERT (d->parse_list (page->str, page->len, out, &next, &skipped,
 				  NULL));
 	CU_ASSERT_FATAL (out->len == G_N_ELEMENTS (rows) + 2);
--- a/tests/test_rollout_share.c
+++ b/tests/test_rollout_share.c
@@ -163,8 +163,7 @@
 	receive (5, ROLLOUT_RUNNING, 0);
 	now_ms++;
 	CU_ASSERT_STRING_EQUAL (sides (1), "M");
-	CU_ASSERT (!rollout_share_allows (&s, fleet_find (&f, "v2-0"),
-					  now_ms));
+	CU_ASSERT (!rollout_share_allows (&s, fleet_find (&f, "v2-0"), now_ms));
 	end ();
 }
 
