rollouts: the target's endpoints a relay uses, and messages after a pause

Granted requests go to few endpoints of the target version, so that these see the load of an old one. Where a failure domain has enough old endpoints, relays use new ones of their own domain, since requests to another one take longer.

A process that was stopped for seconds reads what arrived meanwhile as if it were new. Such messages no longer make a grant valid.

--- a/lib/place.c
+++ b/lib/place.c
@@ -289,9 +289,9 @@
 }
 
 /* Adds the first available endpoints in the order of the pool, which all relays
- * share. */
+ * share; of the relay's own domain first where @near. */
 static void
-add_focus (struct choice *c)
+add_focus (struct choice *c, bool near)
 {
 	const struct fleet_pool *p = c->pool;
 	uint32_t max = MIN (c->req->focus, CANDIDATES_MAX);
@@ -299,9 +299,13 @@
 	for (guint i = 0; i < p->eps->len && c->count < max; i++) {
 		struct fleet_ep *ep = g_ptr_array_index (p->eps, i);
 
-		if (allowed (c, ep))
+		if ((!near ||
+		     strcmp (ep->info.domain, c->relay->domain) == 0) &&
+		    allowed (c, ep))
 			add_candidate (c, ep, FROM_SAMPLE);
 	}
+	if (near && c->count == 0)
+		add_focus (c, false);
 }
 
 /* Chooses the candidate with the least cost; the first one is preferred. */
@@ -384,7 +388,7 @@
 	struct place_result v = {.reason = PLACE_LEAST};
 
 	if (c->req->focus > 0) {
-		add_focus (c);
+		add_focus (c, c->req->focus_near);
 		for (uint32_t i = 0; i < c->count; i++)
 			consider_load (c, c->candidates[i].ep, &v);
 		return v;
@@ -404,7 +408,7 @@
 	if (!c->req->service->is_engine)
 		return choose_least_loaded (c);
 	if (c->req->focus > 0)
-		add_focus (c);
+		add_focus (c, c->req->focus_near);
 	else
 		collect_candidates (c);
 	return c->count > 0 ? choose_engine (c) : v;
--- a/lib/place.h
+++ b/lib/place.h
@@ -60,6 +60,7 @@
  * @random: random value, for sampling and tie breaking
  * @side: side of the service whose endpoints may take it
  * @focus: only so many available endpoints, the same ones at all relays; 0: all
+ * @focus_near: those of the relay's failure domain come first
  */
 struct place_req {
 	const struct plan_service *service;
@@ -74,6 +75,7 @@
 	uint32_t random;
 	enum fleet_side side;
 	uint32_t focus;
+	bool focus_near;
 };
 
 /**
--- a/lib/rollout_share.c
+++ b/lib/rollout_share.c
@@ -1,5 +1,5 @@
 /*
- * A relay's part in rollouts: sides of endpoints, and the use of the grant.
+ * A relay's part in rollouts: messages, and the use of the grant.
  */
 #include <string.h>
 
@@ -10,12 +10,6 @@
  * longer to start endpoints after a rollout began. */
 #define FOLLOWER_LAG_MS 1000
 
-/* Percentage of the requests that the target version gets while a rollout runs,
- * with the usual exposure_share of 0.1 and what the leader keeps back of it.
- * So many new endpoints, as a share of the old ones, see the load of an old
- * one. */
-#define FOCUS_PERCENT 8
-
 /* A route may have so many more requests at the target version than another
  * one that had requests within ROUTE_ACTIVE_MS, or any number once the grant
  * was left unused for GRANT_IDLE_MS. */
@@ -23,20 +17,10 @@
 #define ROUTE_ACTIVE_MS 1000
 #define GRANT_IDLE_MS 10
 
-#define KEY_BYTES (FLEET_NAME_BYTES + FLEET_VERSION_BYTES)
-
-/* What is known of a version of a service that is listed. */
-struct share_version {
-	char service[FLEET_NAME_BYTES];
-	char version[FLEET_VERSION_BYTES];
-	bool cleared; /* no rollout concerns it */
-	bool barred;  /* it is, or was, the target of one that didn't succeed */
-	bool listed;
-	uint64_t index;          /* rollout_share.list_index when it appeared */
-	uint64_t seen_ms;        /* when it appeared */
-	uint64_t first_start_ms; /* of its endpoints; 0: not stated */
-	uint32_t count;          /* its endpoints */
-};
+/* The process paused where a tick comes this late; what arrived meanwhile is
+ * read within FRESH_MS. */
+#define PAUSE_MS 1000
+#define FRESH_MS 300
 
 /* A route whose requests are sent to the service. */
 struct share_route {
@@ -57,9 +41,9 @@
 }
 
 void
-rollout_share_init (struct rollout_share *s)
+rollout_share_init (struct rollout_share *s, const char *domain)
 {
-	*s = (struct rollout_share){0};
+	*s = (struct rollout_share){.domain = domain};
 	s->rollouts = g_ptr_array_new_with_free_func (rollout_free);
 	s->versions =
 		g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -84,8 +68,8 @@
 	return NULL;
 }
 
-static bool
-is_target (const struct share_rollout *r, const char *version)
+bool
+rollout_share_is_target (const struct share_rollout *r, const char *version)
 {
 	return r != NULL && strcmp (r->msg.target, version) == 0;
 }
@@ -151,13 +135,30 @@
 	while (g_hash_table_iter_next (&iter, NULL, (void **)&v)) {
 		if (v->cleared || v->barred || m->index < v->index ||
 		    (!m->is_leader && now_ms < v->seen_ms + FOLLOWER_LAG_MS) ||
-		    is_target (rollout_share_find (s, v->service), v->version))
+		    rollout_share_is_target (rollout_share_find (s, v->service),
+					     v->version))
 			continue;
 		v->cleared = any = true;
 	}
 	return any;
 }
 
+void
+rollout_share_tick (struct rollout_share *s, uint64_t now_ms)
+{
+	if (s->tick_ms != 0 && now_ms > s->tick_ms + PAUSE_MS)
+		s->fresh_from_ms = now_ms + FRESH_MS;
+	s->tick_ms = now_ms;
+}
+
+/* Whether a message that is read now may have waited during a pause. */
+static bool
+is_stale (const struct rollout_share *s, uint64_t now_ms)
+{
+	return now_ms < s->fresh_from_ms ||
+	       (s->tick_ms != 0 && now_ms > s->tick_ms + PAUSE_MS);
+}
+
 bool
 rollout_share_receive (struct rollout_share *s, const struct gmsg_rollouts *m,
 		       uint64_t now_ms)
@@ -171,7 +172,7 @@
 	s->index = m->index;
 	for (uint32_t i = 0; i < m->rollouts.count; i++)
 		changed = receive_one (s, m, &list[i]) || changed;
-	if (!m->has_leader)
+	if (!m->has_leader || is_stale (s, now_ms))
 		return changed;
 	s->heard_ms = now_ms;
 	return clear_versions (s, m, now_ms) || changed;
@@ -183,234 +184,6 @@
 	s->list_index = index;
 }
 
-static void
-version_key (const char *service, const char *version, char *key)
-{
-	g_snprintf (key, KEY_BYTES, "%s\n%s", service, version);
-}
-
-static struct share_version *
-version_find (const struct rollout_share *s, const char *service,
-	      const char *version)
-{
-	char key[KEY_BYTES];
-
-	version_key (service, version, key);
-	return g_hash_table_lookup (s->versions, key);
-}
-
-static struct share_version *
-version_get (struct rollout_share *s, const struct fleet_info *info,
-	     uint64_t now_ms)
-{
-	struct share_version *v =
-		version_find (s, info->service, info->version);
-	char key[KEY_BYTES];
-
-	if (v != NULL)
-		return v;
-	v = g_new0 (struct share_version, 1);
-	g_strlcpy (v->service, info->service, sizeof v->service);
-	g_strlcpy (v->version, info->version, sizeof v->version);
-	v->index = s->list_index;
-	v->seen_ms = now_ms;
-	version_key (info->service, info->version, key);
-	g_hash_table_insert (s->versions, g_strdup (key), v);
-	return v;
-}
-
-static gboolean
-is_unlisted (gpointer key, gpointer value, gpointer ctx)
-{
-	(void)key;
-	(void)ctx;
-	return !((struct share_version *)value)->listed;
-}
-
-/* Updates the versions that are listed, and forgets the others. */
-static void
-collect_versions (struct rollout_share *s, const struct fleet *f,
-		  uint64_t now_ms)
-{
-	struct share_version *v;
-	GHashTableIter iter;
-
-	g_hash_table_iter_init (&iter, s->versions);
-	while (g_hash_table_iter_next (&iter, NULL, (void **)&v)) {
-		v->listed = false;
-		v->first_start_ms = 0;
-		v->count = 0;
-	}
-	for (guint i = 0; i < f->eps->len; i++) {
-		const struct fleet_ep *ep = g_ptr_array_index (f->eps, i);
-		uint64_t start_ms = ep->info.started_ms;
-
-		if (!ep->listed)
-			continue;
-		v = version_get (s, &ep->info, now_ms);
-		v->listed = true;
-		v->count++;
-		if (v->first_start_ms == 0 ||
-		    (start_ms != 0 && start_ms < v->first_start_ms))
-			v->first_start_ms = start_ms;
-	}
-	g_hash_table_foreach_remove (s->versions, is_unlisted, NULL);
-}
-
-/* Notes of which versions are targets, and which are older than these. */
-static void
-note_targets (struct rollout_share *s)
-{
-	struct share_version *v;
-	GHashTableIter iter;
-
-	g_hash_table_iter_init (&iter, s->versions);
-	while (g_hash_table_iter_next (&iter, NULL, (void **)&v)) {
-		struct share_rollout *r = rollout_share_find (s, v->service);
-
-		if (r == NULL)
-			continue;
-		if (is_target (r, v->version)) {
-			v->cleared = r->msg.state == ROLLOUT_SUCCEEDED;
-			v->barred = !v->cleared;
-		} else if (!rollout_is_over (r->msg.state)) {
-			g_hash_table_add (r->older, g_strdup (v->version));
-		}
-	}
-}
-
-/* Whether @v is more likely than @w to be the version that was there first. */
-static bool
-is_older (const struct share_version *v, const struct share_version *w)
-{
-	if (v->first_start_ms != w->first_start_ms)
-		return v->first_start_ms < w->first_start_ms;
-	if (v->count != w->count)
-		return v->count > w->count;
-	return strcmp (v->version, w->version) < 0;
-}
-
-/* The first version of a service that is known is no new one. */
-static void
-clear_first (struct rollout_share *s, const char *service)
-{
-	struct share_version *v, *first = NULL;
-	GHashTableIter iter;
-
-	g_hash_table_iter_init (&iter, s->versions);
-	while (g_hash_table_iter_next (&iter, NULL, (void **)&v)) {
-		if (v->barred || strcmp (v->service, service) != 0)
-			continue;
-		if (v->cleared)
-			return;
-		if (first == NULL || is_older (v, first))
-			first = v;
-	}
-	if (first != NULL)
-		first->cleared = true;
-}
-
-static void
-clear_first_of_all (struct rollout_share *s, const struct fleet *f)
-{
-	for (guint i = 0; i < f->pools->len; i++) {
-		const struct fleet_pool *p = g_ptr_array_index (f->pools, i);
-
-		clear_first (s, p->service);
-	}
-}
-
-/* Whether a rollout that succeeded replaced the version.  A relay that started
- * since then goes by the times of their starts. */
-static bool
-is_replaced (const struct rollout_share *s, const struct share_rollout *r,
-	     const struct share_version *v)
-{
-	const struct share_version *target =
-		version_find (s, v->service, r->msg.target);
-
-	return g_hash_table_contains (r->older, v->version) ||
-	       (target != NULL && v->first_start_ms != 0 &&
-		v->first_start_ms < target->first_start_ms);
-}
-
-static enum fleet_side
-version_side (const struct rollout_share *s, const struct share_version *v)
-{
-	const struct share_rollout *r = rollout_share_find (s, v->service);
-
-	if (is_target (r, v->version) && !rollout_is_over (r->msg.state))
-		return FLEET_TARGET;
-	if (v->barred)
-		return FLEET_BARRED;
-	if (r != NULL && r->msg.state == ROLLOUT_SUCCEEDED &&
-	    !is_target (r, v->version) && is_replaced (s, r, v))
-		return FLEET_RETIRING;
-	return v->cleared ? FLEET_MAIN : FLEET_HELD;
-}
-
-/* The same version may be released again, without a rollout, once it was gone.
- */
-static void
-forget_replaced (struct rollout_share *s, struct share_rollout *r)
-{
-	const char *version;
-	GHashTableIter iter;
-
-	if (r->msg.state != ROLLOUT_SUCCEEDED)
-		return;
-	g_hash_table_iter_init (&iter, r->older);
-	while (g_hash_table_iter_next (&iter, (void **)&version, NULL)) {
-		if (version_find (s, r->msg.service, version) == NULL)
-			g_hash_table_iter_remove (&iter);
-	}
-}
-
-static void
-set_focus (const struct rollout_share *s, struct share_rollout *r)
-{
-	struct share_version *v;
-	GHashTableIter iter;
-	uint32_t old = 0;
-
-	g_hash_table_iter_init (&iter, s->versions);
-	while (g_hash_table_iter_next (&iter, NULL, (void **)&v)) {
-		if (strcmp (v->service, r->msg.service) == 0 && v->cleared)
-			old += v->count;
-	}
-	r->focus = MAX ((FOCUS_PERCENT * old + 99) / 100, 1);
-}
-
-bool
-rollout_share_assign (struct rollout_share *s, struct fleet *f, uint64_t now_ms)
-{
-	bool changed = false;
-
-	if (!s->enabled)
-		return false;
-	collect_versions (s, f, now_ms);
-	note_targets (s);
-	clear_first_of_all (s, f);
-	for (guint i = 0; i < s->rollouts->len; i++) {
-		struct share_rollout *r = g_ptr_array_index (s->rollouts, i);
-
-		forget_replaced (s, r);
-		set_focus (s, r);
-	}
-	for (guint i = 0; i < f->eps->len; i++) {
-		struct fleet_ep *ep = g_ptr_array_index (f->eps, i);
-		const struct share_version *v =
-			version_find (s, ep->info.service, ep->info.version);
-		enum fleet_side side = ep->side;
-
-		if (v != NULL)
-			side = version_side (s, v);
-		changed = changed || side != ep->side;
-		ep->side = side;
-	}
-	return changed;
-}
-
 uint64_t
 rollout_share_grant (const struct rollout_share *s,
 		     const struct share_rollout *r, uint64_t now_ms)
@@ -487,6 +260,7 @@
 	bool granted = rollout_share_grant (s, r, now_ms) > 0 && !q->sent_new;
 
 	c->focus = r->focus;
+	c->focus_near = r->focus_near;
 	if (granted && !q->is_retry && is_turn (r, q->route, now_ms)) {
 		add_side (c, FLEET_TARGET);
 		c->optional = true;
@@ -557,7 +331,7 @@
 	if (r == NULL || rollout_is_over (r->msg.state))
 		return false;
 	r->requests += is_first;
-	if (!is_target (r, ep->info.version))
+	if (!rollout_share_is_target (r, ep->info.version))
 		return false;
 	r->sent_new++;
 	r->used_ms = now_ms;
--- a/lib/rollout_share.h
+++ b/lib/rollout_share.h
@@ -32,7 +32,10 @@
 
 /**
  * struct rollout_share - state of the module; the caller owns the memory
+ * @domain: failure domain of this relay
  * @enabled: a member sent rollouts
+ * @tick_ms: last call of rollout_share_tick(); 0: none
+ * @fresh_from_ms: messages before it may have waited while the process paused
  * @index: struct gmsg_rollouts.index of the newest message
  * @heard_ms: when a member that had a leader sent rollouts last
  * @list_index: struct gmsg_list.rollout_index of the list in use
@@ -42,7 +45,10 @@
  * @change_seq: increases with each change of evidence
  */
 struct rollout_share {
+	const char *domain;
 	bool enabled;
+	uint64_t tick_ms;
+	uint64_t fresh_from_ms;
 	uint64_t index;
 	uint64_t heard_ms;
 	uint64_t list_index;
@@ -58,6 +64,7 @@
  * @requests: of the service that were sent since the rollout became known
  * @sent_new: sent to the target version, retries included
  * @focus: endpoints of the target version that this relay uses while it runs
+ * @focus_near: it prefers those of its own failure domain
  * @used_ms: when a grant was used last
  * @routes: of struct share_route
  * @evidence: of struct share_evidence *
@@ -68,12 +75,32 @@
 	uint64_t requests;
 	uint64_t sent_new;
 	uint32_t focus;
+	bool focus_near;
 	uint64_t used_ms;
 	GArray *routes;
 	GPtrArray *evidence;
 	GHashTable *older;
 };
 
+/**
+ * struct share_version - a version of a service that is listed
+ * @cleared: no rollout concerns it, or one to it succeeded
+ * @barred: it is, or was, the target of one that didn't succeed
+ * @index: rollout_share.list_index when it appeared
+ * @seen_ms: when it appeared
+ * @first_start_ms: first start of its endpoints; 0: not stated
+ * @count: its endpoints
+ */
+struct share_version {
+	char service[FLEET_NAME_BYTES];
+	char version[FLEET_VERSION_BYTES];
+	bool cleared, barred, listed;
+	uint64_t index;
+	uint64_t seen_ms;
+	uint64_t first_start_ms;
+	uint32_t count;
+};
+
 /** struct share_evidence - answers that are counted in one entry
  * @seq: rollout_share.change_seq of its last change */
 struct share_evidence {
@@ -82,9 +109,18 @@
 	uint64_t seq;
 };
 
-void rollout_share_init (struct rollout_share *s);
+/** rollout_share_init() - initialise; @domain, the relay's, has to last */
+void rollout_share_init (struct rollout_share *s, const char *domain);
 void rollout_share_finish (struct rollout_share *s);
 
+/**
+ * rollout_share_tick() - the process runs; to be called several times a second
+ *
+ * After a pause, messages that arrived in it are read as if they were new. They
+ * don't make a grant valid.
+ */
+void rollout_share_tick (struct rollout_share *s, uint64_t now_ms);
+
 /**
  * rollout_share_receive() - apply a message
  *
@@ -115,6 +151,11 @@
 struct share_rollout *rollout_share_find (const struct rollout_share *s,
 					  const char *service);
 
+/** rollout_share_is_target() - whether @r, or NULL, moves a service to @version
+ */
+bool rollout_share_is_target (const struct share_rollout *r,
+			      const char *version);
+
 /** rollout_share_grant() - requests that may be sent to the target version now
  */
 uint64_t rollout_share_grant (const struct rollout_share *s,
@@ -141,12 +182,14 @@
  *	the next; otherwise only PLACE_NONE does, which always leads on from the
  *	others
  * @focus: struct place_req.focus for FLEET_TARGET
+ * @focus_near: the same of focus_near
  */
 struct share_choice {
 	enum fleet_side sides[SHARE_SIDES_MAX];
 	uint32_t count;
 	bool optional;
 	uint32_t focus;
+	bool focus_near;
 };
 
 /** rollout_share_choose() - which sides a request may go to now */
--- a/relayd/rollout.c
+++ b/relayd/rollout.c
@@ -24,7 +24,7 @@
 void
 relay_rollout_init (struct relay *r)
 {
-	rollout_share_init (&r->rollouts);
+	rollout_share_init (&r->rollouts, r->set.domain);
 }
 
 void
@@ -114,6 +114,7 @@
 	uint64_t interval_ms =
 		r->rollouts.urgent ? ROLLOUT_REPORT_MIN_MS : ROLLOUT_REPORT_MS;
 
+	rollout_share_tick (&r->rollouts, now_ms);
 	if (!r->rollouts.enabled ||
 	    now_ms < r->rollout_reported_ms + interval_ms)
 		return;
@@ -176,6 +177,7 @@
 	for (uint32_t i = 0; i < sides.count; i++) {
 		req->side = sides.sides[i];
 		req->focus = req->side == FLEET_TARGET ? sides.focus : 0;
+		req->focus_near = sides.focus_near;
 		v = place_choose (&r->fleet, self, req, now_ms);
 		if (v.reason != PLACE_NONE &&
 		    (v.ep != NULL || i > 0 || !sides.optional))
--- a/tests/test_rollout_share.c
+++ b/tests/test_rollout_share.c
@@ -8,7 +8,7 @@
 #include "rollout_share.h"
 #include "t_run.h"
 
-#define OLD 12
+#define OLD 24
 #define NEW 12
 
 static struct rollout_share s;
@@ -67,7 +67,7 @@
 {
 	now_ms = 100000;
 	msg = (struct gmsg_rollouts){.has_leader = true, .is_leader = true};
-	rollout_share_init (&s);
+	rollout_share_init (&s, "d0");
 	fleet_init (&f, NULL, NULL);
 }
 
@@ -167,6 +167,28 @@
 	end ();
 }
 
+/* A process that was stopped for seconds reads what arrived before the rollback
+ * as if it were new. */
+static void
+test_pause (void)
+{
+	begin ();
+	rollout_share_tick (&s, now_ms);
+	list_endpoints (OLD, NEW, "v2", 4);
+	receive (5, ROLLOUT_RUNNING, 5);
+	CU_ASSERT_STRING_EQUAL (sides (1), "TM");
+	now_ms += 10000;
+	receive (5, ROLLOUT_RUNNING, 6);
+	CU_ASSERT_STRING_EQUAL (sides (1), "M");
+	rollout_share_tick (&s, now_ms);
+	receive (5, ROLLOUT_RUNNING, 7);
+	CU_ASSERT_STRING_EQUAL (sides (1), "M");
+	now_ms += 400;
+	receive (5, ROLLOUT_RUNNING, 7);
+	CU_ASSERT_STRING_EQUAL (sides (1), "TM");
+	end ();
+}
+
 /* A retry after a failure on the new version would double what a bad version
  * costs its clients; other retries use the grant only as a last resort. */
 static void
@@ -423,7 +445,8 @@
 	}
 	req.side = FLEET_TARGET;
 	req.focus = rollout_share_find (&s, "llm")->focus;
-	CU_ASSERT (req.focus == 1);
+	req.focus_near = rollout_share_find (&s, "llm")->focus_near;
+	CU_ASSERT (req.focus == 1 && req.focus_near);
 	for (uint32_t i = 0; i < 50; i++) {
 		struct place_result v;
 
@@ -433,11 +456,22 @@
 		v = place_choose (&f, &relay, &req, now_ms);
 		CU_ASSERT_FATAL (v.ep != NULL);
 		CU_ASSERT (used == NULL || v.ep == used);
+		CU_ASSERT_STRING_EQUAL (v.ep->info.domain, relay.domain);
 		used = v.ep;
 	}
 	/* The next one takes its place where it fails. */
 	fleet_suspect (&f, (struct fleet_ep *)used, now_ms);
 	CU_ASSERT (place_choose (&f, &relay, &req, now_ms).ep != NULL);
+	/* So does one of another domain where the relay's own has none. */
+	for (uint32_t i = 0; i < fleet_pool (&f, "llm", FLEET_TARGET)->eps->len;
+	     i++) {
+		struct fleet_ep *ep = g_ptr_array_index (
+			fleet_pool (&f, "llm", FLEET_TARGET)->eps, i);
+
+		if (strcmp (ep->info.domain, "d0") == 0)
+			fleet_suspect (&f, ep, now_ms);
+	}
+	CU_ASSERT (place_choose (&f, &relay, &req, now_ms).ep != NULL);
 	/* The copy of a run is kept at its own version. */
 	for (uint32_t i = 0; i < 50; i++) {
 		const struct fleet_ep *b = place_choose_backup (
@@ -445,6 +479,10 @@
 
 		CU_ASSERT (b == NULL || b->side == FLEET_MAIN);
 	}
+	/* With few old endpoints, all relays share the new ones. */
+	list_endpoints (OLD / 2, NEW, "v2", 5);
+	CU_ASSERT (rollout_share_find (&s, "llm")->focus == 1 &&
+		   !rollout_share_find (&s, "llm")->focus_near);
 	end ();
 }
 
@@ -454,6 +492,7 @@
 	static const struct t_case cases[] = {
 		{"disabled", test_disabled},
 		{"grant", test_grant},
+		{"pause", test_pause},
 		{"retries", test_retries},
 		{"turns", test_turns},
 		{"states", test_states},
