--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -43,6 +43,8 @@
 	MSG_FIELD (7, MSG_BOOL, struct fleet_info, leaving),
 	MSG_FIELD (8, MSG_BOOL, struct fleet_info, reclaimable),
 	MSG_FIELD (9, MSG_U64, struct fleet_info, started_ms),
+	/* Tags 10 to 12 are those of long names. */
+	MSG_FIELD (13, MSG_STR, struct fleet_info, version),
 	MSG_FIELD_END,
 };
 
@@ -186,17 +188,22 @@
 	ep->info.reclaimable = info->reclaimable;
 	if (info->started_ms != 0)
 		ep->info.started_ms = info->started_ms;
+	/* A member of an older software version leaves it out. */
+	if (info->version[0] != '\0')
+		g_strlcpy (ep->info.version, info->version,
+			   sizeof ep->info.version);
 }
 
 static struct fleet_pool *
-pool_get (struct fleet *f, const char *service)
+pool_get (struct fleet *f, const char *service, enum fleet_side side)
 {
-	struct fleet_pool *p = fleet_pool (f, service);
+	struct fleet_pool *p = fleet_pool (f, service, side);
 
 	if (p != NULL)
 		return p;
 	p = g_new0 (struct fleet_pool, 1);
 	g_strlcpy (p->service, service, sizeof p->service);
+	p->side = side;
 	p->eps = g_ptr_array_new ();
 	for (uint32_t lane = 0; lane < FLEET_LANES; lane++)
 		p->subset[lane] = g_ptr_array_new ();
@@ -217,13 +224,13 @@
 
 /* Until place_assign_lanes() runs, there is one lane and all endpoints are in
  * the subset. */
-static void
-pools_build (struct fleet *f)
+void
+fleet_build_pools (struct fleet *f)
 {
 	g_ptr_array_set_size (f->pools, 0);
 	for (guint i = 0; i < f->eps->len; i++) {
 		struct fleet_ep *ep = g_ptr_array_index (f->eps, i);
-		struct fleet_pool *p = pool_get (f, ep->info.service);
+		struct fleet_pool *p = pool_get (f, ep->info.service, ep->side);
 
 		ep->in_subset = true;
 		g_ptr_array_add (p->eps, ep);
@@ -237,12 +244,12 @@
 }
 
 struct fleet_pool *
-fleet_pool (const struct fleet *f, const char *service)
+fleet_pool (const struct fleet *f, const char *service, enum fleet_side side)
 {
 	for (guint i = 0; i < f->pools->len; i++) {
 		struct fleet_pool *p = g_ptr_array_index (f->pools, i);
 
-		if (strcmp (p->service, service) == 0)
+		if (p->side == side && strcmp (p->service, service) == 0)
 			return p;
 	}
 	return NULL;
@@ -268,7 +275,7 @@
 		ep = ep_new (f, info);
 	ep_update (ep, info, now_ms, age_ms);
 	/* In a relay's first list all endpoints are new, and none is paced. */
-	if (is_new && fleet_pool (f, info->service) != NULL)
+	if (is_new && fleet_pool (f, info->service, FLEET_MAIN) != NULL)
 		fleet_pace_begin (ep, now_ms);
 }
 
@@ -284,7 +291,7 @@
 		g_ptr_array_remove_index_fast (f->eps, i - 1);
 		ep_free (f, ep);
 	}
-	pools_build (f);
+	fleet_build_pools (f);
 }
 
 void
--- a/lib/fleet.h
+++ b/lib/fleet.h
@@ -24,6 +24,13 @@
 #define FLEET_NAME_BYTES PLAN_NAME_BYTES
 #define FLEET_ADDR_BYTES 64
 
+/* Size of the buffer for a version, with the final NUL. */
+#define FLEET_VERSION_BYTES 64
+
+/* Stands for a version that is listed and can't be read.  It differs from that
+ * of an entry without one, which is "". */
+#define FLEET_VERSION_UNREADABLE "?"
+
 /* Longest cold start that is believed; real ones take seconds to minutes. */
 #define FLEET_COLD_MAX_MS (60U * 60 * 1000)
 
@@ -41,6 +48,9 @@
  * @leaving: it is being shut down and must get no new work
  * @reclaimable: the platform may take it back (spot capacity)
  * @started_ms: wall clock time of its start; 0 when not stated
+ * @version: version of the service that it runs, "" when not stated.  It
+ *	differs between starts only, and isn't part of the digest: members of
+ *	older software versions compute the same digest without it.
  */
 struct fleet_info {
 	char id[FLEET_NAME_BYTES];
@@ -52,6 +62,7 @@
 	bool leaving;
 	bool reclaimable;
 	uint64_t started_ms;
+	char version[FLEET_VERSION_BYTES];
 };
 
 extern const struct msg_field fleet_info_fields[];
@@ -65,6 +76,9 @@
  */
 bool fleet_info_check (const struct fleet_info *info, struct err *e);
 
+/** fleet_version_check() - whether a version can stand in log lines; "" can */
+bool fleet_version_check (const char *version);
+
 /* In a table of up to this many endpoints, a relay receives the peer load of
  * all of them.  Only changes are sent, for about a fifth of the endpoints in
  * one update and a few times a second, which makes some 2 kB/s. */
@@ -89,6 +103,18 @@
 	FLEET_SUSPECT, /* did not answer; gets no work until a probe succeeds */
 };
 
+/**
+ * enum fleet_side - the part of its service that an endpoint belongs to, by its
+ * version; see rollout_share.h.  Without rollouts, all are in FLEET_MAIN.
+ */
+enum fleet_side {
+	FLEET_MAIN,     /* gets requests as usual */
+	FLEET_TARGET,   /* the target of a rollout that isn't over */
+	FLEET_RETIRING, /* an older version than one that was rolled out */
+	FLEET_HELD,     /* a new version that may become a target */
+	FLEET_BARRED,   /* was rolled back, gets no request */
+};
+
 struct fleet;
 
 /** struct fleet_ep - one endpoint */
@@ -100,6 +126,7 @@
 	bool listed;           /* in the current list */
 	uint64_t entry_digest; /* of its list entry; 0 when it has none */
 	bool leaving;          /* never cleared: a restart is a new fleet_ep */
+	enum fleet_side side;  /* set by rollout_share_assign() */
 	uint64_t cold_until_ms;
 	enum fleet_health health;
 	uint64_t suspect_since_ms;
@@ -169,8 +196,9 @@
 };
 
 /**
- * struct fleet_pool - the endpoints of one service
+ * struct fleet_pool - the endpoints of one side of one service
  * @service: name of the service
+ * @side: fleet_ep.side of all of them
  * @eps: of struct fleet_ep *; the short lane comes first, and each lane is
  *	sorted by rank_hash
  * @short_count: endpoints in the short lane
@@ -184,6 +212,7 @@
  */
 struct fleet_pool {
 	char service[FLEET_NAME_BYTES];
+	enum fleet_side side;
 	GPtrArray *eps;
 	guint short_count;
 	GPtrArray *subset[FLEET_LANES];
@@ -268,7 +297,7 @@
 			uint64_t age_ms);
 
 /** fleet_info_digest() - digest of an entry; of cold_remaining_ms, it covers
- * only whether it is 0 */
+ * only whether it is 0, and the version not at all */
 uint64_t fleet_info_digest (const struct fleet_info *info);
 
 /* Digest of an empty list; 0 stands for no list. */
@@ -311,8 +340,14 @@
 /** fleet_find_hash() - find an endpoint by ep_hash; NULL if there is none */
 struct fleet_ep *fleet_find_hash (const struct fleet *f, uint32_t hash);
 
-/** fleet_pool() - find a service's endpoints; NULL if there are none */
-struct fleet_pool *fleet_pool (const struct fleet *f, const char *service);
+/** fleet_pool() - find a service's endpoints of one side; NULL if there are
+ * none */
+struct fleet_pool *fleet_pool (const struct fleet *f, const char *service,
+			       enum fleet_side side);
+
+/** fleet_build_pools() - rebuild the pools after fleet_ep.side of some endpoint
+ * changed; place_assign_lanes() has to follow */
+void fleet_build_pools (struct fleet *f);
 
 /** fleet_usable() - whether an endpoint may get new work: it is listed,
  * healthy, not leaving and not in a drained domain */
--- a/lib/fleet_pace.c
+++ b/lib/fleet_pace.c
@@ -146,7 +146,7 @@
 		/* What it answers while cold counts. */
 		if (fleet_is_cold (ep, now_ms))
 			ep->pace.since_ms = now_ms;
-		p = fleet_pool (f, ep->info.service);
+		p = fleet_pool (f, ep->info.service, ep->side);
 		if (p == NULL)
 			continue;
 		/* Only engines report a backlog.  Where there is none at all,
--- a/lib/fleet_speed.c
+++ b/lib/fleet_speed.c
@@ -74,7 +74,7 @@
 fleet_add_prefill (struct fleet *f, struct fleet_ep *ep, double tokens,
 		   double took_ms)
 {
-	struct fleet_pool *p = fleet_pool (f, ep->info.service);
+	struct fleet_pool *p = fleet_pool (f, ep->info.service, ep->side);
 
 	if (p != NULL)
 		p->prefill_per_ms = speed_add_prefill (
--- a/lib/place_cost.c
+++ b/lib/place_cost.c
@@ -114,14 +114,13 @@
 	return ahead * c->f->slot_hold_ms / slots;
 }
 
-double
-place_room_tokens (const struct fleet *f, const struct plan_service *service,
-		   double max_backlog_ms, uint64_t now_ms)
+static double
+pool_room_tokens (const struct fleet *f, const struct fleet_pool *p,
+		  double max_backlog_ms, uint64_t now_ms)
 {
-	const struct fleet_pool *p = fleet_pool (f, service->name);
 	double room = 0;
 
-	for (guint i = 0; p != NULL && i < p->eps->len; i++) {
+	for (guint i = 0; i < p->eps->len; i++) {
 		const struct fleet_ep *ep = g_ptr_array_index (p->eps, i);
 		double free_tokens =
 			max_backlog_ms * fleet_prefill_per_ms (p, ep) -
@@ -134,6 +133,22 @@
 	return room;
 }
 
+double
+place_room_tokens (const struct fleet *f, const struct plan_service *service,
+		   double max_backlog_ms, uint64_t now_ms)
+{
+	double room = 0;
+
+	for (guint i = 0; i < f->pools->len; i++) {
+		const struct fleet_pool *p = g_ptr_array_index (f->pools, i);
+
+		if ((p->side == FLEET_MAIN || p->side == FLEET_TARGET) &&
+		    strcmp (p->service, service->name) == 0)
+			room += pool_room_tokens (f, p, max_backlog_ms, now_ms);
+	}
+	return room;
+}
+
 bool
 place_has_room (const struct choice *c, const struct fleet_ep *ep)
 {
