tests: a block of loopback addresses for each run

Cause: all plays used the addresses 127.0.0.11 and on, and each got its ports from the kernel and closed them again before its daemons listened. Nine plays start at once, and two got the same port. Two kept log folders of plays that started at 16:24:58 show it: in one 35039 was the members' peer port, in the other their api port. m0 of the one listened on 127.0.0.11:35039 first, m1 and m2 of the other on 127.0.0.12 and 127.0.0.13; m0 of the other, and m1 and m2 of the one, failed at each start.

Ruled out: an outgoing connection of some other process on 127.0.0.1. Of 500 connections the kernel gave 500 an even port, of 500 listeners with port 0 500 an odd one, and 35039 is odd.

Change: each run has a block 127.X.Y of its own, from its process id, in the soak (platform and endpoints too) and in tests/lib.sh, used by all scripts that take ports from "soak -p". Fixed blocks of these scripts, and the argument NET of three of them, are gone.

--- a/tests/e2e_disks.sh
+++ b/tests/e2e_disks.sh
@@ -3,7 +3,7 @@
 # while changes come and snapshots are due.  Once the last one has room again,
 # changes are acknowledged within the time for a new leader, and none that was
 # acknowledged before is lost.  One play by hand, with MEMBERS of 3 or 5:
-#   bash tests/e2e_disks.sh MEMBERS "ORDER" GAP_S SPELL_S NET
+#   bash tests/e2e_disks.sh MEMBERS "ORDER" GAP_S SPELL_S
 # and all orders: ALL=1 bash tests/e2e_disks.sh
 . "$(dirname "$0")/lib.sh"
 
@@ -41,7 +41,7 @@
 	for play in "${plays[@]}"; do
 		IFS='|' read -r n order gap spell <<<"$play"
 		net=$((net % 200 + 1))
-		bash "$0" "$n" "$order" "$gap" "$spell" $net \
+		bash "$0" "$n" "$order" "$gap" "$spell" \
 			>"$TMP/play.$net" 2>&1 &
 		PID[play$net]=$!
 		batch=$((batch + 1))
@@ -69,7 +69,7 @@
 	exit 1
 }
 
-N=$1 ORDER=$2 GAP_S=$3 SPELL_S=$4 NET=127.1.$5
+N=$1 ORDER=$2 GAP_S=$3 SPELL_S=$4
 # In memory where that is possible: the other work of a machine must not stall
 # the disks of all members at once.
 DATA=$(mktemp -d -p /dev/shm 2>/dev/null || mktemp -d -p "$TMP")
--- a/tests/e2e_fanout.sh
+++ b/tests/e2e_fanout.sh
@@ -6,7 +6,7 @@
 # the small ones do: SLOW=1).
 . "$(dirname "$0")/lib.sh"
 
-N=3 RELAYS=${RELAYS:-300} NET=127.4.1
+N=3 RELAYS=${RELAYS:-300}
 ROUTES=${ROUTES:-9000}
 FORCE_S=15    # in force everywhere, from the size in README.md
 MEMORY_MB=128 # of an instance for control, likewise
--- a/tests/e2e_group.sh
+++ b/tests/e2e_group.sh
@@ -11,10 +11,10 @@
 printf '%064d\n' 7 >"$TMP/key"
 settings () { # MEMBER FOUND
 	cat >"$TMP/m$1.json" <<JSON
-{"name": "m$1", "domain": "z$1", "peer": "127.0.0.3$1:$PEER",
- "api": "127.0.0.3$1:$API", "data_dir": "$TMP/d$1", "found": $2,
+{"name": "m$1", "domain": "z$1", "peer": "$NET.$1:$PEER",
+ "api": "$NET.$1:$API", "data_dir": "$TMP/d$1", "found": $2,
  "cluster_key_file": "$TMP/key", "platform": "127.0.0.1:1",
- "seeds": ["127.0.0.31:$API", "127.0.0.32:$API", "127.0.0.33:$API"]}
+ "seeds": ["$NET.1:$API", "$NET.2:$API", "$NET.3:$API"]}
 JSON
 }
 launch () { # MEMBER FOUND
@@ -27,10 +27,10 @@
 put_config () { # MEMBER VERSION
 	config "$2" | curl -sfL -m 3 -o "$TMP/answer" \
 		-X POST --data-binary @- \
-		"http://127.0.0.3$1:$API/api/config/replace"
+		"http://$NET.$1:$API/api/config/replace"
 }
 has_config () { # MEMBER VERSION
-	curl -sfL -m 3 "http://127.0.0.3$1:$API/api/config/get" |
+	curl -sfL -m 3 "http://$NET.$1:$API/api/config/get" |
 		grep -q "\"version\":$2,"
 }
 # A member that lost its disk is a learner until it is promoted to voter.
@@ -40,7 +40,7 @@
 rejects_invalid () { # MEMBER
 	code=$(echo '{"version":999' | curl -s -o /dev/null -w '%{http_code}' \
 		-m 3 -L -X POST --data-binary @- \
-		"http://127.0.0.3$1:$API/api/config/replace")
+		"http://$NET.$1:$API/api/config/replace")
 	[ "$code" = 400 ]
 }
 
@@ -75,7 +75,7 @@
 wait_for 10 put_config 2 $version
 stop m3 KILL
 rm -rf "$TMP/d3"
-sed -i "s/\[.*\]/[\"127.0.0.39:$API\"]/" "$TMP/m3.json"
+sed -i "s/\[.*\]/[\"$NET.9:$API\"]/" "$TMP/m3.json"
 start m3 "$BIN/groupd" -f "$TMP/m3.json"
 wait_for 10 test -e "$TMP/d3/identity"
 stop m3 KILL
--- a/tests/e2e_narrow.sh
+++ b/tests/e2e_narrow.sh
@@ -2,7 +2,7 @@
 # A configuration reaches a relay over a link that bears little, and the links
 # to the members stay up meanwhile.  Two versions follow each other, as a large
 # change and a small one do.  One play by hand:
-#   bash tests/e2e_narrow.sh MEMBERS ROUTES SHAPE RATE RESET CHANGES NET
+#   bash tests/e2e_narrow.sh MEMBERS ROUTES SHAPE RATE RESET CHANGES
 # with SHAPE plain or random (names that can't be compressed), RATE in bytes a
 # second, RESET in bytes after which connections are reset (0: never), CHANGES
 # as SECONDS:RATE of the later rates.  More sizes and rates: ALL=1 bash
@@ -34,7 +34,7 @@
 		IFS='|' read -r n routes shape rate reset changes <<<"$play"
 		net=$((net % 200 + 1))
 		bash "$0" "$n" "$routes" "$shape" "$rate" "$reset" "$changes" \
-			$net >"$TMP/play.$net" 2>&1 &
+			>"$TMP/play.$net" 2>&1 &
 		PID[play$net]=$!
 		batch=$((batch + 1))
 		if [ $batch = 7 ] || [ "$play" = "${plays[-1]}" ]; then
@@ -49,7 +49,7 @@
 	exit $status
 fi
 
-N=$1 ROUTES=$2 SHAPE=$3 RATE=$4 RESET=$5 CHANGES=$6 NET=127.3.$7
+N=$1 ROUTES=$2 SHAPE=$3 RATE=$4 RESET=$5 CHANGES=$6
 # In memory where that is possible: the other work of a machine must not stall
 # the disks of all members at once.
 DATA=$(mktemp -d -p /dev/shm 2>/dev/null || mktemp -d -p "$TMP")
--- a/tests/e2e_narrow_entry.sh
+++ b/tests/e2e_narrow_entry.sh
@@ -4,13 +4,12 @@
 . "$(dirname "$0")/lib.sh"
 . tests/t_control.sh
 
-NET=127.6.1
 RATE=${RATE:-100000}
 PEER=$("$BIN/soak" -p)
 
 doc () { # ENDPOINTS
-	awk -v n="$1" 'BEGIN {
-		printf "{\"domains\":[{\"name\":\"north\"}],\"entries\":[{\"name\":\"e1\",\"domain\":\"north\",\"peer\":\"127.6.1.51:1\"}],\"classes\":[{\"name\":\"c\",\"tier\":1,\"ttft_ms\":320,\"itl_ms\":50,\"deadline_ms\":2000}],\"endpoints\":["
+	awk -v n="$1" -v net="$NET" 'BEGIN {
+		printf "{\"domains\":[{\"name\":\"north\"}],\"entries\":[{\"name\":\"e1\",\"domain\":\"north\",\"peer\":\"" net ".51:1\"}],\"classes\":[{\"name\":\"c\",\"tier\":1,\"ttft_ms\":320,\"itl_ms\":50,\"deadline_ms\":2000}],\"endpoints\":["
 		for (i = 0; i < n; i++)
 			printf "%s{\"name\":\"an-engine-with-a-name-%d\",\"domain\":\"north\",\"addr\":\"10.%d.%d.%d:8080\",\"models\":[\"m\"],\"price_per_h\":%d,\"cold_bound\":2,\"warm_bound\":8,\"checks_fence\":true,\"resumes\":true}", (i ? "," : ""), i, int (i / 65536), int (i / 256) % 256, i % 256, 1000 + i
 		print "]}"
--- a/tests/e2e_narrow_list.sh
+++ b/tests/e2e_narrow_list.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # A relay that starts behind a link that bears little gets the endpoint list, of
 # the size in README.md, for at most twice its bytes.  One play by hand:
-#   bash tests/e2e_narrow_list.sh MEMBERS ENDPOINTS RATE NET
+#   bash tests/e2e_narrow_list.sh MEMBERS ENDPOINTS RATE
 . "$(dirname "$0")/lib.sh"
 
 START_MS=2000 # bound where the link bears the list in half of that time
@@ -12,7 +12,7 @@
 	for play in "${plays[@]}"; do
 		net=$((net + 1))
 		# shellcheck disable=SC2086
-		bash "$0" $play $net >"$TMP/play.$net" 2>&1 &
+		bash "$0" $play >"$TMP/play.$net" 2>&1 &
 		PID[play$net]=$!
 	done
 	for ((i = 1; i <= net; i++)); do
@@ -23,7 +23,7 @@
 	exit $status
 fi
 
-N=$1 ENDPOINTS=$2 RATE=$3 NET=127.5.$4
+N=$1 ENDPOINTS=$2 RATE=$3
 # In memory where that is possible: the other work of a machine must not stall
 # the disks of all members at once.
 DATA=$(mktemp -d -p /dev/shm 2>/dev/null || mktemp -d -p "$TMP")
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -10,11 +10,17 @@
 #   stop NAME [SIGNAL]        end one process and wait for it
 #   fail TEXT                 print TEXT and the logs' ends, exit 1
 #   check TEXT CMD...         fail with TEXT unless CMD succeeds
+#   NET                       the run's loopback addresses: NET.1 ... NET.254
 
 cd "$(dirname "${BASH_SOURCE[0]}")/.." || exit 1
 BIN=${BUILD:-build}/bin
 TMP=$(mktemp -d)
 declare -A PID
+# Daemons connect from their own addresses, so another run with the same
+# addresses could hold a stopped daemon's port with an outgoing connection.  No
+# two live processes share a block, as long as pid_max is at most 32768, Linux's
+# default; the soak uses the same formula.
+NET=127.$((64 + $$ / 256 % 128)).$(($$ % 256))
 
 start () {
 	local name=$1
--- a/tests/soak/cut.c
+++ b/tests/soak/cut.c
@@ -179,7 +179,7 @@
 		int fd;
 
 		*d = (struct soak_door){.k = k, .member = i};
-		g_snprintf (d->ip, sizeof d->ip, "127.0.0.%d", 41 + i);
+		g_snprintf (d->ip, sizeof d->ip, "%s.%d", k->net, 41 + i);
 		inet_pton (AF_INET, d->ip, &at.sin_addr);
 		fd = link_listen_fd (&at, 16, &port, NULL);
 		d->listener = h2o_evloop_socket_create (
--- a/tests/soak/endpoints.c
+++ b/tests/soak/endpoints.c
@@ -385,7 +385,7 @@
 void
 world_ep_up (struct soak_ep *e)
 {
-	struct sockaddr_in at = world_addr (e->port);
+	struct sockaddr_in at = world_addr (e->k, e->port);
 
 	if (e->up)
 		return;
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -147,12 +147,26 @@
 		memset (k->eps[i].ran, 0, sizeof k->eps[i].ran);
 }
 
+/* Daemons connect from their own addresses, so another run with the same
+ * addresses could hold a stopped daemon's port with an outgoing connection.
+ * tests/lib.sh uses the same formula: no two live processes share a block, as
+ * long as the system's pid_max is at most 32768, Linux's default. */
+static void
+net_init (struct soak *k)
+{
+	unsigned pid = (unsigned)getpid ();
+
+	g_snprintf (k->net, sizeof k->net, "127.%u.%u", 64 + pid / 256 % 128,
+		    pid % 256);
+}
+
 static void
 play (struct soak *k, uint64_t fault_ms, const char *what)
 {
 	bool faults = fault_ms > 0 && strpbrk (what, "ql") == NULL &&
 		      k->crash.what == SOAK_CRASH_NONE;
 
+	net_init (k);
 	k->loop = h2o_evloop_create ();
 	k->rand = g_rand_new_with_seed (k->seed);
 	k->traffic = g_rand_new_with_seed (k->seed);
--- a/tests/soak/procs.c
+++ b/tests/soak/procs.c
@@ -31,11 +31,11 @@
 	char *common = g_strdup_printf (
 		"\"name\":\"%s\",\"domain\":\"z%d\",\"peer\":\"%s:%u\","
 		"\"cluster_key_file\":\"%s/key\",\"seeds\":%s,"
-		"\"platform\":\"127.0.0.1:%u\",\"platform_calls_per_s\":50,"
+		"\"platform\":\"%s.1:%u\",\"platform_calls_per_s\":50,"
 		"\"usage_window_s\":%d",
 		p->name, p->ip[strlen (p->ip) - 1] % 2,
 		p->member ? k->doors[p - k->procs].ip : p->ip, k->peer, k->dir,
-		seeds, k->platform.port, SOAK_USAGE_WINDOW_MS / 1000);
+		seeds, k->net, k->platform.port, SOAK_USAGE_WINDOW_MS / 1000);
 
 	if (p->member)
 		text = g_strdup_printf (
@@ -134,7 +134,7 @@
 		p->program = p->member ? "groupd" : "relayd";
 		g_snprintf (p->name, sizeof p->name, "%s%d",
 			    p->member ? "m" : "r", i);
-		g_snprintf (p->ip, sizeof p->ip, "127.0.0.%d",
+		g_snprintf (p->ip, sizeof p->ip, "%s.%d", k->net,
 			    p->member ? 11 + i : 21 + i - SOAK_MEMBERS);
 		g_snprintf (p->dir, sizeof p->dir, "%s/%s", k->dir, p->name);
 		proc_start (k, p);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -165,6 +165,7 @@
 	GRand *traffic; /* and what is sent */
 	uint32_t seed;
 	char *dir, *bin;
+	char net[12]; /* the run's loopback addresses: 127.X.Y */
 	uint16_t front, ready, peer, api;
 	struct soak_proc procs[SOAK_MEMBERS + SOAK_RELAYS];
 	struct soak_path paths[SOAK_MEMBERS + SOAK_RELAYS]
@@ -250,7 +251,7 @@
 void world_run (struct soak *k);
 
 /* world.c: the platform, and what it learns */
-struct sockaddr_in world_addr (uint16_t port);
+struct sockaddr_in world_addr (const struct soak *k, uint16_t port);
 void world_init (struct soak *k);
 void world_finish (struct soak *k);
 void world_platform (struct soak *k, bool up);
--- a/tests/soak/world.c
+++ b/tests/soak/world.c
@@ -10,12 +10,14 @@
 #include "soak.h"
 
 struct sockaddr_in
-world_addr (uint16_t port)
+world_addr (const struct soak *k, uint16_t port)
 {
 	struct sockaddr_in a = {.sin_family = AF_INET,
 				.sin_port = htons (port)};
+	char *ip = g_strdup_printf ("%s.1", k->net);
 
-	a.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+	inet_pton (AF_INET, ip, &a.sin_addr);
+	g_free (ip);
 	return a;
 }
 
@@ -29,11 +31,11 @@
 		g_string_append_printf (
 			s,
 			"%s{\"id\":\"%s\",\"service\":\"%s\",\"address\":"
-			"\"127.0.0.1:%u\",\"zone\":\"z%u\",\"slots\":64,"
+			"\"%s.1:%u\",\"zone\":\"z%u\",\"slots\":64,"
 			"\"state\":\"%s\",\"cold_remaining_ms\":0}",
 			i > 0 ? "," : "", k->eps[i].id,
-			i < SOAK_ENGINES ? "llm" : "app", k->eps[i].port,
-			i % SOAK_DOMAINS,
+			i < SOAK_ENGINES ? "llm" : "app", k->net,
+			k->eps[i].port, i % SOAK_DOMAINS,
 			k->eps[i].leaving ? "draining" : "ready");
 	g_string_append (s, "],\"next\":null}");
 	return g_string_free (s, FALSE);
@@ -151,7 +153,7 @@
 void
 world_platform (struct soak *k, bool up)
 {
-	struct sockaddr_in at = world_addr (k->platform.port);
+	struct sockaddr_in at = world_addr (k, k->platform.port);
 
 	if (up == k->platform_up)
 		return;
