tests: the ports of one run differ from each other

Fault: "soak" and "soak -p" chose each port apart and closed it before the next one, so the kernel could give one run the same port twice. Its daemons then can't listen on both.

Change: all four ports are held until all are chosen; "soak -p" prints four, and the scripts take as many as they need from one call.

--- a/tests/e2e_disks.sh
+++ b/tests/e2e_disks.sh
@@ -74,8 +74,7 @@
 # the disks of all members at once.
 DATA=$(mktemp -d -p /dev/shm 2>/dev/null || mktemp -d -p "$TMP")
 trap 'status=$?; rm -rf "$DATA"; (exit $status); finish' EXIT
-PEER=$("$BIN/soak" -p)
-API=$("$BIN/soak" -p)
+read -r PEER API _ <<<"$("$BIN/soak" -p)"
 printf '%064d\n' 7 >"$TMP/key"
 SEEDS=
 ROUTES=
--- a/tests/e2e_fanout.sh
+++ b/tests/e2e_fanout.sh
@@ -18,8 +18,7 @@
 # the disks of all members at once.
 DATA=$(mktemp -d -p /dev/shm 2>/dev/null || mktemp -d -p "$TMP")
 trap 'status=$?; rm -rf "$DATA"; (exit $status); finish' EXIT
-PEER=$("$BIN/soak" -p)
-API=$("$BIN/soak" -p)
+read -r PEER API _ <<<"$("$BIN/soak" -p)"
 printf '%064d\n' 7 >"$TMP/key"
 
 fail () {
--- a/tests/e2e_group.sh
+++ b/tests/e2e_group.sh
@@ -6,8 +6,7 @@
 # acknowledged last is read back after each step.
 . "$(dirname "$0")/lib.sh"
 
-PEER=$("$BIN/soak" -p)
-API=$("$BIN/soak" -p)
+read -r PEER API _ <<<"$("$BIN/soak" -p)"
 printf '%064d\n' 7 >"$TMP/key"
 settings () { # MEMBER FOUND
 	cat >"$TMP/m$1.json" <<JSON
--- a/tests/e2e_narrow.sh
+++ b/tests/e2e_narrow.sh
@@ -54,9 +54,7 @@
 # the disks of all members at once.
 DATA=$(mktemp -d -p /dev/shm 2>/dev/null || mktemp -d -p "$TMP")
 trap 'status=$?; rm -rf "$DATA"; (exit $status); finish' EXIT
-PEER=$("$BIN/soak" -p)
-API=$("$BIN/soak" -p)
-FRONT=$("$BIN/soak" -p)
+read -r PEER API FRONT _ <<<"$("$BIN/soak" -p)"
 printf '%064d\n' 7 >"$TMP/key"
 
 # What the relay believed of the members and their configurations.
--- a/tests/e2e_narrow_entry.sh
+++ b/tests/e2e_narrow_entry.sh
@@ -5,7 +5,7 @@
 . tests/t_control.sh
 
 RATE=${RATE:-100000}
-PEER=$("$BIN/soak" -p)
+read -r PEER _ <<<"$("$BIN/soak" -p)"
 
 doc () { # ENDPOINTS
 	awk -v n="$1" -v net="$NET" 'BEGIN {
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -213,6 +213,16 @@
 	g_rand_free (k->traffic);
 }
 
+static int
+print_ports (void)
+{
+	uint16_t ports[SOAK_PORTS] = {0};
+
+	procs_free_ports (ports, SOAK_PORTS);
+	return printf ("%u %u %u %u\n", ports[0], ports[1], ports[2],
+		       ports[3]) < 0;
+}
+
 int
 main (int argc, char **argv)
 {
@@ -244,7 +254,7 @@
 		else if (c == 'x' && strcmp (optarg, "cured") == 0)
 			k.crash.what = SOAK_CRASH_CURED;
 		else if (c == 'p')
-			return printf ("%u\n", procs_free_port ()) < 0;
+			return print_ports ();
 		else
 			return 2;
 	}
--- a/tests/soak/procs.c
+++ b/tests/soak/procs.c
@@ -99,33 +99,35 @@
 		g_dir_close (d);
 }
 
-uint16_t
-procs_free_port (void)
+void
+procs_free_ports (uint16_t *ports, uint32_t n)
 {
 	struct sockaddr_in at = {.sin_family = AF_INET};
-	uint16_t port = 0;
-	int fd;
+	int fds[SOAK_PORTS];
 
 	at.sin_addr.s_addr = htonl (INADDR_ANY);
-	fd = link_listen_fd (&at, 1, &port, NULL);
-	close (fd);
-	return port;
+	for (uint32_t i = 0; i < n; i++)
+		fds[i] = link_listen_fd (&at, 1, &ports[i], NULL);
+	for (uint32_t i = 0; i < n; i++)
+		close (fds[i]);
 }
 
 void
 procs_init (struct soak *k)
 {
 	char *key = g_strdup_printf ("%s/key", k->dir);
+	uint16_t ports[SOAK_PORTS] = {0};
 
 	g_file_set_contents (key,
 			     "00112233445566778899aabbccddeeff"
 			     "00112233445566778899aabbccddeeff\n",
 			     -1, NULL);
 	g_free (key);
-	k->front = procs_free_port ();
-	k->ready = procs_free_port ();
-	k->peer = procs_free_port ();
-	k->api = procs_free_port ();
+	procs_free_ports (ports, SOAK_PORTS);
+	k->front = ports[0];
+	k->ready = ports[1];
+	k->peer = ports[2];
+	k->api = ports[3];
 	cut_init (k);
 	for (int i = 0; i < SOAK_MEMBERS + SOAK_RELAYS; i++) {
 		struct soak_proc *p = &k->procs[i];
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -26,6 +26,7 @@
 #define SOAK_ACCOUNTS 3 /* whose keys are in force */
 #define SOAK_USAGE_WINDOW_MS 2000
 #define SOAK_EPS 8
+#define SOAK_PORTS 4   /* front, ready, peer and api */
 #define SOAK_ENGINES 5 /* the first of them; the others are servers */
 #define SOAK_DOMAINS 2
 #define SOAK_ID_BYTES 32
@@ -340,7 +341,9 @@
 
 /* procs.c: the daemons, and what is done to them */
 void procs_init (struct soak *k);
-uint16_t procs_free_port (void);
+/* Ports that differ from each other; @n: at most SOAK_PORTS.  Each is held
+ * until all are chosen, as the kernel may give a closed one again. */
+void procs_free_ports (uint16_t *ports, uint32_t n);
 void procs_tick (struct soak *k, uint64_t now_ms);
 void procs_fault (struct soak *k, uint64_t now_ms);
 void proc_kill (struct soak_proc *p, int sig);
