tests: control members listen at addresses of their own

Fault: members of t_control.sh got ports from the kernel at 127.0.0.1 and listen there again after a restart. Any other process on 127.0.0.1 may take such a port meanwhile, a parallel run first of all.

Ruled out: that TIME_WAIT protects the ports; it kept the peer port for the 10 s of the trial, not the admin port.

Change: members listen at NET.N and NET.100+N, with ports from the kernel.

Evidence: c2 killed, both ports asked for at 127.0.0.1 by another process that lets the kernel choose from just these. Before: it got 44701, and c2 ended with "controld: listen on port 44701: Address already in use". After: it held both ports, and c2 started again on both. e2e_control_faults and e2e_dhctl_live passed once.

Not done: bench/system.sh and e2e_cold have the same scheme.

--- a/tests/t_control.sh
+++ b/tests/t_control.sh
@@ -1,6 +1,7 @@
 # Control members for the end-to-end scripts.  Source after lib.sh.
 #
-#   member_set NAME [PEER] [ADMIN]   write $TMP/NAME.json; ports 0 by default
+#   member_set NAME [PEER] [ADMIN]   write $TMP/NAME.json; by default ports 0 at
+#                                    addresses of its own: NET.N and NET.100+N
 #   member_init NAME [ARGS...]       make a one-member group's folder
 #   member_join NAME                 make a folder that waits to be added
 #   member_start NAME                start it, wait for its ports, and keep
@@ -20,7 +21,8 @@
 	cat >"$TMP/$1.json" <<-END
 	{
 	  "name": "$1", "domain": "${DOMAINS[${1#c} - 1]:-north}",
-	  "peer": "${2:-127.0.0.1:0}", "admin": "${3:-127.0.0.1:0}",
+	  "peer": "${2:-$NET.${1#c}:0}",
+	  "admin": "${3:-$NET.$((100 + ${1#c})):0}",
 	  "data_dir": "$TMP/$1.data", "ports_file": "$TMP/$1.ports",
 	  "cluster_key_file": "$TMP/cluster.key",
 	  "admin_token_file": "$TMP/admin.token",
