--- a/tests/e2e_fanout.sh
+++ b/tests/e2e_fanout.sh
@@ -6,7 +6,7 @@
 # the small ones do: SLOW=1).
 . "$(dirname "$0")/lib.sh"
 
-N=3 RELAYS=${RELAYS:-300} NET=127.4.1
+N=3 RELAYS=${RELAYS:-300}
 ROUTES=${ROUTES:-9000}
 FORCE_S=15    # in force everywhere, from the size in README.md
 MEMORY_MB=128 # of an instance for control, likewise
@@ -18,8 +18,7 @@
 # the disks of all members at once.
 DATA=$(mktemp -d -p /dev/shm 2>/dev/null || mktemp -d -p "$TMP")
 trap 'status=$?; rm -rf "$DATA"; (exit $status); finish' EXIT
-PEER=$("$BIN/soak" -p)
-API=$("$BIN/soak" -p)
+read -r PEER API _ <<<"$("$BIN/soak" -p)"
 printf '%064d\n' 7 >"$TMP/key"
 
 fail () {
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -147,12 +147,26 @@
 		memset (k->eps[i].ran, 0, sizeof k->eps[i].ran);
 }
 
+/* Daemons connect from their own addresses, so another run with the same
+ * addresses could hold a stopped daemon's port with an outgoing connection.
+ * tests/lib.sh uses the same formula: no two live processes share a block, as
+ * long as the system's pid_max is at most 32768, Linux's default. */
+static void
+net_init (struct soak *k)
+{
+	unsigned pid = (unsigned)getpid ();
+
+	g_snprintf (k->net, sizeof k->net, "127.%u.%u", 64 + pid / 256 % 128,
+		    pid % 256);
+}
+
 static void
 play (struct soak *k, uint64_t fault_ms, const char *what)
 {
 	bool faults = fault_ms > 0 && strpbrk (what, "ql") == NULL &&
 		      k->crash.what == SOAK_CRASH_NONE;
 
+	net_init (k);
 	k->loop = h2o_evloop_create ();
 	k->rand = g_rand_new_with_seed (k->seed);
 	k->traffic = g_rand_new_with_seed (k->seed);
@@ -199,6 +213,16 @@
 	g_rand_free (k->traffic);
 }
 
+static int
+print_ports (void)
+{
+	uint16_t ports[SOAK_PORTS] = {0};
+
+	procs_free_ports (ports, SOAK_PORTS);
+	return printf ("%u %u %u %u\n", ports[0], ports[1], ports[2],
+		       ports[3]) < 0;
+}
+
 int
 main (int argc, char **argv)
 {
@@ -230,7 +254,7 @@
 		else if (c == 'x' && strcmp (optarg, "cured") == 0)
 			k.crash.what = SOAK_CRASH_CURED;
 		else if (c == 'p')
-			return printf ("%u\n", procs_free_port ()) < 0;
+			return print_ports ();
 		else
 			return 2;
 	}
--- a/tests/soak/procs.c
+++ b/tests/soak/procs.c
@@ -31,11 +31,11 @@
 	char *common = g_strdup_printf (
 		"\"name\":\"%s\",\"domain\":\"z%d\",\"peer\":\"%s:%u\","
 		"\"cluster_key_file\":\"%s/key\",\"seeds\":%s,"
-		"\"platform\":\"127.0.0.1:%u\",\"platform_calls_per_s\":50,"
+		"\"platform\":\"%s.1:%u\",\"platform_calls_per_s\":50,"
 		"\"usage_window_s\":%d",
 		p->name, p->ip[strlen (p->ip) - 1] % 2,
 		p->member ? k->doors[p - k->procs].ip : p->ip, k->peer, k->dir,
-		seeds, k->platform.port, SOAK_USAGE_WINDOW_MS / 1000);
+		seeds, k->net, k->platform.port, SOAK_USAGE_WINDOW_MS / 1000);
 
 	if (p->member)
 		text = g_strdup_printf (
@@ -99,33 +99,35 @@
 		g_dir_close (d);
 }
 
-uint16_t
-procs_free_port (void)
+void
+procs_free_ports (uint16_t *ports, uint32_t n)
 {
 	struct sockaddr_in at = {.sin_family = AF_INET};
-	uint16_t port = 0;
-	int fd;
+	int fds[SOAK_PORTS];
 
 	at.sin_addr.s_addr = htonl (INADDR_ANY);
-	fd = link_listen_fd (&at, 1, &port, NULL);
-	close (fd);
-	return port;
+	for (uint32_t i = 0; i < n; i++)
+		fds[i] = link_listen_fd (&at, 1, &ports[i], NULL);
+	for (uint32_t i = 0; i < n; i++)
+		close (fds[i]);
 }
 
 void
 procs_init (struct soak *k)
 {
 	char *key = g_strdup_printf ("%s/key", k->dir);
+	uint16_t ports[SOAK_PORTS] = {0};
 
 	g_file_set_contents (key,
 			     "00112233445566778899aabbccddeeff"
 			     "00112233445566778899aabbccddeeff\n",
 			     -1, NULL);
 	g_free (key);
-	k->front = procs_free_port ();
-	k->ready = procs_free_port ();
-	k->peer = procs_free_port ();
-	k->api = procs_free_port ();
+	procs_free_ports (ports, SOAK_PORTS);
+	k->front = ports[0];
+	k->ready = ports[1];
+	k->peer = ports[2];
+	k->api = ports[3];
 	cut_init (k);
 	for (int i = 0; i < SOAK_MEMBERS + SOAK_RELAYS; i++) {
 		struct soak_proc *p = &k->procs[i];
@@ -134,7 +136,7 @@
 		p->program = p->member ? "groupd" : "relayd";
 		g_snprintf (p->name, sizeof p->name, "%s%d",
 			    p->member ? "m" : "r", i);
-		g_snprintf (p->ip, sizeof p->ip, "127.0.0.%d",
+		g_snprintf (p->ip, sizeof p->ip, "%s.%d", k->net,
 			    p->member ? 11 + i : 21 + i - SOAK_MEMBERS);
 		g_snprintf (p->dir, sizeof p->dir, "%s/%s", k->dir, p->name);
 		proc_start (k, p);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -26,6 +26,7 @@
 #define SOAK_ACCOUNTS 3 /* whose keys are in force */
 #define SOAK_USAGE_WINDOW_MS 2000
 #define SOAK_EPS 8
+#define SOAK_PORTS 4   /* front, ready, peer and api */
 #define SOAK_ENGINES 5 /* the first of them; the others are servers */
 #define SOAK_DOMAINS 2
 #define SOAK_ID_BYTES 32
@@ -165,6 +166,7 @@
 	GRand *traffic; /* and what is sent */
 	uint32_t seed;
 	char *dir, *bin;
+	char net[12]; /* the run's loopback addresses: 127.X.Y */
 	uint16_t front, ready, peer, api;
 	struct soak_proc procs[SOAK_MEMBERS + SOAK_RELAYS];
 	struct soak_path paths[SOAK_MEMBERS + SOAK_RELAYS]
@@ -250,7 +252,7 @@
 void world_run (struct soak *k);
 
 /* world.c: the platform, and what it learns */
-struct sockaddr_in world_addr (uint16_t port);
+struct sockaddr_in world_addr (const struct soak *k, uint16_t port);
 void world_init (struct soak *k);
 void world_finish (struct soak *k);
 void world_platform (struct soak *k, bool up);
@@ -339,7 +341,9 @@
 
 /* procs.c: the daemons, and what is done to them */
 void procs_init (struct soak *k);
-uint16_t procs_free_port (void);
+/* Ports that differ from each other; @n: at most SOAK_PORTS.  Each is held
+ * until all are chosen, as the kernel may give a closed one again. */
+void procs_free_ports (uint16_t *ports, uint32_t n);
 void procs_tick (struct soak *k, uint64_t now_ms);
 void procs_fault (struct soak *k, uint64_t now_ms);
 void proc_kill (struct soak_proc *p, int sig);
