dhctl: verb check-config

Checks a configuration for the group before it is sent: by planjob_parse() and the limit on its size, as a member of the group does, so what is refused here is what the group refuses. Then come the findings of plancheck and, with a second file, what differs from it; with -j as JSON. Exit statuses are those of diff: warnings and differences don't change them.

The version in force is a file: fetching it from a member needs the path of the call, which platform/ only recognises and does not format, and a client for the group's API, which redirects instead of refusing like admin listeners.

--- a/dhctl/dhctl.h
+++ b/dhctl/dhctl.h
@@ -182,6 +182,7 @@
 int ctl_check (struct ctl *c);
 int ctl_diff (struct ctl *c);
 int ctl_schema (struct ctl *c);
+int ctl_check_config (struct ctl *c);
 int ctl_apply (struct ctl *c);
 int ctl_show (struct ctl *c);
 int ctl_grant (struct ctl *c);
--- a/dhctl/main.c
+++ b/dhctl/main.c
@@ -34,6 +34,7 @@
 	{"check", 1, 1, false, ctl_check},
 	{"diff", 1, 1, true, ctl_diff},
 	{"diff", 2, 2, false, ctl_diff},
+	{"check-config", 1, 2, false, ctl_check_config},
 	{"schema", 0, 0, false, ctl_schema},
 	{"apply", 1, 1, true, ctl_apply},
 	{"show", 1, 1, true, ctl_show},
@@ -51,6 +52,10 @@
 	"Verbs:\n"
 	"  check FILE                   check an inventory\n"
 	"  diff FILE [FILE]             what applying would change\n"
+	"  check-config FILE [FILE]     check a configuration for the group, "
+	"and\n"
+	"                               what it changes against the second "
+	"one\n"
 	"  schema                       reference page of all settings\n"
 	"  apply FILE                   make an inventory the one in force\n"
 	"  show NOUN                    status, members, leader, revision,\n"
--- a/tests/e2e_dhctl.sh
+++ b/tests/e2e_dhctl.sh
@@ -63,6 +63,62 @@
 expect 0 "$dhctl" diff "$dir/one.json" "$dir/two.json"
 same "$dir/want" "$dir/out" "diff of two files"
 
+# A configuration for the group: current.json, and new.json that changes it.
+config () {
+	cat <<EOF
+{"version":$1,"services":[{"name":"s"},{"name":"old"}],"routes":[
+ {"name":"chat","host":"h.example","path_prefix":"/chat/","kind":"idempotent",
+  "timeout_ms":$2,"target_latency_ms":800,"service":"$3"},
+ {"name":"rest","host":"h.example","path_prefix":"/","kind":"idempotent",
+  "timeout_ms":900,"service":"s"}],
+ "tenants":[{"name":"t","api_keys":["secret"]}]}
+EOF
+}
+config 7 2000 s >"$dir/current.json"
+config 8 500 s >"$dir/new.json"
+config 8 500 none >"$dir/refused.json"
+cat >"$dir/want" <<'EOF'
+version 8: 2 routes, 2 services, 1 client accounts, 1 keys
+warning: route chat (h.example/chat/): timeout 500 ms is below the latency objective 800 ms
+warning: service old: no route names it
+against version 7: changes
+routes: 0 removed, 1 changed, 0 added
+  chat (h.example/chat/): timeout (ms) 2000 to 500
+EOF
+expect 0 "$dhctl" check-config "$dir/new.json" "$dir/current.json"
+same "$dir/want" "$dir/out" "findings and differences of a configuration"
+head -n 3 "$dir/want" >"$dir/want.alone"
+expect 0 "$dhctl" check-config "$dir/new.json"
+same "$dir/want.alone" "$dir/out" "findings of a configuration"
+cat >"$dir/want" <<'EOF'
+{
+  "version":8,
+  "findings":[
+    "route chat (h.example/chat/): timeout 500 ms is below the latency objective 800 ms",
+    "service old: no route names it"
+  ],
+  "changes":[
+    "routes: 0 removed, 1 changed, 0 added",
+    "  chat (h.example/chat/): timeout (ms) 2000 to 500"
+  ]
+}
+EOF
+expect 0 "$dhctl" -j check-config "$dir/new.json" "$dir/current.json"
+same "$dir/want" "$dir/out" "findings and differences as JSON"
+echo "$dir/refused.json: route chat: unknown service" >"$dir/want"
+expect 1 "$dhctl" check-config "$dir/refused.json"
+same "$dir/want" "$dir/out" "a configuration that the group would refuse"
+expect 1 "$dhctl" check-config "$dir/new.json" "$dir/refused.json"
+# The group takes 3 MiB at most.
+{ cat "$dir/new.json"; head -c 3145728 /dev/zero | tr '\0' ' '; } >"$dir/long.json"
+expect 1 "$dhctl" check-config "$dir/long.json"
+grep -q "at most 3145728 are taken" "$dir/out" || {
+	echo "a configuration that is too long: $(cat "$dir/out")"
+	failed=1
+}
+expect 1 "$dhctl" check-config "$dir/none.json"
+expect 2 "$dhctl" check-config
+
 expect 0 "$dhctl" schema
 same docs/CONFIGURATION.md "$dir/out" "docs/CONFIGURATION.md (dhctl schema)"
 
