--- a/lib/fleet_speed.c
+++ b/lib/fleet_speed.c
@@ -1,8 +1,7 @@
 /*
  * Estimates of the speed of the engines in a table, see speed.h.
  */
-#include "fleet.h"
-#include "loads.h"
+#include "fleet_speed.h"
 
 /* Engines of a service whose speed is known, before they are compared. */
 #define COMPARE_MIN 4
--- a/lib/place.c
+++ b/lib/place.c
@@ -7,6 +7,7 @@
 
 #include "coldstart.h"
 #include "fleet_pace.h"
+#include "fleet_speed.h"
 #include "place_priv.h"
 
 /* Points of a prefix on the consistent hashing ring of engines.  With these the
--- a/lib/place_cost.c
+++ b/lib/place_cost.c
@@ -4,6 +4,7 @@
  */
 #include <string.h>
 
+#include "fleet_speed.h"
 #include "place_priv.h"
 
 /* Share of the shared segments that the preferred engine is assumed to cache
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -15,6 +15,7 @@
 #include "eplist.h"
 #include "evstream.h"
 #include "fleet.h"
+#include "fleet_speed.h"
 #include "gmsg.h"
 #include "h1cli.h"
 #include "h1srv.h"
--- a/tests/test_speed.c
+++ b/tests/test_speed.c
@@ -1,8 +1,7 @@
 /*
  * Estimates of the speed of engines.
  */
-#include "fleet.h"
-#include "loads.h"
+#include "fleet_speed.h"
 #include "place.h"
 #include "speed.h"
 #include "t_fleet.h"
