tests: scripts of clients and rollouts take their ports at once

soak -p prints four ports since they are held until all are chosen; four scripts, written beside that change, still expected one, and their daemons refused the settings ("peer: must be an IP number and a port"). The scripts of rollouts use the run's own loopback addresses, as the others do.

--- a/tests/e2e_clients_group.sh
+++ b/tests/e2e_clients_group.sh
@@ -15,8 +15,7 @@
 ALL="calm short chunks ones whole values over unlimited silent heads unread"
 
 printf '%064d\n' 7 >"$TMP/key"
-PEER=$("$BIN/soak" -p)
-API=$("$BIN/soak" -p)
+read -r PEER API _ <<<"$("$BIN/soak" -p)"
 cat >"$TMP/m.json" <<JSON
 {"name": "m", "domain": "z1", "peer": "127.0.0.1:$PEER",
  "api": "127.0.0.1:$API", "data_dir": "$TMP/data", "found": true,
--- a/tests/e2e_clients_relay.sh
+++ b/tests/e2e_clients_relay.sh
@@ -13,10 +13,7 @@
 ALL="calm short chunks ones whole held over unlimited silent heads unread mixed"
 
 printf '%064d\n' 7 >"$TMP/key"
-PEER=$("$BIN/soak" -p)
-API=$("$BIN/soak" -p)
-FRONT=$("$BIN/soak" -p)
-READY=$("$BIN/soak" -p)
+read -r PEER API FRONT READY <<<"$("$BIN/soak" -p)"
 start_fake origin origin
 cat >"$TMP/m.json" <<JSON
 {"name": "m", "domain": "z1", "peer": "127.0.0.1:$PEER",
--- a/tests/e2e_rollout.sh
+++ b/tests/e2e_rollout.sh
@@ -6,22 +6,21 @@
 # state stays.  Without exposure_share the calls don't exist.
 . "$(dirname "$0")/lib.sh"
 
-PEER=$("$BIN/soak" -p)
-API=$("$BIN/soak" -p)
+read -r PEER API _ <<<"$("$BIN/soak" -p)"
 printf '%064d\n' 7 >"$TMP/key"
 launch () { # MEMBER FOUND EXTRA
 	cat >"$TMP/m$1.json" <<JSON
-{"name": "m$1", "domain": "z$1", "peer": "127.0.0.3$1:$PEER",
- "api": "127.0.0.3$1:$API", "data_dir": "$TMP/d$1", "found": $2,
+{"name": "m$1", "domain": "z$1", "peer": "$NET.3$1:$PEER",
+ "api": "$NET.3$1:$API", "data_dir": "$TMP/d$1", "found": $2,
  "cluster_key_file": "$TMP/key", "platform": "127.0.0.1:1", $3
- "seeds": ["127.0.0.31:$API", "127.0.0.32:$API", "127.0.0.33:$API"]}
+ "seeds": ["$NET.31:$API", "$NET.32:$API", "$NET.33:$API"]}
 JSON
 	start "m$1" "$BIN/groupd" -f "$TMP/m$1.json"
 }
 ON='"exposure_share": 0.1, "ack_ms": 5000,'
 call () { # MEMBER METHOD PATH BODY: prints status and body
 	curl -sL -m 3 -X "$2" --data-binary "$4" -w ' %{http_code}' \
-		"http://127.0.0.3$1:$API$3"
+		"http://$NET.3$1:$API$3"
 }
 config () { # VERSION SERVICE
 	echo "{\"version\":$1,\"services\":[{\"name\":\"$2\"}],\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/\",\"kind\":\"idempotent\",\"timeout_ms\":1000,\"service\":\"$2\"}]}"
@@ -45,7 +44,7 @@
 	local i
 	for i in 1 2 3; do
 		curl -s -m 1 -o /dev/null -w '%{http_code}' \
-			"http://127.0.0.3$i:$API/api/config/get" |
+			"http://$NET.3$i:$API/api/config/get" |
 			grep -q 200 && echo "$i" && return
 	done
 	return 1
--- a/tests/e2e_rollout_serve.sh
+++ b/tests/e2e_rollout_serve.sh
@@ -6,17 +6,15 @@
 # requests over, and none fails.  Counts are those of the stand-in.
 . "$(dirname "$0")/lib.sh"
 
-PEER=$("$BIN/soak" -p)
-API=$("$BIN/soak" -p)
-FRONT=$("$BIN/soak" -p)
+read -r PEER API FRONT PORT <<<"$("$BIN/soak" -p)"
 printf '%064d\n' 7 >"$TMP/key"
-start_fake ends versions -l "0.0.0.0:$("$BIN/soak" -p)"
+start_fake ends versions -l "0.0.0.0:$PORT"
 ENDS=127.0.0.1:$(port_of ends | sed 's/.*://')
-SEEDS="\"127.0.0.31:$API\", \"127.0.0.32:$API\", \"127.0.0.33:$API\""
+SEEDS="\"$NET.31:$API\", \"$NET.32:$API\", \"$NET.33:$API\""
 member () { # MEMBER FOUND
 	cat >"$TMP/m$1.json" <<JSON
-{"name": "m$1", "domain": "z$1", "peer": "127.0.0.3$1:$PEER",
- "api": "127.0.0.3$1:$API", "data_dir": "$TMP/d$1", "found": $2,
+{"name": "m$1", "domain": "z$1", "peer": "$NET.3$1:$PEER",
+ "api": "$NET.3$1:$API", "data_dir": "$TMP/d$1", "found": $2,
  "cluster_key_file": "$TMP/key", "platform": "$ENDS",
  "exposure_share": 0.1, "exposure_slack": 50, "seeds": [$SEEDS]}
 JSON
@@ -24,8 +22,8 @@
 }
 relay () { # RELAY
 	cat >"$TMP/r$1.json" <<JSON
-{"name": "r$1", "domain": "z$1", "listen": "127.0.0.4$1:$FRONT",
- "ready": "127.0.0.5$1:$FRONT", "peer": "127.0.0.4$1:$PEER",
+{"name": "r$1", "domain": "z$1", "listen": "$NET.4$1:$FRONT",
+ "ready": "$NET.5$1:$FRONT", "peer": "$NET.4$1:$PEER",
  "cluster_key_file": "$TMP/key", "platform": "$ENDS", "seeds": [$SEEDS]}
 JSON
 	start "r$1" "$BIN/relayd" -f "$TMP/r$1.json"
@@ -33,11 +31,11 @@
 configure () {
 	echo '{"version":5,"services":[{"name":"s"}],"routes":[{"name":"r","host":"h.example","path_prefix":"/","kind":"idempotent","timeout_ms":3000,"service":"s","public":true}]}' |
 		curl -sfL -m 3 -o /dev/null -X POST --data-binary @- \
-			"http://127.0.0.31:$API/api/config/replace"
+			"http://$NET.31:$API/api/config/replace"
 }
 served () { # RELAY
 	curl -sf -m 3 -o /dev/null -H 'Host: h.example' \
-		-H 'X-Request-Id: probe' "http://127.0.0.4$1:$FRONT/x"
+		-H 'X-Request-Id: probe' "http://$NET.4$1:$FRONT/x"
 }
 # Callers at the three relays while the file $TMP/go is there.
 callers () {
@@ -47,7 +45,7 @@
 			curl -sZ --parallel-max 4 --no-progress-meter -m 5 \
 				-o /dev/null -w '%{http_code}\n' \
 				-H 'Host: h.example' -H "X-Request-Id: c$i" \
-				"http://127.0.0.4$i:$FRONT/x?n=[1-100]" \
+				"http://$NET.4$i:$FRONT/x?n=[1-100]" \
 				>>"$TMP/codes" 2>/dev/null
 		done &
 		CALLERS+=($!)
@@ -58,14 +56,14 @@
 	for i in 1 2 3; do
 		curl -sfL -m 3 -o /dev/null -X POST -d \
 			"{\"service\":\"s\",\"target\":\"$1\",\"duration_s\":$2}" \
-			"http://127.0.0.3$i:$API/api/rollouts/start" && return
+			"http://$NET.3$i:$API/api/rollouts/start" && return
 	done
 	return 1
 }
 state () { # STATE
 	local i
 	for i in 1 2 3; do
-		curl -sL -m 3 "http://127.0.0.3$i:$API/api/rollouts/s/get" |
+		curl -sL -m 3 "http://$NET.3$i:$API/api/rollouts/s/get" |
 			grep -q "\"$1\"" && return
 	done
 	return 1
@@ -74,7 +72,7 @@
 	local i
 	for i in 1 2 3; do
 		curl -s -m 1 -o /dev/null -w '%{http_code}' \
-			"http://127.0.0.3$i:$API/api/config/get" |
+			"http://$NET.3$i:$API/api/config/get" |
 			grep -q 200 && echo "$i" && return
 	done
 	return 1
