raft: an explicit conversion

clang, with which the fuzz targets are built, refuses an implicit conversion of an enum to uint8_t (-Wimplicit-int-conversion); gcc does not. e2e_fuzz failed to build before and passes.

--- a/lib/raft_elect.c
+++ b/lib/raft_elect.c
@@ -156,7 +156,7 @@
 
 	r->role = pre ? RAFT_PRE_CANDIDATE : RAFT_CANDIDATE;
 	r->leader = 0;
-	r->campaign = how;
+	r->campaign = (uint8_t)how;
 	for (uint32_t i = 0; i < r->peer_count; i++) {
 		struct raft_peer *p = &r->peers[i];
 
