--- a/review/lib.sh
+++ b/review/lib.sh
@@ -86,8 +86,7 @@
 		-e "s|{{bounds.lease_ms}}|3000|; s|{{bounds.ack_ms}}|4000|" \
 		-e "s|{{bounds.grace_s}}|8|; s|{{bounds.budget_window_s}}|10|" \
 		-e "s|{{bounds.retry_budget_ratio}}|0.2|" \
-		-e "s|{{bounds.retry_slack}}|58|" -e '/{{#limits\./d' \
-		"deploy/$1" |
+		-e "s|{{bounds.retry_slack}}|58|" "deploy/$1" |
 		sed -e "s/{{seeds|json}}/$(sed 's/[&/]/\\&/g' <<<"$SEEDS")/" \
 			-e 's/{{cloud.duties|json}}/["usage_report","autoscale"]/' \
 			>"$TMP/$2.conf"
