waitq: late requests stay before those of less urgent tiers

Cause: all late requests went behind all that could be in time, and filled at most .3 of the usual backlog, so large ones took the room for as long as there was too little.

Now they go behind those of their own tier only, with the usual backlog.

--- a/lib/loads.h
+++ b/lib/loads.h
@@ -69,8 +69,8 @@
 	uint32_t gap_us;
 };
 
-/* Ranks of waiting requests: those that can still be in time by their tier,
- * then the late ones by theirs. */
+/* Ranks of waiting requests: by tier, and within it the late ones behind those
+ * that can still be in time. */
 #define LOADS_RANKS 20
 
 /**
--- a/lib/set_daemons.c
+++ b/lib/set_daemons.c
@@ -178,7 +178,7 @@
 	     .doc = "Learn how fast each engine is, and place requests by it."),
 	ROW (share_room, SET_BOOL,
 	     .doc = "Send waiting requests at a rate that all relays share, "
-		    "those that can be in time first."),
+		    "the most urgent first."),
 	ROW (pace, SET_BOOL, .def = "false",
 	     .doc = "Whether the load of endpoints that have just appeared or "
 		    "recovered rises with what they answer, as a sum over all "
--- a/lib/waitq.c
+++ b/lib/waitq.c
@@ -28,9 +28,6 @@
 #define BACKLOG_MAX_MS 300.0
 #define BACKLOG_TIER_WEIGHT 0.25
 
-/* Share of that backlog that late requests may fill. */
-#define LATE_BACKLOG_SHARE 0.3
-
 static uint64_t
 stream_patience_ms (const struct plan_route *route)
 {
@@ -55,13 +52,6 @@
 		    BACKLOG_MAX_MS / (1 + BACKLOG_TIER_WEIGHT * route->tier));
 }
 
-double
-waitq_bound_ms (const struct waitq_entry *q, const struct plan_route *route)
-{
-	return (q->late ? LATE_BACKLOG_SHARE : 1) *
-	       waitq_max_backlog_ms (route);
-}
-
 bool
 waitq_is_late (const struct waitq_entry *q, const struct plan_route *route,
 	       uint64_t now_ms)
@@ -83,8 +73,7 @@
 uint32_t
 waitq_rank (const struct waitq_entry *q)
 {
-	return (q->late ? LOADS_RANKS / 2 : 0) +
-	       MIN (q->tier, LOADS_RANKS / 2 - 1);
+	return MIN (2 * q->tier + q->late, LOADS_RANKS - 1);
 }
 
 uint64_t
@@ -118,10 +107,10 @@
 int
 waitq_compare (const struct waitq_entry *a, const struct waitq_entry *b)
 {
-	if (a->late != b->late)
-		return a->late - b->late;
 	if (a->tier != b->tier)
 		return a->tier < b->tier ? -1 : 1;
+	if (a->late != b->late)
+		return a->late - b->late;
 	if (a->arrived_ms == b->arrived_ms)
 		return 0;
 	return a->arrived_ms < b->arrived_ms ? -1 : 1;
--- a/lib/waitq.h
+++ b/lib/waitq.h
@@ -53,11 +53,6 @@
  */
 double waitq_max_backlog_ms (const struct plan_route *route);
 
-/** waitq_bound_ms() - that backlog for one request; a late one leaves room for
- * those that arrive */
-double waitq_bound_ms (const struct waitq_entry *q,
-		       const struct plan_route *route);
-
 /**
  * waitq_is_late() - whether half of the latency objective has passed
  * @q: the entry
@@ -89,7 +84,9 @@
  * @now_ms: current time
  *
  * At a shortage of engines, a late request that goes first makes the next one
- * late too.  From then on it goes behind those that can still be in time.
+ * late too.  From then on it goes behind those of its tier that can still be in
+ * time.  It stays before those of less urgent tiers, or it would get nothing
+ * while they fill the engines.
  *
  * Return: whether it became late now; its place in the queue has changed then.
  */
@@ -135,7 +132,7 @@
  * @b: another one
  *
  * Return: less than 0 if @a goes before @b, 0 if they are equal, greater than 0
- * otherwise: the late ones last, then by tier, then by time of arrival.
+ * otherwise: by tier, then the late ones last, then by time of arrival.
  */
 int waitq_compare (const struct waitq_entry *a, const struct waitq_entry *b);
 
--- a/relayd/call.c
+++ b/relayd/call.c
@@ -150,7 +150,7 @@
 		.segments = c->req.segments,
 		.segment_count = c->req.segment_count,
 		.prompt_tokens = c->req.prompt_tokens,
-		.max_backlog_ms = waitq_bound_ms (&c->wait, c->route),
+		.max_backlog_ms = waitq_max_backlog_ms (c->route),
 		.gap_target_ms =
 			c->r->set.learn_speed ? c->route->gap_target_ms : 0,
 		.shared_room = c->r->set.share_room,
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -118,8 +118,6 @@
 		.unseen_ms = dispatch_unseen_ms (&w->dispatch[q->relay]),
 		.random = g_rand_int (w->rand)};
 
-	if (w->share)
-		req.max_backlog_ms = waitq_bound_ms (&q->wait, q->route);
 	return place_choose (&w->fleets[q->relay], &self, &req, now_ms);
 }
 
--- a/tests/test_waitq.c
+++ b/tests/test_waitq.c
@@ -166,23 +166,24 @@
 	CU_ASSERT (waitq_startup_refuse_at_ms (12000, 9000, 3600) <= 9000);
 }
 
-/* A request that can't be in time any more went before those that could, and
- * made them late too. */
+/* A request that can't be in time any more went before those of its tier that
+ * could, and made them late too.  It doesn't go behind less urgent ones: at a
+ * long shortage, 47 of 520 got nothing while those began. */
 static void
 test_late (void)
 {
-	struct waitq_entry a, b;
+	struct waitq_entry a, b, c;
 
 	waitq_entry_init (&a, &quick, 0, 15000, 1000);
 	waitq_entry_init (&b, &slow, 2, 12000, 1100);
-	CU_ASSERT (waitq_compare (&a, &b) < 0);
+	waitq_entry_init (&c, &quick, 0, 15000, 1200);
+	CU_ASSERT (waitq_compare (&a, &b) < 0 && waitq_compare (&a, &c) < 0);
 	CU_ASSERT (!waitq_note_late (&a, &quick, 100, 1200));
 	CU_ASSERT (waitq_note_late (&a, &quick, 101, 1200));
 	CU_ASSERT (!waitq_note_late (&a, &quick, 101, 1300));
-	CU_ASSERT (waitq_compare (&a, &b) > 0);
-	CU_ASSERT (waitq_rank (&b) == 2 && waitq_rank (&a) == LOADS_RANKS / 2);
-	CU_ASSERT (waitq_bound_ms (&a, &quick) < waitq_max_backlog_ms (&quick));
-	CU_ASSERT (waitq_bound_ms (&b, &slow) == waitq_max_backlog_ms (&slow));
+	CU_ASSERT (waitq_compare (&a, &c) > 0 && waitq_compare (&a, &b) < 0);
+	CU_ASSERT (waitq_rank (&c) == 0 && waitq_rank (&a) == 1 &&
+		   waitq_rank (&b) == 4);
 }
 
 int
