review: a request that crashes its servers in mid-stream

A request that crashes each server after its first event is never barred: the first event counts as a success of the request, and a connection that breaks later is no strike.

--- /dev/null
+++ b/review/standin-2/poison.c
@@ -0,0 +1,122 @@
+/*
+ * A request that crashes each server that begins to run it.  The server has
+ * made the first event by then.  Its client sends it again and again.
+ */
+#include <string.h>
+
+#include "cases.h"
+
+#define SERVERS 6
+#define RELAYS 3
+#define CONTACT_MS 3000
+#define PLAY_MS 45000
+#define RESEND_MS 1500
+#define SOUND_EVERY_MS 200
+#define RETRIES_MAX 3
+
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static bool deadly;
+static int64_t third_crash_ms; /* 0: not yet */
+static int crashes, late_arrivals;
+static int sound_sent, sound_whole;
+
+static bool
+is_poison (const struct message *m)
+{
+	return strstr (m->body, "poison") != NULL;
+}
+
+static void
+on_arrived (struct server *s, const struct message *m)
+{
+	if (!is_poison (m))
+		return;
+	pthread_mutex_lock (&lock);
+	if (third_crash_ms != 0 && now_ms () > third_crash_ms + CONTACT_MS) {
+		late_arrivals++;
+		record ("late arrival=%d server=%s", late_arrivals, s->ip);
+	}
+	pthread_mutex_unlock (&lock);
+}
+
+static bool
+crashes_now (struct server *s, const struct message *m, bool begun)
+{
+	(void)s;
+	if (!deadly || !begun || !is_poison (m))
+		return false;
+	pthread_mutex_lock (&lock);
+	if (++crashes == 3)
+		third_crash_ms = now_ms ();
+	pthread_mutex_unlock (&lock);
+	return true;
+}
+
+static void *
+send_sound (void *arg)
+{
+	struct message m;
+	char headers[TEXT_MAX], body[64];
+	int i = (int)(intptr_t)arg;
+
+	snprintf (headers, sizeof headers,
+		  "X-Request-Id: sound-%d\r\nX-Model: m\r\n"
+		  "X-Token-Usage: 800,60\r\nX-Prefix-Hash: a1:200,%x:600\r\n",
+		  i, 0x1000 + i);
+	snprintf (body, sizeof body, "sound %d", i);
+	ask (i % RELAYS, "/once/x", body, headers, 5000, &m);
+	pthread_mutex_lock (&lock);
+	sound_sent++;
+	sound_whole += m.whole && m.status == 200;
+	pthread_mutex_unlock (&lock);
+	return NULL;
+}
+
+static void *
+send_all_sound (void *arg)
+{
+	int64_t until_ms = now_ms () + PLAY_MS;
+
+	(void)arg;
+	for (int i = 0; now_ms () < until_ms; i++) {
+		thread_start (send_sound, (void *)(intptr_t)i);
+		pause_ms (SOUND_EVERY_MS);
+	}
+	return NULL;
+}
+
+static int
+play (bool trouble)
+{
+	static struct message m;
+	int64_t until_ms = now_ms () + PLAY_MS;
+
+	deadly = trouble;
+	server_ops.arrived = on_arrived;
+	server_ops.crashes = crashes_now;
+	server_ops.first_ms = 30;
+	server_ops.gap_ms = 30;
+	server_ops.events = 10;
+	server_ops.restart_ms = 3000;
+	thread_start (send_all_sound, NULL);
+	pause_ms (2000);
+	for (int i = 0; now_ms () < until_ms; i++) {
+		char headers[TEXT_MAX];
+
+		snprintf (headers, sizeof headers,
+			  "X-Request-Id: poison-%d\r\nX-Model: m\r\n"
+			  "X-Token-Usage: 900,60\r\n"
+			  "X-Prefix-Hash: a1:200,9999:700\r\n",
+			  i);
+		ask (i % RELAYS, "/once/x", "poison", headers, 5000, &m);
+		record ("poison sent=%d status=%d events=%d whole=%d", i,
+			m.status, m.events, m.whole);
+		pause_ms (RESEND_MS);
+	}
+	record ("crashes=%d retries later than contact_ms after the third=%d "
+		"sound sent=%d whole=%d",
+		crashes, late_arrivals, sound_sent, sound_whole);
+	return late_arrivals > RETRIES_MAX;
+}
+
+const struct review_case case_poison = {SERVERS, RELAYS, 3, 400, play};
