review: a request that crashes its servers, after the end of all processes

What is known of requests that crash servers is in memory only. After all relays and members were killed such a request crashes three more servers, and is tried again.

--- a/review/standin-2/main.c
+++ b/review/standin-2/main.c
@@ -48,6 +48,7 @@
 	const struct review_case *c;
 } cases[] = {
 	{"poison", &case_poison},
+	{"forget", &case_forget},
 	{"cold", &case_cold},
 	{"again", &case_again},
 };
--- a/review/standin-2/poison.c
+++ b/review/standin-2/poison.c
@@ -1,6 +1,8 @@
 /*
- * A request that crashes each server that begins to run it.  The server has
- * made the first event by then.  Its client sends it again and again.
+ * A request that crashes each server that begins to run it.  Its client sends
+ * it again and again.  In one case the server has made the first event by then;
+ * in the other all relays and members are killed in the middle of the play, by
+ * the script that started them.
  */
 #include <string.h>
 
@@ -10,12 +12,16 @@
 #define RELAYS 3
 #define CONTACT_MS 3000
 #define PLAY_MS 45000
+/* The script kills at KILL_MS and starts again within RESTART_MS; nothing is
+ * sent before the machines have been in touch again. */
+#define KILL_MS 16000
+#define QUIET_MS 8000
 #define RESEND_MS 1500
 #define SOUND_EVERY_MS 200
 #define RETRIES_MAX 3
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
-static bool deadly;
+static bool deadly, after_event;
 static int64_t third_crash_ms; /* 0: not yet */
 static int crashes, late_arrivals;
 static int sound_sent, sound_whole;
@@ -43,7 +49,7 @@
 crashes_now (struct server *s, const struct message *m, bool begun)
 {
 	(void)s;
-	if (!deadly || !begun || !is_poison (m))
+	if (!deadly || begun != after_event || !is_poison (m))
 		return false;
 	pthread_mutex_lock (&lock);
 	if (++crashes == 3)
@@ -85,13 +91,28 @@
 	return NULL;
 }
 
-static int
-play (bool trouble)
+static void
+send_poison (int i)
 {
 	static struct message m;
-	int64_t until_ms = now_ms () + PLAY_MS;
+	char headers[TEXT_MAX];
+
+	snprintf (headers, sizeof headers,
+		  "X-Request-Id: poison-%d\r\nX-Model: m\r\n"
+		  "X-Token-Usage: 900,60\r\n"
+		  "X-Prefix-Hash: a1:200,9999:700\r\n",
+		  i);
+	ask (i % RELAYS, "/once/x", "poison", headers, 5000, &m);
+	record ("poison sent=%d status=%d events=%d whole=%d", i, m.status,
+		m.events, m.whole);
+	pause_ms (RESEND_MS);
+}
+
+static int
+play (int64_t quiet_from_ms, int64_t quiet_until_ms)
+{
+	int64_t from_ms = now_ms ();
 
-	deadly = trouble;
 	server_ops.arrived = on_arrived;
 	server_ops.crashes = crashes_now;
 	server_ops.first_ms = 30;
@@ -100,18 +121,12 @@
 	server_ops.restart_ms = 3000;
 	thread_start (send_all_sound, NULL);
 	pause_ms (2000);
-	for (int i = 0; now_ms () < until_ms; i++) {
-		char headers[TEXT_MAX];
-
-		snprintf (headers, sizeof headers,
-			  "X-Request-Id: poison-%d\r\nX-Model: m\r\n"
-			  "X-Token-Usage: 900,60\r\n"
-			  "X-Prefix-Hash: a1:200,9999:700\r\n",
-			  i);
-		ask (i % RELAYS, "/once/x", "poison", headers, 5000, &m);
-		record ("poison sent=%d status=%d events=%d whole=%d", i,
-			m.status, m.events, m.whole);
-		pause_ms (RESEND_MS);
+	for (int i = 0; now_ms () < from_ms + PLAY_MS; i++) {
+		int64_t at_ms = now_ms () - from_ms;
+
+		if (at_ms >= quiet_from_ms && at_ms < quiet_until_ms)
+			pause_ms (quiet_until_ms - at_ms);
+		send_poison (i);
 	}
 	record ("crashes=%d retries later than contact_ms after the third=%d "
 		"sound sent=%d whole=%d",
@@ -119,4 +134,21 @@
 	return late_arrivals > RETRIES_MAX;
 }
 
-const struct review_case case_poison = {SERVERS, RELAYS, 3, 400, play};
+static int
+play_poison (bool trouble)
+{
+	deadly = trouble;
+	after_event = true;
+	return play (0, 0);
+}
+
+static int
+play_forget (bool trouble)
+{
+	(void)trouble;
+	deadly = true;
+	return play (KILL_MS - 1000, KILL_MS + QUIET_MS);
+}
+
+const struct review_case case_poison = {SERVERS, RELAYS, 3, 400, play_poison};
+const struct review_case case_forget = {SERVERS, RELAYS, 3, 400, play_forget};
--- a/review/standin-2/record.c
+++ b/review/standin-2/record.c
@@ -32,6 +32,7 @@
 	fprintf (file, "%8.3f ", (double)ms / 1000);
 	vfprintf (file, format, ap);
 	fputc ('\n', file);
+	fflush (file);
 	pthread_mutex_unlock (&lock);
 	va_end (ap);
 }
--- a/review/standin-2/run.sh
+++ b/review/standin-2/run.sh
@@ -7,6 +7,7 @@
 NET=127.$((64 + $$ / 256 % 128)).$(($$ % 256))
 RELAYS=${RELAYS:-3}
 MEMBERS=${MEMBERS:-3}
+FOUND=true
 PIDS=()
 SEEDS="[\"$NET.61:8229\",\"$NET.62:8229\",\"$NET.63:8229\"]"
 
@@ -17,6 +18,7 @@
 end_all () {
 	local pid
 	trap - EXIT
+	[ -n "${WORLD_PID:-}" ] && PIDS+=("$WORLD_PID")
 	for pid in "${PIDS[@]}"; do
 		kill -CONT "$pid" 2>/dev/null
 		kill -KILL "$pid" 2>/dev/null
@@ -37,13 +39,12 @@
 	"peer":"$NET.$((60 + $1)):7340","api":"$NET.$((60 + $1)):8229",
 	"metrics":"$NET.$((60 + $1)):7341","data_dir":"$TMP/core-$1",
 	"cluster_key_file":"deploy/cluster.key","seeds":$SEEDS,
-	"found":true,"platform":"$NET.1:8223","platform_calls_per_s":44,
+	"found":$FOUND,"platform":"$NET.1:8223","platform_calls_per_s":44,
 	"duties":["usage"],"usage_window_s":5,"usage_late_s":10,
 	"lease_ms":3000,"memory_mb":256,"max_fds":4096,"ack_ms":4000}
 	END
-	target/bin/groupd -f "$TMP/core-$1.json" >"$TMP/core-$1.log" 2>&1 &
+	target/bin/groupd -f "$TMP/core-$1.json" >>"$TMP/core-$1.log" 2>&1 &
 	PIDS+=($!)
-	MEMBER_PIDS="${MEMBER_PIDS:-} $!"
 }
 
 start_relay () {
@@ -56,13 +57,34 @@
 	"retry_ratio":0.2,"retry_slack":56,"retry_window_s":10,
 	"memory_mb":260,"max_fds":4100,"usage_window_s":5}
 	END
-	target/bin/relayd -f "$TMP/edge-$1.json" >"$TMP/edge-$1.log" 2>&1 &
+	target/bin/relayd -f "$TMP/edge-$1.json" >>"$TMP/edge-$1.log" 2>&1 &
 	PIDS+=($!)
-	RELAY_PIDS="${RELAY_PIDS:-} $!"
 }
 
-for ((i = 1; i <= MEMBERS; i++)); do start_member "$i"; done
-for ((i = 1; i <= RELAYS; i++)); do start_relay "$i"; done
-export MEMBER_PIDS RELAY_PIDS
-"$WORLD" "$CASE" "$NET" "$CASE_DIR/record.txt" "${TROUBLE:-1}"
+start_daemons () {
+	local i
+	for ((i = 1; i <= MEMBERS; i++)); do start_member "$i"; done
+	for ((i = 1; i <= RELAYS; i++)); do start_relay "$i"; done
+}
+
+kill_daemons () {
+	kill -KILL "${PIDS[@]}"
+	wait "${PIDS[@]}" 2>/dev/null
+	PIDS=()
+	FOUND=false
+}
+
+start_daemons
+"$WORLD" "$CASE" "$NET" "$CASE_DIR/record.txt" "${TROUBLE:-1}" &
+WORLD_PID=$!
+# Seconds after the start of the play at which all daemons are killed.
+if [ -n "${KILL_AT:-}" ] && [ "${TROUBLE:-1}" != 0 ]; then
+	until grep -q " start trouble" "$CASE_DIR/record.txt" ||
+		! kill -0 "$WORLD_PID" 2>/dev/null; do sleep 0.1; done
+	sleep "$KILL_AT"
+	kill_daemons
+	sleep 1
+	start_daemons
+fi
+wait "$WORLD_PID"
 exit $?
