review: a request that crashes its servers after a long silence

A connection that breaks after the endpoint was silent for 1.4 s is taken for one that timed out, also where the endpoint closed it, so a request that crashes its server later than that is never barred.

--- a/review/standin-2/cases.h
+++ b/review/standin-2/cases.h
@@ -17,6 +17,7 @@
 
 extern const struct review_case case_poison;
 extern const struct review_case case_forget;
+extern const struct review_case case_slow;
 extern const struct review_case case_cold;
 extern const struct review_case case_again;
 
--- a/review/standin-2/main.c
+++ b/review/standin-2/main.c
@@ -47,9 +47,8 @@
 	const char *name;
 	const struct review_case *c;
 } cases[] = {
-	{"poison", &case_poison},
-	{"forget", &case_forget},
-	{"cold", &case_cold},
+	{"poison", &case_poison}, {"forget", &case_forget},
+	{"slow", &case_slow},     {"cold", &case_cold},
 	{"again", &case_again},
 };
 
--- a/review/standin-2/poison.c
+++ b/review/standin-2/poison.c
@@ -1,8 +1,8 @@
 /*
  * A request that crashes each server that begins to run it.  Its client sends
- * it again and again.  In one case the server has made the first event by then;
- * in the other all relays and members are killed in the middle of the play, by
- * the script that started them.
+ * it again and again.  There are three cases: the server has made the first
+ * event by then; all relays and members are killed in the middle of the play,
+ * by the script that started them; the server takes long to its crash.
  */
 #include <string.h>
 
@@ -17,7 +17,11 @@
 #define KILL_MS 16000
 #define QUIET_MS 8000
 #define RESEND_MS 1500
+#define FIRST_MS 30
 #define SOUND_EVERY_MS 200
+/* A long prompt, at a time with few requests. */
+#define SLOW_FIRST_MS 1800
+#define SLOW_SOUND_EVERY_MS 3000
 #define RETRIES_MAX 3
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
@@ -82,11 +86,11 @@
 send_all_sound (void *arg)
 {
 	int64_t until_ms = now_ms () + PLAY_MS;
+	int every_ms = (int)(intptr_t)arg;
 
-	(void)arg;
 	for (int i = 0; now_ms () < until_ms; i++) {
 		thread_start (send_sound, (void *)(intptr_t)i);
-		pause_ms (SOUND_EVERY_MS);
+		pause_ms (every_ms);
 	}
 	return NULL;
 }
@@ -108,18 +112,20 @@
 	pause_ms (RESEND_MS);
 }
 
+/* @first_ms: time that a server takes to the first event; @every_ms: between
+ * two sound requests; nothing is sent again in the time given */
 static int
-play (int64_t quiet_from_ms, int64_t quiet_until_ms)
+play (int first_ms, int every_ms, int64_t quiet_from_ms, int64_t quiet_until_ms)
 {
 	int64_t from_ms = now_ms ();
 
 	server_ops.arrived = on_arrived;
 	server_ops.crashes = crashes_now;
-	server_ops.first_ms = 30;
+	server_ops.first_ms = first_ms;
 	server_ops.gap_ms = 30;
 	server_ops.events = 10;
 	server_ops.restart_ms = 3000;
-	thread_start (send_all_sound, NULL);
+	thread_start (send_all_sound, (void *)(intptr_t)every_ms);
 	pause_ms (2000);
 	for (int i = 0; now_ms () < from_ms + PLAY_MS; i++) {
 		int64_t at_ms = now_ms () - from_ms;
@@ -139,7 +145,7 @@
 {
 	deadly = trouble;
 	after_event = true;
-	return play (0, 0);
+	return play (FIRST_MS, SOUND_EVERY_MS, 0, 0);
 }
 
 static int
@@ -147,8 +153,17 @@
 {
 	(void)trouble;
 	deadly = true;
-	return play (KILL_MS - 1000, KILL_MS + QUIET_MS);
+	return play (FIRST_MS, SOUND_EVERY_MS, KILL_MS - 1000,
+		     KILL_MS + QUIET_MS);
+}
+
+static int
+play_slow (bool trouble)
+{
+	deadly = trouble;
+	return play (SLOW_FIRST_MS, SLOW_SOUND_EVERY_MS, 0, 0);
 }
 
 const struct review_case case_poison = {SERVERS, RELAYS, 3, 400, play_poison};
 const struct review_case case_forget = {SERVERS, RELAYS, 3, 400, play_forget};
+const struct review_case case_slow = {SERVERS, RELAYS, 3, 400, play_slow};
