--- a/review/standin-2/client.c
+++ b/review/standin-2/client.c
@@ -24,21 +24,25 @@
 {
 	int64_t until_ms = now_ms () + limit_ms;
 	int fd = net_connect (relay_ips[relay], relay_port, CONNECT_MS);
-	char head[4096];
-	int n;
+	char head[4096], id[TEXT_MAX];
+	int n = snprintf (head, sizeof head,
+			  "POST %s HTTP/1.1\r\nHost: h.example\r\n"
+			  "Authorization: Token key-1\r\nX-Deadline-Ms: %d\r\n"
+			  "Content-Length: %zu\r\n%s\r\n",
+			  path, limit_ms, strlen (body), headers);
 
 	out->status = out->events = 0;
 	out->whole = false;
+	head_value (head, "X-Request-Id", id, sizeof id);
+	record ("sent relay=%s request=%s connected=%d", relay_ips[relay], id,
+		fd >= 0);
 	if (fd < 0)
 		return;
-	n = snprintf (head, sizeof head,
-		      "POST %s HTTP/1.1\r\nHost: h.example\r\n"
-		      "Authorization: Token key-1\r\nX-Deadline-Ms: %d\r\n"
-		      "Content-Length: %zu\r\n%s\r\n",
-		      path, limit_ms, strlen (body), headers);
 	if (net_write (fd, head, n) && net_write (fd, body, (int)strlen (body)))
 		read_answer (fd, out, until_ms);
 	close (fd);
+	record ("answer request=%s status=%d events=%d whole=%d", id,
+		out->status, out->events, out->whole);
 }
 
 static void
--- a/review/standin-2/poison.c
+++ b/review/standin-2/poison.c
@@ -107,8 +107,6 @@
 		  "X-Prefix-Hash: a1:200,9999:700\r\n",
 		  i);
 	ask (i % RELAYS, "/once/x", "poison", headers, 5000, &m);
-	record ("poison sent=%d status=%d events=%d whole=%d", i, m.status,
-		m.events, m.whole);
 	pause_ms (RESEND_MS);
 }
 
