--- a/review/standin-2/run.sh
+++ b/review/standin-2/run.sh
@@ -74,12 +74,14 @@
 	FOUND=false
 }
 
+# The record of an earlier run would tell of its start.
+rm -f "$CASE_DIR/record.txt"
 start_daemons
 "$WORLD" "$CASE" "$NET" "$CASE_DIR/record.txt" "${TROUBLE:-1}" &
 WORLD_PID=$!
 # Seconds after the start of the play at which all daemons are killed.
 if [ -n "${KILL_AT:-}" ] && [ "${TROUBLE:-1}" != 0 ]; then
-	until grep -q " start trouble" "$CASE_DIR/record.txt" ||
+	until grep -qs " start trouble" "$CASE_DIR/record.txt" ||
 		! kill -0 "$WORLD_PID" 2>/dev/null; do sleep 0.1; done
 	sleep "$KILL_AT"
 	kill_daemons
