sio: a reset that a write took is not an orderly end

What callers saw: a server answered an upload of 4 MiB at once with a 200 without a length, sent 3,000 bytes of the body and reset the connection while the upload was still being written. The client got these bytes as a complete answer, on idempotent and non-idempotent routes; of a stream, the events up to the reset, with an end as of a whole one. The same where the server closed the connection with bytes unread.

Cause: the kernel reports the error of a socket once. A trace of the relay:

epoll_pwait EPOLLIN|EPOLLOUT|EPOLLERR|EPOLLHUP writev(11, ..., 8192) = -1 ECONNRESET read(11, "", 8192) = 0

h2o writes as soon as the socket is writable, keeps that it failed for the end of the turn, and reads first; the read finds no error any more and an end, which h1cli took for the end of a body without length. The error of a connection that the kernel gives up (TCP_USER_TIMEOUT) went the same way.

Ruled out: a small request, or one written before the reset (the read takes the error, 502); the client's side of the relay (what it was given, it passed on).

Change: sio writes by itself, keeps the error that the kernel reports, to a write or to the look whether a connection is quiet, and tells it where the end of the stream is read. EPIPE means that the other side's end had arrived before the reset: nothing is missing then, and the answer is whole. h1cli goes on reading after a write failed, also after a pause, so that an answer that is whole by its length or chunks arrives whichever of the two comes first. The order of writes, their sizes and their callbacks are as before.

Conclusion: an end tells of a whole body only where no error came before it, and the socket's owner has to keep the one report of that error.

--- a/lib/h1cli.c
+++ b/lib/h1cli.c
@@ -111,6 +111,7 @@
 	.readable = on_readable,
 	.drained = on_drained,
 	.ended = on_ended,
+	.reads_on = true,
 };
 
 /* enum answer_of - whose request a head answers */
--- a/lib/h1srv_stop.c
+++ b/lib/h1srv_stop.c
@@ -36,7 +36,7 @@
 
 /* Whether a request is unanswered, or has begun to arrive. */
 static bool
-has_request (const struct h1srv_conn *c)
+has_request (struct h1srv_conn *c)
 {
 	return c->state == CONN_BUSY || is_partial (c) ||
 	       (c->state == CONN_HEAD && !sio_is_quiet (&c->io));
@@ -58,7 +58,7 @@
 h1srv_has_requests (const struct h1srv *s)
 {
 	for (guint i = 0; i < s->conns->len; i++) {
-		const struct h1srv_conn *c = g_ptr_array_index (s->conns, i);
+		struct h1srv_conn *c = g_ptr_array_index (s->conns, i);
 
 		if (has_request (c))
 			return true;
@@ -92,7 +92,7 @@
 h1srv_has_output (const struct h1srv *s)
 {
 	for (guint i = 0; i < s->conns->len; i++) {
-		const struct h1srv_conn *c = g_ptr_array_index (s->conns, i);
+		struct h1srv_conn *c = g_ptr_array_index (s->conns, i);
 
 		if (sio_pending (&c->io) > 0 || c->state == CONN_LINGER)
 			return true;
--- a/lib/sio.c
+++ b/lib/sio.c
@@ -17,6 +17,18 @@
 /* Memory that an empty queue keeps for the next bytes. */
 #define KEEP_BYTES (16U << 10)
 
+/*
+ * Why the stream ended, or NULL where the other side closed it.  The kernel
+ * reports an error once; a read that follows sees an end.  EPIPE is what a
+ * write gets where the other side's end had arrived before the connection was
+ * reset, so that nothing of the stream is missing.
+ */
+static const char *
+end_reason (const struct sio *s)
+{
+	return s->error != 0 && s->error != EPIPE ? strerror (s->error) : NULL;
+}
+
 static void
 on_read (h2o_socket_t *sock, const char *why)
 {
@@ -24,7 +36,8 @@
 
 	if (why != NULL) {
 		/* h2o reports the orderly end as an error too. */
-		s->ops->ended (why == h2o_socket_error_closed ? NULL : why,
+		s->ops->ended (why == h2o_socket_error_closed ? end_reason (s)
+							      : why,
 			       s->ctx);
 		return;
 	}
@@ -88,13 +101,18 @@
 }
 
 bool
-sio_is_quiet (const struct sio *s)
+sio_is_quiet (struct sio *s)
 {
 	char byte;
 
-	return recv (h2o_socket_get_fd (s->sock), &byte, 1,
-		     MSG_PEEK | MSG_DONTWAIT) < 0 &&
-	       (errno == EAGAIN || errno == EINTR);
+	if (recv (h2o_socket_get_fd (s->sock), &byte, 1,
+		  MSG_PEEK | MSG_DONTWAIT) >= 0)
+		return false;
+	if (errno == EAGAIN || errno == EINTR)
+		return true;
+	if (s->error == 0)
+		s->error = errno;
+	return false;
 }
 
 void
@@ -126,16 +144,46 @@
 	g_byte_array_set_size (*a, 0);
 }
 
+static void on_writable (h2o_socket_t *sock, const char *why);
+
+/*
+ * Hands the rest of the part to the kernel.  h2o's own write would take the
+ * connection's error without telling which one it was.
+ */
+static void
+send_rest (struct sio *s)
+{
+	ssize_t n = send (h2o_socket_get_fd (s->sock),
+			  s->flight->data + s->flight_at + s->part_at,
+			  s->part - s->part_at, MSG_NOSIGNAL | MSG_DONTWAIT);
+
+	if (n >= 0)
+		s->part_at += (uint32_t)n;
+	else if (errno != EAGAIN && errno != EINTR)
+		s->error = errno;
+	/* A write of nothing calls back later in this turn of the loop. */
+	if (s->error != 0 || s->part_at == s->part)
+		h2o_socket_write (s->sock, NULL, 0, on_written);
+	else
+		h2o_socket_notify_write (s->sock, on_writable);
+}
+
+static void
+on_writable (h2o_socket_t *sock, const char *why)
+{
+	if (why != NULL)
+		on_written (sock, why);
+	else
+		send_rest (sock->data);
+}
+
 /* Hands the next part of the flight to the kernel. */
 static void
 send_part (struct sio *s)
 {
-	h2o_iovec_t buf = h2o_iovec_init (
-		s->flight->data + s->flight_at,
-		MIN (s->flight->len - s->flight_at, PART_BYTES));
-
-	s->part = (uint32_t)buf.len;
-	h2o_socket_write (s->sock, &buf, 1, on_written);
+	s->part = MIN (s->flight->len - s->flight_at, PART_BYTES);
+	s->part_at = 0;
+	send_rest (s);
 }
 
 static void
@@ -166,8 +214,13 @@
 {
 	struct sio *s = sock->data;
 
+	if (s->error != 0)
+		why = strerror (s->error);
 	if (why != NULL) {
-		s->ops->ended (why, s->ctx);
+		/* Where nothing is left to read, not even an end, reading would
+		 * never tell. */
+		if (!s->ops->reads_on || sio_is_quiet (s))
+			s->ops->ended (why, s->ctx);
 		return;
 	}
 	s->flight_at += s->part;
--- a/lib/sio.h
+++ b/lib/sio.h
@@ -22,13 +22,17 @@
  * @drained: all that was queued has been handed to the kernel
  * @wrote: the kernel took a part of what was queued, and more is left; may be
  *	NULL
- * @ended: the other side closed (@why is NULL) or the connection failed
+ * @ended: the other side closed (@why is NULL) or the connection failed, also
+ *	where the end is read after a write took the error
+ * @reads_on: where writing fails, what arrived before is still read, after a
+ *	pause too, and then @ended is told; otherwise it is told at once
  */
 struct sio_ops {
 	void (*readable) (void *ctx);
 	void (*drained) (void *ctx);
 	void (*wrote) (void *ctx);
 	void (*ended) (const char *why, void *ctx);
+	bool reads_on;
 };
 
 /**
@@ -57,6 +61,8 @@
 	GByteArray *shared; /* follows @queued; NULL: none */
 	uint32_t flight_at; /* bytes of @flight that the kernel took */
 	uint32_t part;      /* bytes of it that the kernel is to take now */
+	uint32_t part_at;   /* bytes of @part that it took */
+	int error;          /* errno that the kernel reported; 0: none */
 	bool flight_is_shared;
 	struct sio_limits limits;
 	bool paused;
@@ -80,7 +86,7 @@
 
 /** sio_is_quiet() - whether nothing has come, neither bytes nor the end, that
  * the loop has not read yet */
-bool sio_is_quiet (const struct sio *s);
+bool sio_is_quiet (struct sio *s);
 
 /** sio_pause() - stop reading; sio_resume() reads on */
 void sio_pause (struct sio *s);
