sio: bytes that come with the error of the next read count

What callers saw: 502, or a stream that was cut, for an answer that had arrived whole, where its head and body filled the read's buffer to the last byte and the server reset the connection after it.

Cause: h2o reads again where a read filled its buffer. Where that second read gets the error, h2o tells the error alone, and sio told its owner the end of the connection without the bytes of the first read.

Ruled out: the write's error (the same with a request that was written whole).

Change: sio knows how many bytes of the input its owner was told of. Where more are there, it tells these, keeps the error, and tells that with the end that the next read sees.

Conclusion: what was received before an error is not lost with it, whichever call takes the error.

--- a/lib/sio.c
+++ b/lib/sio.c
@@ -34,14 +34,21 @@
 {
 	struct sio *s = sock->data;
 
-	if (why != NULL) {
-		/* h2o reports the orderly end as an error too. */
-		s->ops->ended (why == h2o_socket_error_closed ? end_reason (s)
-							      : why,
-			       s->ctx);
-		return;
+	/* Bytes can come with the error of the read after them.  They count,
+	 * and the next read sees the end. */
+	if (why != NULL && sock->input->size > s->told) {
+		if (why != h2o_socket_error_closed && s->error == 0)
+			s->error = EIO;
+		why = NULL;
 	}
-	s->ops->readable (s->ctx);
+	s->told = sock->input->size;
+	if (why == NULL)
+		s->ops->readable (s->ctx);
+	else if (why == h2o_socket_error_closed)
+		/* h2o reports the orderly end as an error too. */
+		s->ops->ended (end_reason (s), s->ctx);
+	else
+		s->ops->ended (why, s->ctx);
 }
 
 void
@@ -98,6 +105,7 @@
 sio_consume (struct sio *s, size_t len)
 {
 	h2o_buffer_consume (&s->sock->input, len);
+	s->told -= len;
 }
 
 bool
--- a/lib/sio.h
+++ b/lib/sio.h
@@ -63,6 +63,7 @@
 	uint32_t part;      /* bytes of it that the kernel is to take now */
 	uint32_t part_at;   /* bytes of @part that it took */
 	int error;          /* errno that the kernel reported; 0: none */
+	size_t told;        /* bytes of the input that the owner was told of */
 	bool flight_is_shared;
 	struct sio_limits limits;
 	bool paused;
--- a/tests/test_h1reset.c
+++ b/tests/test_h1reset.c
@@ -293,6 +293,38 @@
 	}
 }
 
+/* A read that fills the buffer is followed by another one, which gets the
+ * error; what the first one brought counts all the same. */
+static void
+test_bytes_before_the_error (void)
+{
+	for (size_t total = 1024; total <= 65536; total += 1024) {
+		GString *text = g_string_new (NULL);
+		struct fixture t;
+		size_t head;
+
+		g_string_printf (text, OK_HEAD "Content-Length: %05zu\r\n\r\n",
+				 total);
+		head = text->len;
+		g_string_printf (text, OK_HEAD "Content-Length: %05zu\r\n\r\n",
+				 total - head);
+		for (size_t i = head; i < total; i++)
+			g_string_append_c (text, 'a');
+		/* The body goes out before the answer comes, or is pending. */
+		init (&t, total % 2048 == 0 ? BODY_BYTES : 0,
+		      (struct sio_limits){0});
+		say (&t, text->str);
+		end_it (&t, RST);
+		run (&t, WAIT_MS);
+		if (t.end != H1CLI_WHOLE)
+			g_print ("%zu bytes: end %d\n", total, t.end);
+		CU_ASSERT (t.done && t.end == H1CLI_WHOLE);
+		CU_ASSERT (t.body->len == total - head);
+		finish (&t);
+		g_string_free (text, TRUE);
+	}
+}
+
 int
 main (void)
 {
@@ -301,6 +333,7 @@
 		{"reset after the end", test_reset_after_the_end},
 		{"timeout", test_timeout},
 		{"paused", test_paused},
+		{"bytes before the error", test_bytes_before_the_error},
 		{NULL, NULL}};
 
 	signal (SIGPIPE, SIG_IGN);
