httpc: a status outside 200 to 599 is no answer

What callers saw: a server in trouble behind an entry answered with status 000, and the caller got "HTTP/1.1 0" with 3 bytes of the body, which curl can't read as an answer; with 099 the same, with 600 and 999 that status and the whole body. The attempt counted as answered, so that it was not tried again where it could have been, and the endpoint stayed in use.

Cause: h2o's client takes any three digits for a status, and nothing behind it looked again: entryd asks whether the status is below 500, and a 0 is.

Change: httpc ends such an exchange as one that lost its endpoint; the request may have run, and is tried again or refused (502) as after a connection that broke. h2o reads over 1xx heads itself, but passes on a 101, which no request of ours asks for.

What was handled before, and is unchanged: names of fields with a blank or a control byte (502, in a 1xx head too); a service's answer without a length, cut or not (502); a stream that ends before its last event (cut). Relays refuse such statuses in lib/h1.c.

Conclusion: a status is checked by the reader, before anything acts on it.

--- a/lib/httpc.c
+++ b/lib/httpc.c
@@ -18,6 +18,11 @@
 #define HEAD_CHECK_MS 10
 #define RECEIVE_BUFFER_BYTES (256 << 10)
 
+/* Statuses of an answer.  h2o's client reads over 1xx heads, 101 apart, and
+ * takes any other number. */
+#define STATUS_MIN 200
+#define STATUS_MAX 599
+
 struct httpc {
 	struct httpc_peer *peer;
 	const struct httpc_ops *ops;
@@ -157,6 +162,11 @@
 		httpc_fail (c, ERR_ENDPOINT_LOST, "answer from", why);
 		return NULL;
 	}
+	if (status < STATUS_MIN || status > STATUS_MAX) {
+		httpc_fail (c, ERR_ENDPOINT_LOST, "answer from",
+			    "invalid status");
+		return NULL;
+	}
 	for (size_t i = 0; i < count && n < HTTPC_HEADERS_MAX; i++) {
 		out[n].name = headers[i].name->base;
 		out[n].name_len = headers[i].name->len;
--- a/lib/httpc.h
+++ b/lib/httpc.h
@@ -53,7 +53,7 @@
 
 /**
  * struct httpc_ops - what an exchange tells its owner
- * @head: status and headers arrived
+ * @head: status, from 200 to 599, and headers arrived
  * @body: a piece of the body arrived
  * @done: the exchange ended, after which it must not be used.  @e is NULL
  *	where the answer is whole: complete by its length or chunks, or ended
