httpc: a body without length that a reset cut is not whole

What callers saw: nothing on requests, since an entry takes no service's answer without a length for whole, and a stream only with its last event. The client's other users, controld's calls of the platform, dhctl and dhload, got what had come before a reset as all of the answer; httpc.h says that only a clean close ends it.

Cause: the class of the relay's fault, an end of the stream that is looked at without the error. h2o's client tells any end of a body without length, also a failed read, as the end of the body.

Change: where the body ends, httpc looks at the connection: it is closed by a failure, and the error isn't there any more, so the read that saw the end took it. An error that is still there came after a whole answer, and EPIPE after the other side's end. An entry's stream that had its last event is whole as before, whatever ends the connection.

--- a/entryd/back.c
+++ b/entryd/back.c
@@ -233,13 +233,15 @@
 	attempt_failed (r, t, true, &e);
 }
 
-/* Whether the endpoint's answer as it ended is all of it. */
+/* Whether the endpoint's answer as it ended, by @err or NULL, is all of it.  A
+ * stream is whole with its last event, whatever became of its connection. */
 static bool
-is_whole (struct req *r)
+is_whole (struct req *r, const struct err *err)
 {
 	if (streams (r))
-		return sse_end (&r->sse, r->out);
-	return r->framed;
+		return (err == NULL || r->sse.whole) &&
+		       sse_end (&r->sse, r->out);
+	return err == NULL && r->framed;
 }
 
 /* Answers that another endpoint may do better. */
@@ -272,7 +274,7 @@
 	struct target *t = r->target;
 	struct bb_ep *ep = t->ep;
 	bool sent = httpc_sent (c);
-	bool whole = err == NULL && is_whole (r);
+	bool whole = is_whole (r, err);
 	/* A stream can go on only with a stream. */
 	bool refused = whole && (is_refusal (r) || (r->begun && !streams (r)));
 	struct err e = {0};
--- a/lib/httpc.c
+++ b/lib/httpc.c
@@ -117,6 +117,26 @@
 	httpc_end (c, &e);
 }
 
+/*
+ * Whether the answer ended because the connection failed.  h2o takes any end of
+ * a body without length for an orderly one.  A read that sees a failure takes
+ * the error; an error that is still there came after what was read.
+ */
+static bool
+was_reset (h2o_socket_t *sock)
+{
+	struct tcp_info info;
+	socklen_t size = sizeof info;
+	int fd = h2o_socket_get_fd (sock), error = 0;
+
+	if (getsockopt (fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
+	    info.tcpi_state != TCP_CLOSE)
+		return false;
+	size = sizeof error;
+	return getsockopt (fd, SOL_SOCKET, SO_ERROR, &error, &size) == 0 &&
+	       error == 0;
+}
+
 static int
 on_body (h2o_http1client_t *client, const char *why)
 {
@@ -140,7 +160,11 @@
 	}
 	if (why == NULL)
 		return 0;
-	httpc_end (c, NULL);
+	if (was_reset (client->sock))
+		httpc_fail (c, ERR_ENDPOINT_LOST, "read from",
+			    "the connection failed");
+	else
+		httpc_end (c, NULL);
 	return 0;
 }
 
--- a/tests/test_httpc.c
+++ b/tests/test_httpc.c
@@ -205,6 +205,8 @@
 		{"no length, ended", OK_HEAD "\r\nabc", FIN, ERR_NONE, 0},
 		{"no length, ended before a reset", OK_HEAD "\r\nabc", FIN_RST,
 		 ERR_NONE, 0},
+		{"no length, reset", OK_HEAD "\r\nabc", RST, ERR_ENDPOINT_LOST,
+		 0},
 		{"no length, reset in an upload", OK_HEAD "\r\nabc", RST,
 		 ERR_ENDPOINT_LOST, UPLOAD_BYTES},
 		{"length, reset", OK_HEAD LENGTH, RST, ERR_NONE, 0},
