httpc: a chunked body without its last chunk is not whole

What callers saw: a server behind an entry that sent a 200 in chunks and closed the connection between two of them; the caller got what had come, 3,000 bytes, as a complete answer with a length.

Cause: the class of the relay's fault, the end of a connection taken for the end of a body. h2o's client takes an orderly end between two chunks for the last chunk, and tells the body's end as after one.

Ruled out: an end within a chunk or a reset between two, which h2o tells as errors (502 before and now); relays, whose reader wants the last chunk and the line after it.

Change: httpc knows whether the answer is chunked; a body's end that no byte came with is the connection's, and the exchange has lost its endpoint. A stream is still whole with its last event.

--- a/lib/httpc.c
+++ b/lib/httpc.c
@@ -34,6 +34,7 @@
 	bool (*may_send) (void *ctx);
 	void *may_send_ctx;
 	bool sent;
+	bool chunked; /* the answer */
 	bool paused;
 	h2o_socket_cb read_cb; /* what h2o reads with, while paused */
 	struct tmr deadline;
@@ -160,7 +161,11 @@
 	}
 	if (why == NULL)
 		return 0;
-	if (was_reset (client->sock))
+	/* h2o takes an end between two chunks for the last chunk; no byte came
+	 * with it. */
+	if (c->chunked && client->sock->bytes_read == 0)
+		httpc_fail (c, ERR_ENDPOINT_LOST, "read from", "no last chunk");
+	else if (was_reset (client->sock))
 		httpc_fail (c, ERR_ENDPOINT_LOST, "read from",
 			    "the connection failed");
 	else
@@ -168,6 +173,19 @@
 	return 0;
 }
 
+static bool
+has_header (const struct st_h2o_header_t *headers, size_t count,
+	    const char *name)
+{
+	for (size_t i = 0; i < count; i++) {
+		if (headers[i].name->len == strlen (name) &&
+		    g_ascii_strncasecmp (headers[i].name->base, name,
+					 headers[i].name->len) == 0)
+			return true;
+	}
+	return false;
+}
+
 static h2o_http1client_body_cb
 on_head (h2o_http1client_t *client, const char *why, int minor, int status,
 	 h2o_iovec_t msg, struct st_h2o_header_t *headers, size_t count,
@@ -197,6 +215,7 @@
 		out[n].value = headers[i].value.base;
 		out[n++].value_len = headers[i].value.len;
 	}
+	c->chunked = has_header (headers, count, "transfer-encoding");
 	p->current = c;
 	c->ops->head (c, status, out, n, c->ctx);
 	if (p->current != c)
--- a/tests/e2e_answers_entry.sh
+++ b/tests/e2e_answers_entry.sh
@@ -67,7 +67,7 @@
 		expect "$route, $name" "$(asked /$route $name "$TMP/upload")" \
 			502-0
 	done
-	for name in $STATUSES $NAMES; do
+	for name in $SHORT $STATUSES $NAMES; do
 		expect "$route, $name" "$(asked /$route $name "$TMP/small")" \
 			502-0
 	done
@@ -98,7 +98,7 @@
 answer all-events-reset reset 'HTTP/1.1 200 OK' "$TYPE" "$EVENT$LAST"
 answer all-events-fin fin 'HTTP/1.1 200 OK' "$TYPE" "$EVENT$LAST"
 for stream in false true; do
-	for name in $STATUSES $NAMES; do
+	for name in $SHORT $STATUSES $NAMES; do
 		prompt $stream
 		expect "completions, stream $stream, $name" \
 			"$(asked $COMPLETIONS $name "$TMP/prompt")" 502-0
--- a/tests/e2e_answers_relay.sh
+++ b/tests/e2e_answers_relay.sh
@@ -60,7 +60,7 @@
 		expect "$route, $name" "$(relayed $route $name "$TMP/upload")" \
 			502-0
 	done
-	for name in $STATUSES $NAMES; do
+	for name in $SHORT $STATUSES $NAMES; do
 		expect "$route, $name" "$(relayed $route $name "$TMP/small")" \
 			502-0
 	done
--- a/tests/t_answers.sh
+++ b/tests/t_answers.sh
@@ -13,6 +13,7 @@
 #
 #   CUT        an answer without a length that ends with a reset; the request
 #              is longer than the sockets' buffers take
+#   SHORT      answers that end before their length or their last chunk
 #   STATUSES   a status outside 100 to 599
 #   NAMES      a field whose name holds a blank or a control byte
 #   WHOLE      answers that are complete by their length or chunks, whatever
@@ -74,6 +75,16 @@
 answer part-reset 'unread reset' 'HTTP/1.1 200 OK' "${HEAD[@]}" "$BODY"
 answer part-close 'unread fin' 'HTTP/1.1 200 OK' "${HEAD[@]}" "$BODY"
 
+SHORT="length-fin chunks-fin chunks-late-fin chunks-late-reset"
+CHUNK="$(printf '%x' ${#BODY})\r\n$BODY\r\n"
+answer length-fin fin 'HTTP/1.1 200 OK' "${HEAD[@]}" 'Content-Length: 4000' \
+	"$BODY"
+answer chunks-fin fin 'HTTP/1.1 200 OK' "${HEAD[@]}" "$CHUNKED" \
+	"${CHUNK%???????}"
+answer chunks-late-fin fin 'HTTP/1.1 200 OK' "${HEAD[@]}" "$CHUNKED" "$CHUNK"
+answer chunks-late-reset reset 'HTTP/1.1 200 OK' "${HEAD[@]}" "$CHUNKED" \
+	"$CHUNK"
+
 STATUSES="status-000 status-099 status-600 status-999"
 for name in $STATUSES; do
 	answer "$name" keep "HTTP/1.1 ${name#status-} Trouble" "${HEAD[@]}" \
@@ -103,7 +114,7 @@
 	"$BODY"
 answer length-close 'unread fin' 'HTTP/1.1 200 OK' "${HEAD[@]}" "$LENGTH" \
 	"$BODY"
-CHUNKS="$(printf '%x' ${#BODY})\r\n$BODY\r\n0\r\n\r\n"
+CHUNKS="${CHUNK}0\r\n\r\n"
 answer chunks-reset 'unread reset' 'HTTP/1.1 200 OK' "${HEAD[@]}" "$CHUNKED" \
 	"$CHUNKS"
 answer chunks-close 'unread fin' 'HTTP/1.1 200 OK' "${HEAD[@]}" "$CHUNKED" \
--- a/tests/test_httpc.c
+++ b/tests/test_httpc.c
@@ -224,6 +224,10 @@
 		 ERR_ENDPOINT_LOST, 0},
 		{"chunks, cut by a reset", CHUNKED "3\r\nabc\r\n", RST,
 		 ERR_ENDPOINT_LOST, 0},
+		{"chunks, cut by an end", CHUNKED "3\r\nabc\r\n", FIN,
+		 ERR_ENDPOINT_LOST, 0},
+		{"chunks, cut in the last line", CHUNKED "3\r\nabc\r\n0\r\n",
+		 FIN, ERR_ENDPOINT_LOST, 0},
 	};
 
 	check_rows (rows, G_N_ELEMENTS (rows));
