--- a/tests/test_h1reset.c
+++ b/tests/test_h1reset.c
@@ -293,6 +293,42 @@
 	}
 }
 
+/* The same for the next request on a kept connection. */
+static void
+test_kept (void)
+{
+	static const char answer[] = OK_HEAD "Content-Length: 3\r\n\r\nabc";
+	char *body = g_malloc0 (BODY_BYTES);
+	GString *text = g_string_new (NULL);
+	struct h1cli_req req = {.idle_max_ms = WAIT_MS, .connect_ms = 500};
+	struct fixture t;
+
+	init (&t, 0, (struct sio_limits){0});
+	say (&t, answer);
+	run (&t, WAIT_MS);
+	CU_ASSERT (t.done && t.end == H1CLI_WHOLE);
+	CU_ASSERT (t.host.idle.length == 1);
+	t.done = false;
+	g_string_truncate (t.body, 0);
+	g_string_printf (text, "POST / HTTP/1.1\r\nContent-Length: %u\r\n\r\n",
+			 BODY_BYTES);
+	g_string_append_len (text, body, BODY_BYTES);
+	req.bytes = text->str;
+	req.len = text->len;
+	t.call = h1cli_start (&t.host, &req, &ops, &t);
+	CU_ASSERT (h1cli_reused (t.call));
+	run (&t, 20);
+	say (&t, OK_HEAD "\r\nabc");
+	run (&t, 20);
+	end_it (&t, RST);
+	run (&t, WAIT_MS);
+	CU_ASSERT (t.done && t.end == H1CLI_BROKEN);
+	CU_ASSERT (t.host.conns == 0);
+	finish (&t);
+	g_string_free (text, TRUE);
+	g_free (body);
+}
+
 /* A read that fills the buffer is followed by another one, which gets the
  * error; what the first one brought counts all the same. */
 static void
@@ -333,6 +369,7 @@
 		{"reset after the end", test_reset_after_the_end},
 		{"timeout", test_timeout},
 		{"paused", test_paused},
+		{"kept connection", test_kept},
 		{"bytes before the error", test_bytes_before_the_error},
 		{NULL, NULL}};
 
