sio: an unexpected failure of a wait to write counts as the connection's error

h2o tells such a failure only for connections that are being made, which sio never has; without the error kept, the end that is read later would be orderly.

--- a/lib/sio.c
+++ b/lib/sio.c
@@ -44,11 +44,10 @@
 	s->told = sock->input->size;
 	if (why == NULL)
 		s->ops->readable (s->ctx);
-	else if (why == h2o_socket_error_closed)
-		/* h2o reports the orderly end as an error too. */
-		s->ops->ended (end_reason (s), s->ctx);
-	else
-		s->ops->ended (why, s->ctx);
+	else /* h2o reports the orderly end as an error too. */
+		s->ops->ended (why == h2o_socket_error_closed ? end_reason (s)
+							      : why,
+			       s->ctx);
 }
 
 void
@@ -169,7 +168,7 @@
 		s->part_at += (uint32_t)n;
 	else if (errno != EAGAIN && errno != EINTR)
 		s->error = errno;
-	/* A write of nothing calls back later in this turn of the loop. */
+	/* A write of no bytes calls back later in this turn of the loop. */
 	if (s->error != 0 || s->part_at == s->part)
 		h2o_socket_write (s->sock, NULL, 0, on_written);
 	else
@@ -179,10 +178,14 @@
 static void
 on_writable (h2o_socket_t *sock, const char *why)
 {
-	if (why != NULL)
-		on_written (sock, why);
-	else
-		send_rest (sock->data);
+	struct sio *s = sock->data;
+
+	if (why == NULL) {
+		send_rest (s);
+		return;
+	}
+	s->error = EIO;
+	on_written (sock, why);
 }
 
 /* Hands the next part of the flight to the kernel. */
--- a/tests/t_answers.sh
+++ b/tests/t_answers.sh
@@ -14,7 +14,7 @@
 #   CUT        an answer without a length that ends with a reset; the request
 #              is longer than the sockets' buffers take
 #   SHORT      answers that end before their length or their last chunk
-#   STATUSES   a status outside 100 to 599
+#   STATUSES   statuses below 100 and above 599
 #   NAMES      a field whose name holds a blank or a control byte
 #   WHOLE      answers that are complete by their length or chunks, whatever
 #              becomes of the connection
