httpc: a body under the coding "identity" ends with the connection

Cause: the name of the field was looked at, not its value.

Ruled out: other codings, which h2o's client refuses.

Change: only "chunked" wants a last chunk. A reset still cuts the other.

Evidence: test_httpc, "identity, ended", at once and later: lost before (2 assertions), whole now; "identity, reset" is lost before and now.

--- a/lib/httpc.c
+++ b/lib/httpc.c
@@ -18,8 +18,8 @@
 #define HEAD_CHECK_MS 10
 #define RECEIVE_BUFFER_BYTES (256 << 10)
 
-/* Statuses of an answer.  h2o's client reads over 1xx heads, 101 apart, and
- * takes any other number. */
+/* Status codes of a final answer.  h2o's client reads over 1xx heads, but 101,
+ * and takes any other number. */
 #define STATUS_MIN 200
 #define STATUS_MAX 599
 
@@ -174,13 +174,22 @@
 }
 
 static bool
-has_header (const struct st_h2o_header_t *headers, size_t count,
-	    const char *name)
+is_text (const char *s, size_t len, const char *text)
+{
+	return len == strlen (text) && g_ascii_strncasecmp (s, text, len) == 0;
+}
+
+/* Whether the body comes in chunks.  h2o refuses other codings, but "identity",
+ * which is a body up to the connection's end. */
+static bool
+is_chunked (const struct st_h2o_header_t *headers, size_t count)
 {
 	for (size_t i = 0; i < count; i++) {
-		if (headers[i].name->len == strlen (name) &&
-		    g_ascii_strncasecmp (headers[i].name->base, name,
-					 headers[i].name->len) == 0)
+		const struct st_h2o_header_t *h = &headers[i];
+
+		if (is_text (h->name->base, h->name->len,
+			     "transfer-encoding") &&
+		    is_text (h->value.base, h->value.len, "chunked"))
 			return true;
 	}
 	return false;
@@ -215,7 +224,7 @@
 		out[n].value = headers[i].value.base;
 		out[n++].value_len = headers[i].value.len;
 	}
-	c->chunked = has_header (headers, count, "transfer-encoding");
+	c->chunked = is_chunked (headers, count);
 	p->current = c;
 	c->ops->head (c, status, out, n, c->ctx);
 	if (p->current != c)
