entryd: an answer of invalid status is not the end of its endpoint

A service that answers 000 to everything, its polls too, was taken for dead after eight polls, and the requests that were there got strikes as suspects, though no process had ended.

Cause: one kind of error, ERR_ENDPOINT_LOST, for a connection that broke and for an answer that is none.

Ruled out: heads that h2o's client refuses (names of fields) stay as they were.

Change: httpc ends an answer of invalid status with ERR_PROTOCOL. It breaks no connection and raises no doubt; a poll with it says that the process runs, ends doubts, and brings an endpoint that is down not up, since it proves no service. The attempt has failed as before: 502, or another endpoint.

Evidence: e2e_answers_entry, a service with status 000 for requests and polls: "taken for dead: 1" before (change=down in_flight=1), 0 now. Broken answers to a call that may run once reach the service once.

--- a/entryd/back.c
+++ b/entryd/back.c
@@ -280,7 +280,8 @@
 	struct err e = {0};
 
 	r->any_sent = r->any_sent || sent;
-	if (err != NULL && err->kind != ERR_TIMEOUT)
+	if (err != NULL && err->kind != ERR_TIMEOUT &&
+	    err->kind != ERR_PROTOCOL)
 		target_broke (t);
 	attempt_end (r, whole && r->status < 400, !whole || refused);
 	if (whole && !refused) {
--- a/entryd/target.c
+++ b/entryd/target.c
@@ -262,6 +262,13 @@
 	struct bb_load load = {.sampled_ms = t->polled_ms};
 	uint64_t now_ms = tmr_now_ms ();
 
+	if (err != NULL && err->kind == ERR_PROTOCOL) {
+		/* A process that answers has not ended, whatever it says. */
+		t->silent = t->resets = 0;
+		if (t->lost_ids != NULL)
+			g_array_set_size (t->lost_ids, 0);
+		return;
+	}
 	if (err != NULL) {
 		/* Slow is not dead: a refused connection is, and one that
 		 * answers nothing at all, time after time. */
--- a/lib/httpc.c
+++ b/lib/httpc.c
@@ -214,8 +214,7 @@
 		return NULL;
 	}
 	if (status < STATUS_MIN || status > STATUS_MAX) {
-		httpc_fail (c, ERR_ENDPOINT_LOST, "answer from",
-			    "invalid status");
+		httpc_fail (c, ERR_PROTOCOL, "answer from", "invalid status");
 		return NULL;
 	}
 	for (size_t i = 0; i < count && n < HTTPC_HEADERS_MAX; i++) {
--- a/lib/httpc.h
+++ b/lib/httpc.h
@@ -58,7 +58,7 @@
  * @done: the exchange ended, after which it must not be used.  @e is NULL
  *	where the answer is whole: complete by its length or chunks, or ended
  *	by a clean close where it had neither.  ERR_IO: no connection was
- *	made, so nothing was sent.
+ *	made, so nothing was sent.  ERR_PROTOCOL: the status is invalid.
  */
 struct httpc_ops {
 	void (*head) (struct httpc *c, int status,
--- a/tests/e2e_answers_entry.sh
+++ b/tests/e2e_answers_entry.sh
@@ -65,6 +65,22 @@
 	expect "completions, $name" \
 		"$(asked $COMPLETIONS $name "$TMP/prompt")" 200-0
 done
+# What may have run is not sent again where that is not allowed.
+for name in $CUT $SHORT $STATUSES $NAMES; do
+	before=$(arrivals d1 $name)
+	expect "once again, $name" "$(asked /once $name "$TMP/small")" 502-0
+	expect "arrivals, $name" "$(($(arrivals d1 $name) - before))" 1
+done
+
+# A server whose every status is invalid has not ended: the requests that were
+# there are no suspects.
+down () {
+	grep -c 'change=down' "$TMP/e1.log"
+}
+before=$(down)
+answer metrics keep 'HTTP/1.1 000 Trouble' 'Content-Length: 0' ''
+expect "all of status 000" "$(asked /any status-000 "$TMP/small")" 502-0
+expect "taken for dead" "$(($(down) - before))" 0
 check "the entry ended" alive e1
 none_wrong
 echo "e2e_answers_entry: passed"
