review: case 14, an error in answer to HEAD has a body

After a key is taken away, a relay answers HEAD on a kept channel with 401 and a body, which the client finds where its next answer is due (MIXED).

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/standin-3"
 out=../../target/review-3
 mkdir -p "$out"
-for p in platform server ask cut; do
+for p in platform server ask cut kept; do
 	${CC:-cc} -std=gnu11 -O2 -Wall -Wextra -Werror -D_GNU_SOURCE -pthread \
 		-o "$out/$p" "$p.c" http.c
 done
--- a/review/standin-3/server.c
+++ b/review/standin-3/server.c
@@ -42,7 +42,9 @@
 					"X-Request-Id: %s\r\n"
 					"X-Response-Seal: %s.%s\r\n",
 					id, own_id, id);
-			http_answer (fd, 200, headers, "done\n", 5);
+			http_answer (fd, 200, headers, "done\n",
+				     strncmp (m->first, "HEAD ", 5) != 0 ? 5
+									 : 0);
 		}
 		free (m->body);
 	}
