review/12: one core machine is lost at a time

The three new machines started at once, and a new machine counts as lost for catch_up_s. Now each is replaced after the one before; the relay is cut off for 5.4 s and then stands still for 3.4 s, both within the site's largest doses.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
-# The three core machines are replaced while one edge machine is cut off from
-# the core for 5 s; its settings then name the new ones.  A key is taken away
-# later.  TROUBLE=0: the edge machine isn't cut off.
+# The three core machines are replaced one after the other while one edge machine
+# is first cut off from the core and then stands still; its settings then name
+# the new ones.  A key is taken away later.  TROUBLE=0: the edge machine is
+# neither cut off nor frozen.
 PROXIED=1
 . "$(dirname "$0")/../lib-3.sh"
 
@@ -23,25 +24,42 @@
 done
 sleep 4
 
-# One machine is lost at a time: the first until its successor has had
-# catch_up_s (4 s), the others when theirs have had it.
-began=$(date +%s%3N)
+# Each core machine is removed as its successor starts, and the next one 4.1 s
+# after that (catch_up_s is 4).  The relay is cut off for 5.4 s, and stands still
+# from just before the cut heals until the last one is gone.
+mark
 if [ "$TROUBLE" = 1 ]; then
 	record "edge-0 is cut off from the core"
 	touch "$CUT"
 fi
-sleep 0.1
-stop_one core0 TERM
 FOUND=false
-for n in 3 4 5; do core_conf $n 0 1 2; start_core $n; done
-sleep 4.3
+at 100
+stop_one core0 TERM
+core_conf 3 0 1 2
+start_core 3
+at 4200
 stop_one core1 TERM
-sleep 0.3
+core_conf 4 1 2 3
+start_core 4
+if [ "$TROUBLE" = 1 ]; then
+	at 5250
+	stop_one edge0 STOP
+	stopped=$(since)
+	at 5400
+	rm -f "$CUT"
+	within "the cut" "$(since)" 5500
+fi
+at 8320
 stop_one core2 TERM
-sleep 0.4
-rm -f "$CUT"
-record "healed after $(($(date +%s%3N) - began)) ms"
+core_conf 5 2 3 4
+start_core 5
+if [ "$TROUBLE" = 1 ]; then
+	at 8650
+	stop_one edge0 CONT
+	within "the freeze" $(($(since) - stopped)) 3500
+fi
 for n in 0 1 2; do gone core$n; done
+sleep 5 # catch_up_s, for the last one
 for n in 0 1 2 3; do
 	edge_conf $n 3 4 5
 	stop_one edge$n HUP
--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -9,6 +9,9 @@
 #   order METHOD PATH BODY-FILE LIMIT-S N...       as the operator, to cores N
 #   record TEXT           append a line with the time to record.txt
 #   cannot TEXT           end with 2: the case could not run
+#   mark, at MS           note the time; sleep until MS after it
+#   since                 print the ms since mark
+#   within WHAT MS LIMIT  end with 2 where a dose was larger than its limit
 #
 # Figures are those of rmeem-echelles.
 
@@ -49,6 +52,20 @@
 	exit 2
 }
 
+mark () { MARK=$(date +%s%3N); }
+since () { echo $(($(date +%s%3N) - MARK)); }
+
+at () {
+	local left=$(($1 - $(since)))
+	[ $left -gt 0 ] && sleep "$((left / 1000)).$(printf %03d $((left % 1000)))"
+	return 0
+}
+
+within () {
+	record "$1 took $2 ms of $3"
+	[ "$2" -le "$3" ] || cannot "$1 took too long"
+}
+
 core_ip () { echo "$NET.$((10 + $1))"; }
 inner_ip () { echo "$NET.$((110 + $1))"; }
 edge_ip () { echo "$NET.$((40 + $1))"; }
