--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Two of three core machines are replaced, the new ones first; later one
-# machine of the core loses its disk.  TROUBLE=0: no disk is lost.
+# Two core machines are added, one after the other, and then two of the old
+# three removed; later one machine of the core loses its disk.  TROUBLE=0: no disk is lost.
 # REPLACE=0: nothing is replaced before (not part of the verdict's claim).
 . "$(dirname "$0")/../lib-3.sh"
 
@@ -20,8 +20,11 @@
 FOUND=false
 if [ "${REPLACE:-1}" = 1 ]; then
 	LIVE="2 3 4"
-	for n in 3 4; do core_conf $n 0 1 2; start_core $n; done
-	sleep 5 # catch_up_s is 4
+	for n in 3 4; do
+		core_conf $n 0 1 2
+		start_core $n
+		sleep 5 # catch_up_s is 4
+	done
 	stop_one core0 TERM
 	gone core0
 	sleep 6
