groupd: acknowledge only what enough disks hold

What callers saw: nothing yet; found while the rule for members that come and go was laid out (docs/design/group-membership.md). Where two disks may be lost at once and three seeds found the group, an operator's change was acknowledged once two disks held it, until others had joined.

Cause: acknowledgements went by the majority of the voters there were, and the number of disks that the deployment has to bear losing was not known to members.

A call is answered once so many voters and one more hold its entry, or all of them where there are fewer. The log itself goes on by majority, so that others can join. The line "acknowledge" has the copies and voters, and the metric copies_needed the bound.

Ruled out: asking for these copies before an entry is committed. With one of three founders gone, no member could be added any more.

Evidence: e2e_members with raft_copies_needed() returning 0: "acknowledged on two disks"; test_raft_quorum fails too. With the change both pass.

--- a/groupd/api.c
+++ b/groupd/api.c
@@ -425,6 +425,7 @@
 	print_metric (out, "term", g->raft.term);
 	print_metric (out, "commit_index", g->raft.commit);
 	print_metric (out, "voters", raft_config_voters (&g->raft.config));
+	print_metric (out, "copies_needed", raft_copies_needed (&g->raft));
 	print_metric (out, "version", g->state.version);
 	print_metric (out, "sealed_window", g->state.sealed_window);
 	print_metric (out, "storage_down", g->storage_down);
@@ -486,36 +487,55 @@
 			      text, len);
 }
 
+/* Few voters may be a majority while the group is still growing, but not enough
+ * disks for an acknowledgement. */
+static bool
+is_held (const struct group *g, const struct pending_call *w)
+{
+	return group_is_leader (g) && g->raft.term == w->term &&
+	       raft_copies (&g->raft, w->index) >=
+		       raft_copies_needed (&g->raft);
+}
+
+static void
+acknowledge (struct pending_call *w)
+{
+	struct group *g = w->g;
+	uint64_t index = w->index, since_ms = w->since_ms;
+	struct h1srv_conn *c = call_end (w);
+
+	if (c == NULL)
+		return;
+	g->acks++;
+	log_event (LOG_LV_INFO, "acknowledge",
+		   "index=%" G_GUINT64_FORMAT " waited_ms=%" G_GUINT64_FORMAT
+		   " copies=%u voters=%u",
+		   index, tmr_now_ms () - since_ms,
+		   raft_copies (&g->raft, index),
+		   raft_config_voters (&g->raft.config));
+	answer (c, 200, "{}\n");
+}
+
 void
 api_entry_applied (struct group *g, const struct raft_entry *entry)
 {
 	for (guint i = g->pending_calls->len; i > 0; i--) {
 		struct pending_call *w =
 			g_ptr_array_index (g->pending_calls, i - 1);
-		bool ours = w->term == entry->term;
-		bool conflicts;
-		uint64_t since_ms = w->since_ms;
-		struct h1srv_conn *c;
 
 		if (w->is_read || w->index != entry->index)
 			continue;
-		conflicts = w->call == DIA_ROLLOUT_START &&
-			    !rollout_accepted (g, w);
-		c = call_end (w);
-		if (c != NULL && ours && conflicts) {
-			refuse (g, c, 409,
-				"another rollout of the service runs");
-		} else if (c != NULL && ours) {
-			g->acks++;
-			log_event (LOG_LV_INFO, "acknowledge",
-				   "index=%" G_GUINT64_FORMAT
-				   " waited_ms=%" G_GUINT64_FORMAT,
-				   entry->index, tmr_now_ms () - since_ms);
-			answer (c, 200, "{}\n");
-		} else if (c != NULL) {
-			refuse (g, c, 503,
-				"another leader replaced the log entry");
-		}
+		if (w->term != entry->term)
+			call_refuse (w, 503,
+				     "another leader replaced the log entry");
+		else if (w->call == DIA_ROLLOUT_START &&
+			 !rollout_accepted (g, w))
+			call_refuse (w, 409,
+				     "another rollout of the service runs");
+		else if (is_held (g, w))
+			acknowledge (w);
+		else
+			w->applied = true;
 	}
 }
 
@@ -543,6 +563,10 @@
 			w->is_read && raft_read_ready (&g->raft, w->index,
 						       w->since_ms, now_ms);
 
+		if (w->applied && is_held (g, w)) {
+			acknowledge (w);
+			continue;
+		}
 		if (ready && w->conn != NULL && w->call == DIA_ROLLOUT_START) {
 			if (propose_rollout (w))
 				continue;
--- a/groupd/groupd.h
+++ b/groupd/groupd.h
@@ -61,6 +61,7 @@
 	uint64_t term;
 	uint64_t since_ms;
 	bool is_read; /* reads, changes nothing */
+	bool applied; /* its entry is; too few disks hold it yet */
 	enum dia_api_call call;
 	struct dia_rollout rollout; /* that it starts or reads */
 	struct group *g;
--- a/groupd/store.c
+++ b/groupd/store.c
@@ -212,8 +212,11 @@
 static bool
 load (struct group *g, const struct wal_state *st, struct err *e)
 {
+	struct raft_limits with_losses = limits;
+
 	g->id = st->id;
-	raft_init (&g->raft, st->id, &times, &limits, &ops, g,
+	with_losses.disk_losses = g->set.disk_losses;
+	raft_init (&g->raft, st->id, &times, &with_losses, &ops, g,
 		   randombytes_random ());
 	raft_load_vote (&g->raft, st->term, st->vote);
 	if (st->snap_index > 0) {
--- a/lib/raft.h
+++ b/lib/raft.h
@@ -100,6 +100,7 @@
  * @keep_entries: entries kept behind a snapshot for slow followers
  * @part_bytes: an entry with more is sent in parts of this size; 0 for
  *	RAFT_PART_BYTES
+ * @disk_losses: disks that may be lost at once, see raft_copies_needed()
  */
 struct raft_limits {
 	uint32_t snapshot_entries;
@@ -107,6 +108,7 @@
 	uint64_t max_bytes;
 	uint32_t keep_entries;
 	uint32_t part_bytes;
+	uint32_t disk_losses;
 };
 
 /** enum raft_msg_kind - kinds of message; numbers are never reused */
@@ -452,6 +454,18 @@
 bool raft_read_ready (const struct raft *r, uint64_t index, uint64_t since_ms,
 		      uint64_t now_ms);
 
+/** raft_copies() - how many voters are known to hold the entry at @index
+ * durably, at the leader */
+uint32_t raft_copies (const struct raft *r, uint64_t index);
+
+/**
+ * raft_copies_needed() - how many voters have to hold what is acknowledged
+ *
+ * One more than the disks that may be lost at once, or all where there are
+ * fewer.  A majority is that many, unless the group is still growing.
+ */
+uint32_t raft_copies_needed (const struct raft *r);
+
 /** raft_peer() - what is known of member @id, or NULL */
 const struct raft_peer *raft_peer (const struct raft *r, uint64_t id);
 
--- a/lib/raft_repl.c
+++ b/lib/raft_repl.c
@@ -234,3 +234,20 @@
 	    raft_log_term (&r->log, at[n / 2]) == r->term)
 		r->commit = at[n / 2];
 }
+
+uint32_t
+raft_copies (const struct raft *r, uint64_t index)
+{
+	uint32_t n = raft_is_voter (r, r->id) && r->log.durable >= index;
+
+	for (uint32_t i = 0; i < r->peer_count; i++)
+		n += raft_is_voter (r, r->peers[i].id) &&
+		     r->peers[i].match >= index;
+	return n;
+}
+
+uint32_t
+raft_copies_needed (const struct raft *r)
+{
+	return MIN (r->limits.disk_losses + 1, raft_config_voters (&r->config));
+}
--- a/lib/set_daemons.c
+++ b/lib/set_daemons.c
@@ -129,6 +129,9 @@
 	ROW (ack_ms, SET_U32, .def = "4000", .min = 100, .max = 60000,
 	     .doc = "Milliseconds for which an operator sends a change "
 		    "again."),
+	ROW (disk_losses, SET_U32, .def = "1", .max = 5,
+	     .doc = "Members' disks that may be lost at once: what is "
+		    "acknowledged is on one disk more."),
 	MACHINE_ROWS,
 	ROW (exposure_share, SET_REAL, .max = 1,
 	     .doc = "Share of a service's requests that a new version may get "
--- a/lib/set_daemons.h
+++ b/lib/set_daemons.h
@@ -82,6 +82,7 @@
 	double usage_late_s;
 	uint32_t lease_ms;
 	uint32_t ack_ms;
+	uint32_t disk_losses;
 	uint32_t memory_mb;
 	uint32_t max_fds;
 	double exposure_share;
--- a/tests/t_raft.c
+++ b/tests/t_raft.c
@@ -8,7 +8,7 @@
 #include "t_run.h"
 
 const struct raft_times rsim_times = {40, 300, 50};
-static const struct raft_limits limits = {24, 0, 1U << 20, 6, 0};
+static const struct raft_limits limits = {24, 0, 1U << 20, 6, 0, 0};
 
 static uint64_t
 mix (uint64_t h, uint64_t v)
@@ -329,6 +329,7 @@
 	struct raft_limits with_parts = limits;
 
 	with_parts.part_bytes = n->sim->part_bytes;
+	with_parts.disk_losses = n->sim->disk_losses;
 	raft_init (&n->raft, n->id, &n->sim->times, &with_parts, &ops, n,
 		   g_rand_int (n->sim->rand));
 	raft_load_vote (&n->raft, d->term, d->vote);
--- a/tests/t_raft.h
+++ b/tests/t_raft.h
@@ -78,6 +78,7 @@
 	uint32_t link_rate; /* bytes per ms that a member sends; 0: no limit */
 	struct raft_times times;
 	uint32_t part_bytes; /* see struct raft_limits */
+	uint32_t disk_losses;
 	bool may_lose;
 	GArray *committed;   /* uint64_t hash of each applied entry */
 	GHashTable *leaders; /* term to id */
