groupd: remove silent voters by what is left, not by parity

From then on each read and each change got 503, for good.

Cause: a silent voter was removed only from an even number of voters. Five voters stayed five while two of them were gone, so that one lost disk left two of five. The leader's log shows no "change=" line after the two "member-down". Ruled out by the same log: that the second removal was tried and refused; that the machine without a disk did not ask to join.

--- a/groupd/groupd.h
+++ b/groupd/groupd.h
@@ -242,8 +242,7 @@
 /* join.c: membership */
 
 /** join_handle_request() - on the leader, add a member that asks to join */
-void join_handle_request (struct group *g, const struct gmsg_join *j,
-			  uint64_t now_ms);
+void join_handle_request (struct group *g, const struct gmsg_join *j);
 
 /** join_tick() - ask to join, or on the leader promote and remove members */
 void join_tick (struct group *g, uint64_t now_ms);
--- a/groupd/peer.c
+++ b/groupd/peer.c
@@ -397,7 +397,7 @@
 		ok = msg_unpack (gmsg_join_fields, body, len, &u.join, &zone,
 				 &e);
 		if (ok)
-			join_handle_request (g, &u.join, now_ms);
+			join_handle_request (g, &u.join);
 	} else if (kind == FRAME_GROUP_STATE) {
 		ok = msg_unpack (gmsg_state_fields, body, len, &u.state, &zone,
 				 &e);
--- a/lib/raft.h
+++ b/lib/raft.h
@@ -235,6 +235,8 @@
 	uint64_t id;
 	uint64_t next;       /* index to send next */
 	uint64_t match;      /* durable there up to here */
+	uint64_t since_ms;   /* own clock when it became a member, or this
+				member the leader */
 	uint64_t acked_ms;   /* own clock at the sending of the newest message
 				that it answered in this term */
 	uint64_t snap_index; /* snapshot being sent, 0: none */
--- a/lib/raft_elect.c
+++ b/lib/raft_elect.c
@@ -66,7 +66,8 @@
 	for (uint32_t i = 0; i < r->peer_count; i++) {
 		uint64_t id = r->peers[i].id;
 
-		r->peers[i] = (struct raft_peer){.id = id, .next = last + 1};
+		r->peers[i] = (struct raft_peer){
+			.id = id, .next = last + 1, .since_ms = r->now_ms};
 	}
 	noop.index = last + 1;
 	noop.term = r->term;
--- a/lib/raft_member.c
+++ b/lib/raft_member.c
@@ -86,7 +86,7 @@
 	r->peer_count = 0;
 	for (uint32_t i = 0; i < r->config.count; i++) {
 		uint64_t id = r->config.members[i].id;
-		struct raft_peer p = {.id = id};
+		struct raft_peer p = {.id = id, .since_ms = r->now_ms};
 
 		if (id == r->id)
 			continue;
--- a/tests/e2e_members.sh
+++ b/tests/e2e_members.sh
@@ -1,10 +1,13 @@
 #!/usr/bin/env bash
-# A group that is still growing acknowledges nothing that too few disks hold.
+# Voters that were stopped for good are removed, so that a group whose members come
+# and go bears the loss of a disk.  And a group that is still growing acknowledges
+# nothing that too few disks hold.
 . "$(dirname "$0")/lib.sh"
 
 read -r PEER API _ <<<"$("$BIN/soak" -p)"
 printf '%064d\n' 7 >"$TMP/key"
-LOSSES=2
+VERSION=1
+LOSSES=1
 settings () { # MEMBER FOUND SEED...
 	local n=$1 found=$2 seeds=
 	shift 2
@@ -25,20 +28,48 @@
 		curl -sfL -m 3 -o "$TMP/answer" -X POST --data-binary @- \
 			"http://$NET.$1:$API/api/config/replace"
 }
+has_config () { # MEMBER
+	curl -sfL -m 3 "http://$NET.$1:$API/api/config/get" |
+		grep -q "\"version\":$VERSION,"
+}
+acknowledge () { # MEMBER
+	VERSION=$((VERSION + 1))
+	wait_for 10 put_config "$1" $VERSION
+}
 not () {
 	! "$@"
 }
 changed () { # WHAT MEMBER
 	grep -q "group change=$1 .*addr=$NET.$2:.* ok=1" "$TMP"/m?.out
 }
+found_group () { # three members with one configuration
+	for i in 1 2 3; do
+		settings $i true 1 2 3
+		launch $i
+	done
+	acknowledge 1
+}
 # A new member, until it votes.
 join () { # MEMBER SEED...
 	settings "$1" false "${@:2}"
 	launch "$1"
 	wait_for 10 changed promote "$1"
 }
+lose_disk () { # MEMBER SEED...
+	stop "m$1" KILL
+	rm -rf "$TMP/d$1"
+	settings "$1" false "${@:2}"
+	launch "$1"
+}
+end_play () {
+	local i
+	for i in 1 2 3 4 5 6; do stop "m$i" KILL; done
+	rm -rf "$TMP"/d? "$TMP"/m?.out
+}
+
 # Two of three founders run where two disks may be lost: nothing is acknowledged
 # before a third disk holds it.
+LOSSES=2
 for i in 1 2; do
 	settings $i true 1 2 3
 	launch $i
@@ -48,5 +79,29 @@
 	check "acknowledged on two disks" not put_config $i 99
 done
 join 4 1 2 3
-wait_for 10 put_config 1 99
+VERSION=99
+wait_for 10 put_config 1 $VERSION
+end_play
+LOSSES=1
+VERSION=1
+
+# Two are added, two of the old ones are killed for good, one disk is lost.
+two_replaced () {
+	found_group
+	join 4 1 2 3
+	join 5 1 2 3
+	stop m1 KILL
+	sleep "$1"
+	stop m2 KILL
+	wait_for 10 changed drop 1
+	wait_for 10 changed drop 2
+	acknowledge 3
+	lose_disk 5 3 4 5
+	for i in 3 4 5; do wait_for 12 has_config $i; done
+	acknowledge 5
+	end_play
+}
+two_replaced 0
+two_replaced 4
+
 echo "e2e_members: passed"
