raft: half of an even number is a quorum once a voter's disk is known lost

What callers saw: 503 to each read and change, for good, where one member was stopped for good and another one lost its disk before the silence of the first was noticed (2 s).

Cause: two of four voters were left. No leader could be elected to remove the other two, although one of them was known to hold nothing any more, since another identity asked to join from its address.

Change: raft_quorum(). Such a voter counts nothing, neither its log, its vote nor the lease that it granted; with an even number of voters, half of them elect, commit and hold a lease, provided that this is more than disk_losses. Any majority from before the loss shares a voter that has its disk with any such half, which the design page shows; so does another half. An odd number gets no such rule: two disjoint sets of half would fit.

--- a/lib/raft.h
+++ b/lib/raft.h
@@ -100,7 +100,8 @@
  * @keep_entries: entries kept behind a snapshot for slow followers
  * @part_bytes: an entry with more is sent in parts of this size; 0 for
  *	RAFT_PART_BYTES
- * @disk_losses: disks that may be lost at once, see raft_copies_needed()
+ * @disk_losses: disks that may be lost at once: fewer voters than one more are
+ *	never a quorum by raft_note_replaced()
  */
 struct raft_limits {
 	uint32_t snapshot_entries;
@@ -383,7 +384,8 @@
  * raft_note_replaced() - the process of member @id is gone for good
  *
  * To be called when another identity uses its address.  Such a member holds no
- * lease, so an election after a restart of all does not wait for its word.
+ * lease, so an election after a restart of all does not wait for its word, and
+ * it counts in no quorum.  See raft_quorum().
  */
 void raft_note_replaced (struct raft *r, uint64_t id);
 
@@ -456,6 +458,16 @@
 bool raft_read_ready (const struct raft *r, uint64_t index, uint64_t since_ms,
 		      uint64_t now_ms);
 
+/**
+ * raft_quorum() - how many voters elect a leader, commit an entry and hold up a
+ * lease
+ *
+ * A majority; or half of an even number, where one of the voters is known to
+ * have lost its disk and as many disks as may be lost at once leave another.
+ * Any two such sets of voters that still have their disks share one.
+ */
+uint32_t raft_quorum (const struct raft *r);
+
 /** raft_copies() - how many voters are known to hold the entry at @index
  * durably, at the leader */
 uint32_t raft_copies (const struct raft *r, uint64_t index);
--- a/lib/raft_elect.c
+++ b/lib/raft_elect.c
@@ -46,7 +46,7 @@
 	uint32_t n = raft_is_voter (r, r->id);
 
 	for (uint32_t i = 0; i < r->peer_count; i++)
-		n += r->peers[i].granted && raft_is_voter (r, r->peers[i].id);
+		n += r->peers[i].granted && raft_counts (r, &r->peers[i]);
 	return n;
 }
 
@@ -64,10 +64,12 @@
 	r->transfer_to = 0;
 	r->elections++;
 	for (uint32_t i = 0; i < r->peer_count; i++) {
-		uint64_t id = r->peers[i].id;
+		struct raft_peer *p = &r->peers[i];
 
-		r->peers[i] = (struct raft_peer){
-			.id = id, .next = last + 1, .since_ms = r->now_ms};
+		*p = (struct raft_peer){.id = p->id,
+					.next = last + 1,
+					.since_ms = r->now_ms,
+					.replaced = p->replaced};
 	}
 	noop.index = last + 1;
 	noop.term = r->term;
@@ -79,7 +81,7 @@
 static void
 check_won (struct raft *r)
 {
-	if (granted (r) <= raft_config_voters (&r->config) / 2)
+	if (granted (r) < raft_quorum (r))
 		return;
 	if (r->role == RAFT_PRE_CANDIDATE)
 		raft_campaign (r, RAFT_CAMPAIGN_VOTE);
@@ -261,18 +263,20 @@
 raft_quorum_acked (const struct raft *r, uint64_t least)
 {
 	uint64_t at[RAFT_MEMBERS_MAX + 1];
-	uint32_t n = 0;
+	uint32_t n = 0, quorum = raft_quorum (r);
 
+	if (raft_config_voters (&r->config) == 0)
+		return r->now_ms;
 	if (raft_is_voter (r, r->id))
 		at[n++] = r->now_ms;
 	for (uint32_t i = 0; i < r->peer_count; i++) {
-		if (raft_is_voter (r, r->peers[i].id))
+		if (raft_counts (r, &r->peers[i]))
 			at[n++] = MAX (r->peers[i].acked_ms, least);
 	}
-	if (n == 0)
-		return r->now_ms;
+	if (n < quorum)
+		return least;
 	qsort (at, n, sizeof *at, later_first);
-	return at[n / 2];
+	return at[quorum - 1];
 }
 
 /* After a pause of its own loop, a leader waits for answers to what it sends
--- a/lib/raft_member.c
+++ b/lib/raft_member.c
@@ -75,6 +75,27 @@
 	return n;
 }
 
+bool
+raft_counts (const struct raft *r, const struct raft_peer *p)
+{
+	return !p->replaced && raft_is_voter (r, p->id);
+}
+
+/* docs/design/group-membership.md has the proof. */
+uint32_t
+raft_quorum (const struct raft *r)
+{
+	uint32_t voters = raft_config_voters (&r->config);
+	bool lost = false;
+
+	for (uint32_t i = 0; i < r->peer_count; i++)
+		lost = lost || (r->peers[i].replaced &&
+				raft_is_voter (r, r->peers[i].id));
+	if (lost && voters % 2 == 0 && voters / 2 > r->limits.disk_losses)
+		return voters / 2;
+	return voters / 2 + 1;
+}
+
 /* Keep what is known of members that stay, start afresh with new ones. */
 static void
 refresh_peers (struct raft *r)
--- a/lib/raft_priv.h
+++ b/lib/raft_priv.h
@@ -30,6 +30,8 @@
 void raft_reset_election (struct raft *r);
 struct raft_peer *raft_peer_find (struct raft *r, uint64_t id);
 bool raft_is_voter (const struct raft *r, uint64_t id);
+/* Whether @p is a voter that has its disk. */
+bool raft_counts (const struct raft *r, const struct raft_peer *p);
 void raft_send (struct raft *r, struct raft_msg *m, uint64_t to, uint8_t kind);
 
 /* raft_elect.c */
--- a/lib/raft_repl.c
+++ b/lib/raft_repl.c
@@ -218,21 +218,21 @@
 void
 raft_advance_commit (struct raft *r)
 {
-	uint64_t at[RAFT_MEMBERS_MAX + 1];
-	uint32_t n = 0;
+	uint64_t at[RAFT_MEMBERS_MAX + 1], held;
+	uint32_t n = 0, quorum = raft_quorum (r);
 
 	if (raft_is_voter (r, r->id))
 		at[n++] = r->log.durable;
 	for (uint32_t i = 0; i < r->peer_count; i++) {
-		if (raft_is_voter (r, r->peers[i].id))
+		if (raft_counts (r, &r->peers[i]))
 			at[n++] = r->peers[i].match;
 	}
-	if (n == 0)
+	if (n == 0 || n < quorum)
 		return;
 	qsort (at, n, sizeof *at, greater_first);
-	if (at[n / 2] > r->commit &&
-	    raft_log_term (&r->log, at[n / 2]) == r->term)
-		r->commit = at[n / 2];
+	held = at[quorum - 1];
+	if (held > r->commit && raft_log_term (&r->log, held) == r->term)
+		r->commit = held;
 }
 
 uint32_t
@@ -241,7 +241,7 @@
 	uint32_t n = raft_is_voter (r, r->id) && r->log.durable >= index;
 
 	for (uint32_t i = 0; i < r->peer_count; i++)
-		n += raft_is_voter (r, r->peers[i].id) &&
+		n += raft_counts (r, &r->peers[i]) &&
 		     r->peers[i].match >= index;
 	return n;
 }
--- a/lib/raft_restart.c
+++ b/lib/raft_restart.c
@@ -103,7 +103,7 @@
 			return false;
 		voters += raft_is_voter (r, p->id);
 	}
-	return voters > raft_config_voters (&r->config) / 2;
+	return voters >= raft_quorum (r);
 }
 
 void
--- a/tests/e2e_members.sh
+++ b/tests/e2e_members.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Voters that were stopped for good are removed, so that a group whose members come
-# and go bears the loss of a disk.  And a group that is still growing acknowledges
-# nothing that too few disks hold.
+# and go bears the loss of a disk, also before their silence is noticed.  And a
+# group that is still growing acknowledges nothing that too few disks hold.
 . "$(dirname "$0")/lib.sh"
 
 read -r PEER API _ <<<"$("$BIN/soak" -p)"
@@ -104,4 +104,14 @@
 two_replaced 0
 two_replaced 4
 
+# A member is killed for good, and another one loses its disk at once: two of
+# four voters are left, and no leader to remove anybody.
+found_group
+join 4 1 2 3
+acknowledge 1
+stop m1 KILL
+lose_disk 2 2 3 4
+for i in 2 3 4; do wait_for 12 has_config $i; done
+acknowledge 2
+end_play
 echo "e2e_members: passed"
--- a/tests/test_raft_quorum.c
+++ b/tests/test_raft_quorum.c
@@ -1,5 +1,6 @@
 /*
- * How many voters hold an entry, and have to, while few have joined yet.
+ * How many voters, and which, are a quorum and hold an entry while some of them
+ * have lost their disks, or few have joined yet.
  */
 #include "t_raft.h"
 #include "t_run.h"
@@ -47,11 +48,49 @@
 	CU_ASSERT_EQUAL (raft_copies_needed (&r), 1);
 }
 
+/* A voter that lost its disk is worth nothing: neither what it held, nor the
+ * lease that it granted. */
+static void
+test_lost_disk_counts_nothing (void)
+{
+	struct raft r;
+
+	leader (&r, 4, 1);
+	CU_ASSERT_EQUAL (raft_copies (&r, 50), 3);
+	raft_note_replaced (&r, 2);
+	CU_ASSERT_EQUAL (raft_copies (&r, 50), 2);
+	CU_ASSERT (raft_lease_until (&r) > NOW_MS);
+	r.peers[1].acked_ms = r.peers[2].acked_ms = 0;
+	CU_ASSERT_EQUAL (raft_lease_until (&r), 0);
+}
+
+/* Half of an even number of voters is a quorum once one of them has lost its
+ * disk, unless as many disks may be lost at once. */
+static void
+test_half (void)
+{
+	static const uint32_t quorums[][3] = {/* voters, losses, quorum */
+					      {2, 1, 2}, {3, 1, 2}, {4, 1, 2},
+					      {4, 2, 3}, {5, 1, 3}, {6, 2, 3},
+					      {7, 2, 4}};
+
+	for (size_t i = 0; i < G_N_ELEMENTS (quorums); i++) {
+		struct raft r;
+
+		leader (&r, quorums[i][0], quorums[i][1]);
+		CU_ASSERT_EQUAL (raft_quorum (&r), quorums[i][0] / 2 + 1);
+		raft_note_replaced (&r, 2);
+		CU_ASSERT_EQUAL (raft_quorum (&r), quorums[i][2]);
+	}
+}
+
 int
 main (void)
 {
 	static const struct t_case cases[] = {
 		{"copies", test_copies},
+		{"a lost disk counts nothing", test_lost_disk_counts_nothing},
+		{"half of an even number", test_half},
 		{NULL, NULL}};
 
 	return t_run ("raft_quorum", cases);
--- a/tests/test_voters.c
+++ b/tests/test_voters.c
@@ -103,6 +103,56 @@
 	}
 }
 
+/* A machine is stopped for good, and another one loses its disk before the
+ * silence of the first was noticed: no majority of an even number is left, and
+ * no leader to remove anybody. */
+static void
+test_disk_lost_at_removal (void)
+{
+	for (uint32_t seed = 0; seed < SEEDS; seed++) {
+		struct t_voters w;
+		uint32_t losses = 1 + seed % 2;
+
+		t_voters_init (&w, seed, 2 * losses + 1, losses);
+		t_voters_run (&w, 2000);
+		t_voters_add (&w);
+		t_voters_run (&w, SETTLE_MS);
+		t_voters_remove (&w, &w.machines[0]);
+		t_voters_run (&w, seed * 20);
+		for (uint32_t i = 1; i <= losses; i++)
+			t_voters_kill (&w, &w.machines[i], 1000, true);
+		expect_recovery (&w, seed, "disk lost at removal");
+	}
+}
+
+/* An entry that stands on the leader and on a disk that is lost now is on one
+ * disk, though half of four voters had it. */
+static void
+test_lost_copy (void)
+{
+	for (uint32_t seed = 0; seed < SEEDS; seed++) {
+		struct t_voters w;
+		struct rsim_node *l;
+		uint64_t index;
+		uint32_t at;
+
+		t_voters_init (&w, seed, 4, 1);
+		t_voters_run (&w, 2000);
+		l = rsim_leader (&w.s);
+		CU_ASSERT_FATAL (l != NULL);
+		at = (uint32_t)(l - w.s.nodes);
+		t_voters_cut (&w, &w.machines[(at + 2) % 4], 3000);
+		t_voters_cut (&w, &w.machines[(at + 3) % 4], 3000);
+		(void)raft_propose (&l->raft, &index, sizeof index, &index,
+				    NULL);
+		t_voters_run (&w, 60);
+		t_voters_kill (&w, &w.machines[(at + 1) % 4], 20, true);
+		t_voters_run (&w, 150);
+		CU_ASSERT (l->raft.commit < index);
+		expect_recovery (&w, seed, "lost copy");
+	}
+}
+
 /* A leader for voters_decide() alone: members with ids from 1 on, itself the
  * first one, all in touch at 10 s and current. */
 static void
@@ -369,6 +419,8 @@
 		{"two replaced", test_two_replaced},
 		{"two replaced, power lost", test_two_replaced_power_loss},
 		{"cut off while replaced", test_cut_off_while_replaced},
+		{"disk lost at a removal", test_disk_lost_at_removal},
+		{"lost copy", test_lost_copy},
 		{"decisions", test_decisions},
 		{"enough disks", test_enough_disks},
 		{"seven", test_seven},
