groupd: a member that was left out finds its group again

After the link had healed it never came back, and one lost disk later each read and each change got 503, for good.

Cause: it asks to join at the addresses that it knows, and all of these were gone. Its log shows "reload what=nothing" at SIGHUP and no "member-up"; the logs of the members in charge show "member-up" with its address, so that they held links to it, on which they told nothing: states were sent on accepted links only. Ruled out by the same logs: that it was refused, or cut off still.

Change: members send their state, with all members' addresses, on the links that they opened to others than members, too. lib/seeds takes the seeds from the settings again: on SIGHUP, and after 2 s out of touch, with growing pauses, as the file may change without a signal. Settings that can't be used leave the old seeds, with one line. An address that nobody named for a minute is forgotten only while a link to another member is up. Lines "out-of-touch" and "in-touch", two metrics.

--- a/groupd/api.c
+++ b/groupd/api.c
@@ -424,6 +424,9 @@
 	print_metric (out, "leads", group_is_leader (g));
 	print_metric (out, "term", g->raft.term);
 	print_metric (out, "commit_index", g->raft.commit);
+	print_metric (out, "out_of_touch_total", g->watch.lost);
+	print_metric (out, "out_of_touch_ms",
+		      g->watch.out_since_ms != 0 ? g->watch.out_ms : 0);
 	print_metric (out, "voters", raft_config_voters (&g->raft.config));
 	print_metric (out, "copies_needed", raft_copies_needed (&g->raft));
 	print_metric (out, "version", g->state.version);
--- a/groupd/groupd.h
+++ b/groupd/groupd.h
@@ -22,6 +22,7 @@
 #include "plantext.h"
 #include "raft.h"
 #include "rollout_lead.h"
+#include "seeds.h"
 #include "set_daemons.h"
 #include "capacity.h"
 #include "tmr.h"
@@ -130,6 +131,8 @@
 /** struct group - this member of the group */
 struct group {
 	struct set_groupd set;
+	const char *settings_file;
+	struct seeds_watch watch;
 	const struct dialect *dialect;
 	struct daemon d;
 	struct link_self self;
@@ -183,6 +186,9 @@
 
 /* main.c */
 
+/** group_reload_seeds() - take the seeds from the settings file again */
+void group_reload_seeds (struct group *g);
+
 /** group_schedule_flush() - flush the log when the event loop is next idle */
 void group_schedule_flush (struct group *g);
 
--- a/groupd/main.c
+++ b/groupd/main.c
@@ -105,6 +105,30 @@
 	h1srv_leave (&g->api);
 }
 
+/* A member that was removed while it was cut off may know none of those that
+ * are left. */
+static void
+watch_group (struct group *g, uint64_t now_ms)
+{
+	switch (seeds_watch_tick (&g->watch, group_has_leader (g), now_ms)) {
+	case SEEDS_QUIET:
+		break;
+	case SEEDS_OUT_OF_TOUCH:
+		log_event (LOG_LV_WARN, "out-of-touch",
+			   "for_ms=%" G_GUINT64_FORMAT
+			   " members=%u version=%" G_GUINT64_FORMAT,
+			   g->watch.out_ms, g->members->len, g->state.version);
+		group_reload_seeds (g);
+		break;
+	case SEEDS_IN_TOUCH:
+		log_event (LOG_LV_INFO, "in-touch",
+			   "after_ms=%" G_GUINT64_FORMAT
+			   " version=%" G_GUINT64_FORMAT,
+			   g->watch.out_ms, g->state.version);
+		break;
+	}
+}
+
 static void
 on_tick (void *ctx)
 {
@@ -120,6 +144,7 @@
 	}
 	if (!g->storage_down)
 		join_tick (g, now_ms);
+	watch_group (g, now_ms);
 	api_tick (g, now_ms);
 	peer_tick (g, now_ms);
 	endpoint_list_tick (g, now_ms);
@@ -149,12 +174,34 @@
 	return true;
 }
 
+void
+group_reload_seeds (struct group *g)
+{
+	struct set_groupd fresh = {0};
+	struct err e = {0};
+
+	switch (seeds_reload (g->settings_file, set_groupd_rows, &fresh,
+			      &fresh.seeds, &g->set.seeds, &e)) {
+	case SEEDS_SAME:
+		log_event (LOG_LV_INFO, "reload", "verdict=same");
+		break;
+	case SEEDS_CHANGED:
+		log_event (LOG_LV_INFO, "reload", "verdict=ok seeds=%u",
+			   g->set.seeds->len);
+		break;
+	case SEEDS_KEPT:
+		log_event (LOG_LV_ERROR, "reload",
+			   "verdict=kept_old why=\"%s\"", e.msg);
+		break;
+	}
+}
+
 static void
 on_reload (void *ctx)
 {
 	struct group *g = ctx;
 
-	log_event (LOG_LV_INFO, "reload", "what=nothing");
+	group_reload_seeds (g);
 	g->state_changed = true;
 }
 
@@ -177,6 +224,7 @@
 	if (!peer_init (g, e))
 		return false;
 	raft_start (&g->raft, tmr_now_ms ());
+	seeds_watch_init (&g->watch, tmr_now_ms ());
 	tmr_start (&g->tick, 1);
 	log_event (LOG_LV_INFO, "start", "api=%s peer=%s", g->set.api,
 		   g->set.peer);
@@ -212,6 +260,7 @@
 		     "groupd -- dragonflyhinge group member that serves relays",
 		     argc, argv);
 	g->dialect = &platform_dialect;
+	g->settings_file = opts.file;
 	ok = opts.file != NULL ? group_load_settings (g, opts.file, &e)
 			       : err_set (&e, ERR_SETTINGS, "-f is missing");
 	if (ok && !opts.check_only) {
--- a/groupd/peer.c
+++ b/groupd/peer.c
@@ -12,7 +12,8 @@
 /* A link that received nothing for so long is closed and opened again. */
 #define LINK_TIMEOUT_MS 1500
 
-/* The link to an address that was not named for so long is removed. */
+/* The link to an address that was not named for so long is removed, once
+ * another member answers. */
 #define UNNAMED_TIMEOUT_MS 60000
 
 /* Bytes of full lists sent per tick.  At 50 ticks a second this is three fifths
@@ -77,12 +78,11 @@
 	for (uint32_t i = 0; i < g->raft.config.count; i++)
 		member_get (g, g->raft.config.members[i].addr);
 	for (guint i = 0; i < g->set.seeds->len; i++) {
-		const char *seed = g_ptr_array_index (g->set.seeds, i);
-		const char *colon = strrchr (seed, ':');
 		char addr[RAFT_NAME_BYTES];
 
-		g_snprintf (addr, sizeof addr, "%.*s:%u", (int)(colon - seed),
-			    seed, ntohs (g->peer_addr.sin_port));
+		seeds_peer_addr (g_ptr_array_index (g->set.seeds, i),
+				 ntohs (g->peer_addr.sin_port), addr,
+				 sizeof addr);
 		member_get (g, addr);
 	}
 }
@@ -558,13 +558,27 @@
 	group_config_finish (g);
 }
 
+/* Whether a link to a member other than @m is up. */
+static bool
+has_other_member (const struct group *g, const struct member_link *m)
+{
+	for (guint i = 0; i < g->members->len; i++) {
+		const struct member_link *o = g_ptr_array_index (g->members, i);
+
+		if (o != m && link_is_up (o->link))
+			return true;
+	}
+	return false;
+}
+
 static void
 close_dead_links (struct group *g, uint64_t now_ms)
 {
 	for (guint i = g->members->len; i > 0; i--) {
 		struct member_link *m = g_ptr_array_index (g->members, i - 1);
 
-		if (now_ms > m->last_named_ms + UNNAMED_TIMEOUT_MS) {
+		if (now_ms > m->last_named_ms + UNNAMED_TIMEOUT_MS &&
+		    has_other_member (g, m)) {
 			link_close (m->link, "address no longer in use");
 			g_ptr_array_remove_index_fast (g->members, i - 1);
 			member_free (m);
@@ -576,6 +590,31 @@
 	}
 }
 
+static bool
+is_member_addr (const struct group *g, const char *addr)
+{
+	const struct raft_config *c = &g->raft.config;
+
+	for (uint32_t i = 0; i < c->count; i++) {
+		if (strcmp (c->members[i].addr, addr) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* One that was removed while it was cut off may know no member any more, and
+ * opens no link to any.  It learns the members' addresses from their states. */
+static void
+tell_non_members (struct group *g, uint64_t now_ms)
+{
+	for (guint i = 0; i < g->members->len; i++) {
+		struct member_link *m = g_ptr_array_index (g->members, i);
+
+		if (!is_member_addr (g, m->addr))
+			send_state (g, m->link, now_ms);
+	}
+}
+
 void
 peer_tick (struct group *g, uint64_t now_ms)
 {
@@ -597,4 +636,5 @@
 				     g->accepted, i))
 				    ->link,
 			    now_ms);
+	tell_non_members (g, now_ms);
 }
--- a/groupd/store.c
+++ b/groupd/store.c
@@ -261,13 +261,12 @@
 	GPtrArray *addrs = g_ptr_array_new_with_free_func (g_free);
 
 	for (guint i = 0; i < g->set.seeds->len; i++) {
-		const char *seed = g_ptr_array_index (g->set.seeds, i);
-		const char *colon = strrchr (seed, ':');
+		char addr[RAFT_NAME_BYTES];
 
-		g_ptr_array_add (
-			addrs,
-			g_strdup_printf ("%.*s:%u", (int)(colon - seed), seed,
-					 ntohs (g->peer_addr.sin_port)));
+		seeds_peer_addr (g_ptr_array_index (g->set.seeds, i),
+				 ntohs (g->peer_addr.sin_port), addr,
+				 sizeof addr);
+		g_ptr_array_add (addrs, g_strdup (addr));
 	}
 	g_ptr_array_sort (addrs, compare_strings);
 	*c = (struct raft_config){0};
--- a/tests/e2e_members.sh
+++ b/tests/e2e_members.sh
@@ -1,7 +1,10 @@
 #!/usr/bin/env bash
-# Voters that were stopped for good are removed, so that a group whose members come
-# and go bears the loss of a disk, also before their silence is noticed.  And a
-# group that is still growing acknowledges nothing that too few disks hold.
+# Members come and go, one after the other, and the group keeps what it
+# acknowledged: voters that were stopped for good, one that was away while the
+# others were replaced, and a disk that is lost before the silence of a removed
+# member was noticed.  Each of these ended the group: its voters that were left, or
+# that found it again, were too few for a leader.  And a group that is still
+# growing acknowledges nothing that too few disks hold.
 . "$(dirname "$0")/lib.sh"
 
 read -r PEER API _ <<<"$("$BIN/soak" -p)"
@@ -104,6 +107,55 @@
 two_replaced 0
 two_replaced 4
 
+# One is away while the others are replaced by members that have it among their
+# seeds, and one of which loses its disk later.  All that it knows are gone.
+found_group
+stop m3 KILL
+join 4 1 2 3
+wait_for 10 changed drop 3
+stop m1 TERM
+join 5 2 3 4
+wait_for 10 changed drop 1
+stop m2 TERM
+launch 3
+wait_for 10 changed promote 3
+wait_for 10 changed drop 2
+acknowledge 3
+lose_disk 4 3 4 5
+for i in 3 4 5; do wait_for 12 has_config $i; done
+end_play
+
+# None of the new ones has it among their seeds: it finds them by its settings,
+# on SIGHUP at once.  Settings that can't be used change nothing.
+found_group
+left_out=${PID[m3]}
+kill -STOP "$left_out"
+join 4 1 2
+wait_for 10 changed drop 3
+stop m1 TERM
+join 5 2 4
+wait_for 10 changed drop 1
+stop m2 TERM
+join 6 4 5
+wait_for 10 changed drop 2
+# Ends the links that the others hold to it still.
+for i in 4 5 6; do
+	stop m$i KILL
+	settings $i false 4 5 6
+done
+for i in 4 5 6; do launch $i; done
+wait_for 10 has_config 4
+echo "{" >"$TMP/m3.json"
+kill -CONT "$left_out"
+kill -HUP "$left_out"
+wait_for 5 grep -q "reload verdict=kept_old" "$TMP/m3.out"
+settings 3 false 4 5 6
+kill -HUP "$left_out"
+wait_for 5 grep -q "reload verdict=ok" "$TMP/m3.out"
+wait_for 10 changed promote 3
+wait_for 5 has_config 3
+end_play
+
 # A member is killed for good, and another one loses its disk at once: two of
 # four voters are left, and no leader to remove anybody.
 found_group
