relayd: look for the group at the seeds now in force

Cause: relays learn of members from members that they know, and read the seeds once, at their start. The relay's log has "reload version=1" at SIGHUP, and no "member-up" and no "config-behind" after it, which rules out that it reached the new members and did not believe them.

Change: lib/seeds, as in groupd: on SIGHUP, and 2 s after the last member that hears a leader is out of reach, with growing pauses. No address is forgotten while no other member answers; after a minute, all but the first seeds were. Loads are reported to any member known, not to one of the first eleven. Lines and metrics tell a relay that is out of touch, and for how long. It stays ready: it can't tell this from a cut, in which it has to serve on.

--- a/relayd/main.c
+++ b/relayd/main.c
@@ -63,10 +63,7 @@
 static void
 on_reload (void *ctx)
 {
-	struct relay *r = ctx;
-
-	log_event (LOG_LV_INFO, "reload", "version=%" G_GUINT64_FORMAT,
-		   r->plan != NULL ? r->plan->version : 0);
+	member_reload_seeds (ctx);
 }
 
 static void
@@ -165,6 +162,7 @@
 	daemon_args (&opts, "relayd", "relayd -- relay of dragonflyhinge", argc,
 		     argv);
 	r->dialect = &platform_dialect;
+	r->settings_file = opts.file;
 	ok = opts.file != NULL ? relay_read_settings (r, opts.file, &e)
 			       : err_set (&e, ERR_SETTINGS, "-f is missing");
 	if (ok && !opts.check_only) {
--- a/relayd/member.c
+++ b/relayd/member.c
@@ -13,7 +13,8 @@
  */
 #define LINK_SILENCE_MAX_MS 1500
 
-/* Connections to an address end once no member named it for this long. */
+/* Connections to an address end once no member named it for this long, and
+ * another member answers. */
 #define MEMBER_FORGET_MS 60000
 
 /* How long to wait for a delta before requesting the full list; it arrives
@@ -81,16 +82,90 @@
 connect_seeds (struct relay *r)
 {
 	for (guint i = 0; i < r->set.seeds->len; i++) {
-		const char *seed = g_ptr_array_index (r->set.seeds, i);
-		const char *colon = strrchr (seed, ':');
 		char addr[RAFT_NAME_BYTES];
 
-		g_snprintf (addr, sizeof addr, "%.*s:%u", (int)(colon - seed),
-			    seed, r->peer_port);
+		seeds_peer_addr (g_ptr_array_index (r->set.seeds, i),
+				 r->peer_port, addr, sizeof addr);
 		member_get (r, addr);
 	}
 }
 
+void
+member_reload_seeds (struct relay *r)
+{
+	struct set_relayd fresh = {0};
+	struct err e = {0};
+
+	switch (seeds_reload (r->settings_file, set_relayd_rows, &fresh,
+			      &fresh.seeds, &r->set.seeds, &e)) {
+	case SEEDS_SAME:
+		log_event (LOG_LV_INFO, "reload", "verdict=same");
+		break;
+	case SEEDS_CHANGED:
+		log_event (LOG_LV_INFO, "reload", "verdict=ok seeds=%u",
+			   r->set.seeds->len);
+		break;
+	case SEEDS_KEPT:
+		log_event (LOG_LV_ERROR, "reload",
+			   "verdict=kept_old why=\"%s\"", e.msg);
+		break;
+	}
+}
+
+/* Members that hear no leader may have been left out of the group. */
+static bool
+is_in_touch (const struct relay *r)
+{
+	for (guint i = 0; i < r->members->len; i++) {
+		const struct group_member *m =
+			g_ptr_array_index (r->members, i);
+
+		if (link_is_up (m->link) && m->hears_leader)
+			return true;
+	}
+	return false;
+}
+
+/* The members that this relay knows may all be gone for good.  It goes on with
+ * the configuration that it has, since it may as well be cut off. */
+static void
+watch_group (struct relay *r, uint64_t now_ms)
+{
+	uint64_t version = r->plan != NULL ? r->plan->version : 0;
+
+	switch (seeds_watch_tick (&r->watch, is_in_touch (r), now_ms)) {
+	case SEEDS_QUIET:
+		break;
+	case SEEDS_OUT_OF_TOUCH:
+		log_event (LOG_LV_WARN, "out-of-touch",
+			   "for_ms=%" G_GUINT64_FORMAT " members=%u"
+			   " version=%" G_GUINT64_FORMAT,
+			   r->watch.out_ms, r->members->len, version);
+		member_reload_seeds (r);
+		break;
+	case SEEDS_IN_TOUCH:
+		log_event (LOG_LV_INFO, "in-touch",
+			   "after_ms=%" G_GUINT64_FORMAT
+			   " version=%" G_GUINT64_FORMAT,
+			   r->watch.out_ms, version);
+		break;
+	}
+}
+
+/* Whether a link to a member other than @m is up. */
+static bool
+has_other_member (const struct relay *r, const struct group_member *m)
+{
+	for (guint i = 0; i < r->members->len; i++) {
+		const struct group_member *o =
+			g_ptr_array_index (r->members, i);
+
+		if (o != m && link_is_up (o->link))
+			return true;
+	}
+	return false;
+}
+
 bool
 member_is_answering (const struct source *s, uint64_t now_ms)
 {
@@ -316,9 +391,9 @@
 static struct group_member *
 choose_load_target (struct relay *r, uint64_t now_ms)
 {
-	struct loads_member list[RAFT_MEMBERS_MAX] = {0};
 	struct loads_msg leaves = {.withdraw = true};
-	uint32_t count = MIN (r->members->len, RAFT_MEMBERS_MAX), at;
+	uint32_t count = r->members->len, at;
+	struct loads_member *list = g_new0 (struct loads_member, count);
 	struct group_member *to = NULL;
 
 	for (uint32_t i = 0; i < count; i++) {
@@ -332,6 +407,7 @@
 	at = loads_choose_member (list, count, now_ms);
 	if (at < count)
 		to = g_ptr_array_index (r->members, at);
+	g_free (list);
 	for (uint32_t i = 0; i < count; i++) {
 		struct group_member *m = g_ptr_array_index (r->members, i);
 
@@ -504,6 +580,7 @@
 		g_array_new (FALSE, FALSE, sizeof (struct load_segment));
 	r->unreported_speeds =
 		g_array_new (FALSE, FALSE, sizeof (struct load_speed));
+	seeds_watch_init (&r->watch, tmr_now_ms ());
 	connect_seeds (r);
 }
 
@@ -523,6 +600,7 @@
 {
 	uint32_t relays = 0;
 
+	watch_group (r, now_ms);
 	connect_seeds (r);
 	config_tick (r, now_ms);
 	report_load (r, now_ms);
@@ -535,7 +613,8 @@
 		struct group_member *m = g_ptr_array_index (r->members, i - 1);
 
 		relays = MAX (relays, m->relay_count);
-		if (now_ms > m->last_named_ms + MEMBER_FORGET_MS) {
+		if (now_ms > m->last_named_ms + MEMBER_FORGET_MS &&
+		    has_other_member (r, m)) {
 			link_close (m->link, "no longer a member");
 			g_ptr_array_remove_index_fast (r->members, i - 1);
 			member_free (m);
--- a/relayd/metrics.c
+++ b/relayd/metrics.c
@@ -40,6 +40,9 @@
 	print_counter (out, "endpoints_ready",
 		       fleet_ready_count (&r->fleet, now_ms));
 	print_counter (out, "endpoints_paced", fleet_paced_count (&r->fleet));
+	print_counter (out, "out_of_touch_total", r->watch.lost);
+	print_counter (out, "out_of_touch_ms",
+		       r->watch.out_since_ms != 0 ? r->watch.out_ms : 0);
 	print_counter (out, "list_age_ms", now_ms - r->list_read_ms);
 	print_counter (out, "version", r->plan != NULL ? r->plan->version : 0);
 	print_counter (out, "config_requests_total", r->config.requests);
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -31,6 +31,7 @@
 #include "rbudget.h"
 #include "rollout.h"
 #include "rollout_share.h"
+#include "seeds.h"
 #include "stopplan.h"
 #include "tmr.h"
 #include "wincount.h"
@@ -307,6 +308,8 @@
  */
 struct relay {
 	struct set_relayd set;
+	const char *settings_file;
+	struct seeds_watch watch;
 	const struct dialect *dialect;
 	struct daemon daemon;
 	struct link_self self;
@@ -573,6 +576,8 @@
  * member that hears the leader can still be reached. */
 #define MEMBER_NO_LEADER_WAIT_MS 2500
 void member_init (struct relay *r);
+/* Takes the seeds from the settings file again. */
+void member_reload_seeds (struct relay *r);
 void member_finish (struct relay *r);
 void member_tick (struct relay *r, uint64_t now_ms);
 
