h1srv, httpd: no body in answer to HEAD

Cause: h1srv_answer() wrote the body whatever the method was. Ruled out: answers of endpoints, which are read by the method. On related paths: h2o sends what it is given, so that own answers of entries and control members had the same fault; an entry waited for the body of an endpoint's answer to HEAD until the time limit; relays stated a length of 0 in answer to HEAD, and a length in 204 and 304.

Change: h1_has_body() decides for all of them. HEAD is answered with the length that GET would have, where it is known.

--- a/entryd/answer.c
+++ b/entryd/answer.c
@@ -43,7 +43,7 @@
 
 	stat_done (r, state == H2O_SEND_STATE_FINAL);
 	r->final = true;
-	h2o_send (r->caller, &buf, buf.len > 0 ? 1 : 0, state);
+	httpd_send (r->caller, &buf, state);
 	req_over (r);
 }
 
@@ -75,7 +75,7 @@
 	}
 	r->sending = true;
 	buf = h2o_iovec_init (r->flight->str, r->flight->len);
-	h2o_send (r->caller, &buf, 1, H2O_SEND_STATE_IN_PROGRESS);
+	httpd_send (r->caller, &buf, H2O_SEND_STATE_IN_PROGRESS);
 }
 
 /* Answer with what stands in r->out, all at once. */
@@ -95,7 +95,9 @@
 		return;
 	}
 	set_head (r);
-	r->caller->res.content_length = r->out->len;
+	r->caller->res.content_length =
+		r->out->len > 0 || !httpd_is_head (r->caller) ? r->out->len
+							      : r->length;
 	r->flight = r->out;
 	r->out = swap;
 	h2o_start_response (r->caller, &r->gen);
--- a/entryd/back.c
+++ b/entryd/back.c
@@ -6,6 +6,7 @@
 #include <strings.h>
 
 #include "entryd.h"
+#include "h1.h"
 #include "log.h"
 
 #define ANSWER_MAX_BYTES (8U << 20)
@@ -76,6 +77,7 @@
 	r->status = status;
 	r->type[0] = '\0';
 	r->framed = false;
+	r->length = SIZE_MAX;
 	for (size_t i = 0; i < count; i++) {
 		const struct httpc_header *h = &headers[i];
 
@@ -85,13 +87,17 @@
 			memcpy (r->type, h->value, h->value_len);
 			r->type[h->value_len] = '\0';
 		}
-		if ((h->name_len == 14 &&
-		     strncasecmp (h->name, "content-length", 14) == 0) ||
-		    (h->name_len == 17 &&
-		     strncasecmp (h->name, "transfer-encoding", 17) == 0))
+		if (h->name_len == 14 &&
+		    strncasecmp (h->name, "content-length", 14) == 0) {
+			r->framed = true;
+			r->length = h2o_strtosize (h->value, h->value_len);
+		}
+		if (h->name_len == 17 &&
+		    strncasecmp (h->name, "transfer-encoding", 17) == 0)
 			r->framed = true;
 	}
-	if (status == 204 || status == 304)
+	if (!h1_has_body (status,
+			  r->caller != NULL && httpd_is_head (r->caller)))
 		r->framed = true;
 }
 
--- a/entryd/entryd.h
+++ b/entryd/entryd.h
@@ -96,6 +96,7 @@
 	bool sse_made;
 	/* answer */
 	GString *out;    /* waits for the caller */
+	size_t length;   /* that an answer to HEAD states, or SIZE_MAX */
 	GString *flight; /* being written to the caller */
 	bool begun;      /* the answer's head went to the caller */
 	bool sending;
--- a/lib/h1.c
+++ b/lib/h1.c
@@ -209,6 +209,19 @@
 	return H1_OK;
 }
 
+bool
+h1_method_is (const struct h1_head *h, const char *name)
+{
+	return h->method_len == strlen (name) &&
+	       memcmp (h->method, name, h->method_len) == 0;
+}
+
+bool
+h1_has_body (int status, bool to_head)
+{
+	return !to_head && status >= 200 && status != 204 && status != 304;
+}
+
 enum h1_verdict
 h1_response (const char *buf, size_t len, bool to_head, struct h1_head *h,
 	     size_t *used)
@@ -230,7 +243,7 @@
 	if (n < 0 || !framing_read (h, &has_length, &chunked) ||
 	    h->status < 100 || h->status > 599)
 		return H1_BAD;
-	if (to_head || h->status < 200 || h->status == 204 || h->status == 304)
+	if (!h1_has_body (h->status, to_head))
 		h->framing = H1_NO_BODY;
 	else if (chunked)
 		h->framing = H1_CHUNKED;
--- a/lib/h1.h
+++ b/lib/h1.h
@@ -74,6 +74,16 @@
 enum h1_verdict h1_request (const char *buf, size_t len, struct h1_head *h,
 			    size_t *used);
 
+/** h1_method_is() - whether a request has method @name; case matters */
+bool h1_method_is (const struct h1_head *h, const char *name);
+
+/**
+ * h1_has_body() - whether an answer carries a body
+ * @status: its status
+ * @to_head: it answers a HEAD request
+ */
+bool h1_has_body (int status, bool to_head);
+
 /**
  * h1_response() - parse the head of a response
  * @to_head: it answers a HEAD request, so that it has no body
--- a/lib/h1srv.c
+++ b/lib/h1srv.c
@@ -384,6 +384,7 @@
 	}
 	if (len == 0)
 		return false;
+	c->to_head = false;
 	switch (h1_request (in, len, &h, &used)) {
 	case H1_BAD:
 		conn_refuse (c, 400, "malformed head");
@@ -397,6 +398,7 @@
 		quota_set_state (&c->quota, QUOTA_PARTIAL, tmr_now_ms ());
 		return false;
 	case H1_OK:
+		c->to_head = h1_method_is (&h, "HEAD");
 		break;
 	}
 	if (used > l->max_header_bytes || h.length > l->max_body_bytes) {
--- a/lib/h1srv.h
+++ b/lib/h1srv.h
@@ -136,6 +136,7 @@
 /**
  * h1srv_answer() - send a whole answer
  * @headers: further header lines, each ended by CRLF, or NULL
+ * @body: left out where the method or the status allows none
  */
 void h1srv_answer (struct h1srv_conn *c, int status, const char *headers,
 		   const void *body, size_t len);
--- a/lib/h1srv_answer.c
+++ b/lib/h1srv_answer.c
@@ -63,10 +63,15 @@
 	      const void *body, size_t len)
 {
 	GString *out = g_string_new (NULL);
+	bool has_body = h1_has_body (status, c->to_head);
 
 	h1srv_head (c, status, headers, out);
-	g_string_append_printf (out, "Content-Length: %zu\r\n\r\n", len);
-	sio_write2 (&c->io, out->str, out->len, body, len);
+	/* To HEAD, the length that GET would have been answered with, if any.
+	 */
+	if (has_body || (len > 0 && h1_has_body (status, false)))
+		g_string_append_printf (out, "Content-Length: %zu\r\n", len);
+	g_string_append (out, "\r\n");
+	sio_write2 (&c->io, out->str, out->len, body, has_body ? len : 0);
 	conn_wrote (c);
 	g_string_free (out, TRUE);
 	h1srv_end (c, true);
--- a/lib/h1srv_priv.h
+++ b/lib/h1srv_priv.h
@@ -18,6 +18,7 @@
 /**
  * struct h1srv_conn - a connection
  * @head: of the running request
+ * @to_head: its method is HEAD, so that its answer has no body
  * @body_bytes: of the request that arrives; NULL: none
  * @body_len: bytes of the body, also while the owner has it
  * @window_len: @body_len when the limit on its time was started
@@ -37,6 +38,7 @@
 	uint64_t timed_since_ms;
 	uint64_t answered_ms;
 	GString *head;
+	bool to_head;
 	GByteArray *body_bytes;
 	uint32_t body_len;
 	uint32_t window_len;
--- a/lib/httpc.c
+++ b/lib/httpc.c
@@ -34,6 +34,7 @@
 	bool (*may_send) (void *ctx);
 	void *may_send_ctx;
 	bool sent;
+	bool to_head;
 	bool chunked; /* the answer */
 	bool paused;
 	h2o_socket_cb read_cb; /* what h2o reads with, while paused */
@@ -263,7 +264,7 @@
 	c->vec = h2o_iovec_init (c->request->str, c->request->len);
 	*bufs = &c->vec;
 	*count = 1;
-	*is_head = 0;
+	*is_head = c->to_head;
 	return on_head;
 }
 
@@ -368,6 +369,7 @@
 	c->may_send = req->may_send;
 	c->may_send_ctx = req->may_send_ctx;
 	c->request = build (p, req);
+	c->to_head = strcmp (req->method, "HEAD") == 0;
 	tmr_init (&c->head_check, p->loop, on_head_check, c);
 	if (req->timeout_ms != 0) {
 		tmr_init (&c->deadline, p->loop, on_deadline, c);
--- a/lib/httpd.c
+++ b/lib/httpd.c
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "h1.h"
 #include "httpd.h"
 #include "link.h"
 
@@ -326,6 +327,21 @@
 	h2o_config_dispose (&s->global);
 }
 
+bool
+httpd_is_head (const h2o_req_t *req)
+{
+	return h2o_memis (req->input.method.base, req->input.method.len,
+			  H2O_STRLIT ("HEAD"));
+}
+
+void
+httpd_send (h2o_req_t *req, h2o_iovec_t *buf, h2o_send_state_t state)
+{
+	bool has_body = h1_has_body (req->res.status, httpd_is_head (req));
+
+	h2o_send (req, buf, has_body && buf->len > 0 ? 1 : 0, state);
+}
+
 void
 httpd_answer (h2o_req_t *req, int status, const char *type, const void *body,
 	      size_t len)
@@ -340,7 +356,7 @@
 			NULL, h2o_strdup (&req->pool, type, SIZE_MAX).base,
 			strlen (type));
 	h2o_start_response (req, &whole);
-	h2o_send (req, &buf, 1, H2O_SEND_STATE_FINAL);
+	httpd_send (req, &buf, H2O_SEND_STATE_FINAL);
 }
 
 void
--- a/lib/httpd.h
+++ b/lib/httpd.h
@@ -88,6 +88,16 @@
 /** httpd_finish() - release @s; no connection may stand */
 void httpd_finish (struct httpd *s);
 
+/** httpd_is_head() - whether the request's method is HEAD */
+bool httpd_is_head (const h2o_req_t *req);
+
+/**
+ * httpd_send() - h2o_send() of one buffer, for all answers
+ * @buf: left out where the method or the status allows no body; h2o sends it
+ *	whatever they are
+ */
+void httpd_send (h2o_req_t *req, h2o_iovec_t *buf, h2o_send_state_t state);
+
 /**
  * httpd_answer() - answer a request whole
  * @status: HTTP status
--- a/relayd/attempt.c
+++ b/relayd/attempt.c
@@ -58,15 +58,19 @@
 };
 
 /* Keeps the answer's headers for the client, without those about framing, which
- * the relay does itself. */
+ * the relay does itself.  An answer without a body may state the length that it
+ * would have. */
 static void
 store_answer_headers (struct call *c, const struct h1_head *h)
 {
+	bool has_body = h1_has_body (h->status, c->is_head);
+
 	g_string_truncate (c->answer_headers, 0);
 	for (size_t i = 0; i < h->count; i++) {
 		const struct h1_header *x = &h->headers[i];
 
-		if (h1_hop_header (h, x) || h1_is (x, "content-length"))
+		if (h1_hop_header (h, x) ||
+		    (has_body && h1_is (x, "content-length")))
 			continue;
 		g_string_append_len (c->answer_headers, x->name,
 				     (gssize)x->name_len);
--- a/relayd/front.c
+++ b/relayd/front.c
@@ -110,7 +110,7 @@
 	c->tier = plan_tier (r->plan, route, account);
 	c->account = account != NULL ? account->name : "";
 	c->request_line = g_string_new_len (h->method, (gssize)h->method_len);
-	c->is_head = strcmp (c->request_line->str, "HEAD") == 0;
+	c->is_head = h1_method_is (h, "HEAD");
 	g_string_append_c (c->request_line, ' ');
 	g_string_append_len (c->request_line, h->path, (gssize)h->path_len);
 	c->headers = g_string_new (NULL);
--- a/tests/relay_world.h
+++ b/tests/relay_world.h
@@ -36,6 +36,7 @@
 	uint32_t answered; /* requests that arrived */
 	GString *requests;
 	int client;
+	bool to_head; /* the client sends HEAD: an answer ends with its head */
 	GString *got;
 	const char *rest; /* of the answer of struct answer.rest */
 	int rest_fd;
