--- a/groupd/groupd.h
+++ b/groupd/groupd.h
@@ -247,6 +247,14 @@
  * in bytes per call */
 void peer_send_full_lists (struct group *g);
 
+/** peer_relay_count() - relays that have a link to this member */
+uint32_t peer_relay_count (const struct group *g);
+
+/* peer_loads.c */
+
+/** peer_send_loads() - send sums of loads to the relays where they are due */
+void peer_send_loads (struct group *g, uint64_t now_ms);
+
 /* join.c: membership */
 
 /** join_handle_request() - on the leader, add a member that asks to join */
--- a/lib/blame_kept.c
+++ b/lib/blame_kept.c
@@ -70,8 +70,8 @@
 		g_array_append_val (restored, r);
 	}
 	if (restored->len > first)
-		blame_merge (b,
-			     &g_array_index (restored, struct blame_record,
-					     first),
-			     restored->len - first, NULL, now_ms);
+		blame_merge (
+			b,
+			&g_array_index (restored, struct blame_record, first),
+			restored->len - first, NULL, now_ms);
 }
--- a/relayd/relayd.h
+++ b/relayd/relayd.h
@@ -576,11 +576,15 @@
  * member that hears the leader can still be reached. */
 #define MEMBER_NO_LEADER_WAIT_MS 2500
 void member_init (struct relay *r);
-/* Takes the seeds from the settings file again. */
-void member_reload_seeds (struct relay *r);
 void member_finish (struct relay *r);
 void member_tick (struct relay *r, uint64_t now_ms);
 
+/* watch.c */
+/* Takes the seeds from the settings file again. */
+void member_reload_seeds (struct relay *r);
+/* Does so where the relay is out of touch with its group. */
+void member_watch_group (struct relay *r, uint64_t now_ms);
+
 /** member_is_authoritative() - whether configuration and list of a member may
  * be applied, see MEMBER_NO_LEADER_WAIT_MS */
 bool member_is_authoritative (const struct relay *r,
--- a/tests/test_blame_kept.c
+++ b/tests/test_blame_kept.c
@@ -131,10 +131,8 @@
 {
 	GArray *restored =
 		g_array_new (FALSE, FALSE, sizeof (struct blame_record));
-	struct blame_record old = {.key = KEY,
-				   .what = BLAME_STRIKE,
-				   .ep_hash = 50,
-				   .origin = 1};
+	struct blame_record old = {
+		.key = KEY, .what = BLAME_STRIKE, .ep_hash = 50, .origin = 1};
 	struct blame b;
 
 	blame_init (&b, 0, &ops, NULL);
