groupd: a planned stop waits where the removal of another voter needs it

Each core machine was stopped 4.1 s after the one before, as its successor started.

Cause, by the members' logs of the second of these: four voters, the first of them gone; the machine stood still for a second twice, so that the leader was elected anew and began to count the silence anew; the second one got SIGTERM .6 s after that. Two of four voters were left, which can remove nobody. Ruled out: that the first one was to be removed and was refused (no line of that kind), and that the new one had not joined (promoted 3.5 s before).

Change: a member that gets SIGTERM goes on for up to 4 s while the other voters that it hears are no majority and one may be removed. It then leaves as before.

--- a/groupd/groupd.h
+++ b/groupd/groupd.h
@@ -180,6 +180,7 @@
 	uint64_t join_sent_ms;
 	uint64_t leader_heard_ms;
 	bool leaving;
+	uint64_t leave_wait_until_ms; /* 0: it was not needed any more */
 	uint64_t leave_deadline_ms;
 	int status; /* exit status */
 	uint64_t acks, refusals, lists, list_errors;
@@ -247,6 +248,9 @@
  * in bytes per call */
 void peer_send_full_lists (struct group *g);
 
+/** peer_voters_in_touch() - voters beside this member that it hears */
+uint32_t peer_voters_in_touch (const struct group *g, uint64_t now_ms);
+
 /** peer_relay_count() - relays that have a link to this member */
 uint32_t peer_relay_count (const struct group *g);
 
--- a/groupd/main.c
+++ b/groupd/main.c
@@ -13,6 +13,9 @@
 /* Time to transfer leadership and answer pending calls before exit. */
 #define LEAVE_TIMEOUT_MS 1500
 
+/* Longest wait for the removal of another voter before that. */
+#define LEAVE_WAIT_MS 4000
+
 /* A leader that was not heard for so long may have been replaced. */
 #define LEADER_TIMEOUT_MS 1000
 
@@ -78,12 +81,29 @@
 	return false;
 }
 
+/* Where a voter that is gone is about to be removed, the others may be too few
+ * for that without this one, and would stay so. */
+static bool
+is_needed (const struct group *g, uint64_t now_ms)
+{
+	uint32_t voters = raft_config_voters (&g->raft.config);
+
+	return voters > 2 * g->set.disk_losses + 1 &&
+	       peer_voters_in_touch (g, now_ms) < voters / 2 + 1;
+}
+
 static void
 leave_tick (struct group *g, uint64_t now_ms)
 {
 	bool leads = group_is_leader (g);
 	bool only_voter = raft_config_voters (&g->raft.config) < 2;
 
+	if (now_ms < g->leave_wait_until_ms) {
+		if (is_needed (g, now_ms))
+			return;
+		g->leave_wait_until_ms = 0;
+		g->leave_deadline_ms = now_ms + LEAVE_TIMEOUT_MS;
+	}
 	if (leads && !only_voter && g->raft.transfer_to == 0)
 		(void)raft_transfer (&g->raft, 0, NULL);
 	if (now_ms < g->leave_deadline_ms &&
@@ -104,7 +124,8 @@
 	}
 	log_event (LOG_LV_INFO, "leave", "leads=%d", group_is_leader (g));
 	g->leaving = true;
-	g->leave_deadline_ms = tmr_now_ms () + LEAVE_TIMEOUT_MS;
+	g->leave_wait_until_ms = tmr_now_ms () + LEAVE_WAIT_MS;
+	g->leave_deadline_ms = g->leave_wait_until_ms + LEAVE_TIMEOUT_MS;
 	h1srv_leave (&g->api);
 }
 
--- a/groupd/peer.c
+++ b/groupd/peer.c
@@ -24,6 +24,10 @@
 /* A full list that was requested and did not arrive is requested again. */
 #define LIST_REQUEST_INTERVAL_MS 1000
 
+/* A member that was heard within this is in touch; it tells its state every
+ * GROUP_STATE_FOLLOWER_MS. */
+#define IN_TOUCH_MS 1000
+
 static const struct link_ops accepted_ops;
 static const struct link_ops member_ops;
 
@@ -482,6 +486,25 @@
 	group_config_finish (g);
 }
 
+uint32_t
+peer_voters_in_touch (const struct group *g, uint64_t now_ms)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < g->members->len; i++) {
+		const struct member_link *m = g_ptr_array_index (g->members, i);
+		const struct raft_config *c = &g->raft.config;
+
+		if (!link_is_up (m->link) ||
+		    now_ms > link_received_ms (m->link) + IN_TOUCH_MS)
+			continue;
+		for (uint32_t k = 0; k < c->count; k++)
+			n += c->members[k].voter &&
+			     strcmp (c->members[k].addr, m->addr) == 0;
+	}
+	return n;
+}
+
 /* Whether a link to a member other than @m is up. */
 static bool
 has_other_member (const struct group *g, const struct member_link *m)
--- a/tests/e2e_members.sh
+++ b/tests/e2e_members.sh
@@ -107,6 +107,18 @@
 two_replaced 0
 two_replaced 4
 
+# Two are stopped, the second one before the first was removed: it stays until that
+# is done, since two of four voters could remove nobody.
+found_group
+join 4 1 2 3
+stop m1 TERM
+sleep 0.7
+stop m2 TERM
+wait_for 5 changed drop 1
+acknowledge 4
+wait_for 5 has_config 3
+end_play
+
 # One is away while the others are replaced by members that have it among their
 # seeds, and one of which loses its disk later.  All that it knows are gone.
 found_group
