--- a/groupd/main.c
+++ b/groupd/main.c
@@ -13,7 +13,9 @@
 /* Time to transfer leadership and answer pending calls before exit. */
 #define LEAVE_TIMEOUT_MS 1500
 
-/* Longest wait for the removal of another voter before that. */
+/* Longest wait for the removal of another voter before that: its silence, an
+ * election and the change itself.  Both end within the grace of a planned stop.
+ */
 #define LEAVE_WAIT_MS 4000
 
 /* A leader that was not heard for so long may have been replaced. */
--- a/lib/blame.h
+++ b/lib/blame.h
@@ -215,7 +215,8 @@
  * blame_record */
 void blame_export (const struct blame *b, GArray *out, uint64_t now_ms);
 
-/** BLAME_KEPT_KEYS_MAX - most keys that blame_export_kept() tells */
+/** BLAME_KEPT_KEYS_MAX - most keys that blame_export_kept() tells, since all of
+ * them are written at each change */
 #define BLAME_KEPT_KEYS_MAX 64
 
 /** BLAME_KEPT_RECORDS_MAX - most records of them */
--- a/tests/t_voters.c
+++ b/tests/t_voters.c
@@ -11,13 +11,13 @@
 #define FOREVER UINT64_MAX
 
 static void
-machine_addr (const struct t_voters *w, const struct t_machine *m, char *out)
+instance_addr (const struct t_voters *w, const struct t_instance *m, char *out)
 {
-	g_snprintf (out, RAFT_NAME_BYTES, "m%d", (int)(m - w->machines));
+	g_snprintf (out, RAFT_NAME_BYTES, "m%d", (int)(m - w->instances));
 }
 
 static bool
-is_running (const struct t_machine *m)
+is_running (const struct t_instance *m)
 {
 	return !m->gone && m->node->up && !m->node->frozen;
 }
@@ -34,11 +34,11 @@
 	for (uint32_t i = 0; i < members; i++) {
 		struct rsim_node *n = &w->s.nodes[i];
 
-		w->machines[i].node = n;
+		w->instances[i].node = n;
 		n->raft.limits.disk_losses = losses;
 		for (uint32_t k = 0; k < members; k++)
-			machine_addr (w, &w->machines[k],
-				      n->disk.snap_config.members[k].addr);
+			instance_addr (w, &w->instances[k],
+				       n->disk.snap_config.members[k].addr);
 		n->raft.snap_config = n->raft.config = n->disk.snap_config;
 	}
 }
@@ -50,23 +50,24 @@
 	rsim_finish (&w->s);
 }
 
-struct t_machine *
+struct t_instance *
 t_voters_add (struct t_voters *w)
 {
-	struct t_machine *m = &w->machines[w->count];
+	struct t_instance *m = &w->instances[w->count];
 	struct rsim_node *n;
 
-	if (w->count == T_VOTERS_MACHINES_MAX || (n = rsim_add (&w->s)) == NULL)
+	if (w->count == T_VOTERS_INSTANCES_MAX ||
+	    (n = rsim_add (&w->s)) == NULL)
 		return NULL;
 	w->count++;
-	*m = (struct t_machine){
+	*m = (struct t_instance){
 		.node = n, .whole_at_ms = w->s.now_ms + T_VOTERS_CATCH_UP_MS};
 	rsim_start (n);
 	return m;
 }
 
 void
-t_voters_remove (struct t_voters *w, struct t_machine *m)
+t_voters_remove (struct t_voters *w, struct t_instance *m)
 {
 	(void)w;
 	if (m->node->up)
@@ -75,7 +76,7 @@
 }
 
 void
-t_voters_kill (struct t_voters *w, struct t_machine *m, uint32_t ms, bool wipe)
+t_voters_kill (struct t_voters *w, struct t_instance *m, uint32_t ms, bool wipe)
 {
 	struct rsim_node *fresh = wipe ? rsim_add (&w->s) : NULL;
 
@@ -94,7 +95,7 @@
 t_voters_power_loss (struct t_voters *w, uint32_t ms)
 {
 	for (uint32_t i = 0; i < w->count; i++) {
-		struct t_machine *m = &w->machines[i];
+		struct t_instance *m = &w->instances[i];
 
 		if (!m->gone && m->node->up)
 			t_voters_kill (w, m, ms, false);
@@ -102,7 +103,7 @@
 }
 
 void
-t_voters_cut (struct t_voters *w, struct t_machine *m, uint32_t ms)
+t_voters_cut (struct t_voters *w, struct t_instance *m, uint32_t ms)
 {
 	m->cut = true;
 	m->heal_at_ms = w->s.now_ms + ms;
@@ -110,7 +111,7 @@
 }
 
 void
-t_voters_freeze (struct t_voters *w, struct t_machine *m, uint32_t ms)
+t_voters_freeze (struct t_voters *w, struct t_instance *m, uint32_t ms)
 {
 	m->node->frozen = true;
 	m->heal_at_ms = w->s.now_ms + ms;
@@ -118,7 +119,7 @@
 }
 
 static void
-heal (struct t_voters *w, struct t_machine *m)
+heal (struct t_voters *w, struct t_instance *m)
 {
 	m->cut = false;
 	m->node->frozen = false;
@@ -128,11 +129,11 @@
 		rsim_start (m->node);
 }
 
-/* A split separates machines of even and odd numbers. */
+/* A split separates instances of even and odd numbers. */
 static bool
 is_separated (const struct t_voters *w, uint32_t a, uint32_t b)
 {
-	return w->machines[a].cut || w->machines[b].cut ||
+	return w->instances[a].cut || w->instances[b].cut ||
 	       (w->s.now_ms < w->split_until_ms && (a - b) % 2 != 0);
 }
 
@@ -141,8 +142,8 @@
 {
 	for (uint32_t i = 0; i < w->count; i++) {
 		for (uint32_t k = 0; k < w->count; k++)
-			w->s.cut[w->machines[i].node - w->s.nodes]
-				[w->machines[k].node - w->s.nodes] =
+			w->s.cut[w->instances[i].node - w->s.nodes]
+				[w->instances[k].node - w->s.nodes] =
 				is_separated (w, i, k);
 	}
 }
@@ -153,12 +154,12 @@
 	bool calm = w->s.now_ms >= w->split_until_ms;
 
 	for (uint32_t i = 0; i < w->count; i++)
-		calm = calm &&
-		       (w->machines[i].gone || w->machines[i].heal_at_ms == 0);
+		calm = calm && (w->instances[i].gone ||
+				w->instances[i].heal_at_ms == 0);
 	if (!calm)
 		w->calm_since_ms = w->s.now_ms;
 	for (uint32_t i = 0; i < w->count; i++) {
-		struct t_machine *m = &w->machines[i];
+		struct t_instance *m = &w->instances[i];
 
 		if (w->s.now_ms >= w->calm_since_ms + T_VOTERS_CATCH_UP_MS &&
 		    w->s.now_ms >= m->whole_at_ms)
@@ -166,15 +167,15 @@
 	}
 }
 
-/* It asks at all machines that it reaches. */
+/* It asks at all instances that it reaches. */
 static void
 ask_to_join (struct t_voters *w, uint32_t i)
 {
-	struct raft_member asks = {.id = w->machines[i].node->id}, about;
+	struct raft_member asks = {.id = w->instances[i].node->id}, about;
 
-	machine_addr (w, &w->machines[i], asks.addr);
+	instance_addr (w, &w->instances[i], asks.addr);
 	for (uint32_t k = 0; k < w->count; k++) {
-		struct t_machine *to = &w->machines[k];
+		struct t_instance *to = &w->instances[k];
 
 		if (k == i || !is_running (to) || is_separated (w, i, k))
 			continue;
@@ -191,10 +192,10 @@
 	struct raft_member about;
 
 	for (uint32_t i = 0; i < w->count; i++) {
-		struct rsim_node *n = w->machines[i].node;
+		struct rsim_node *n = w->instances[i].node;
 		struct raft *r = &n->raft;
 
-		if (!is_running (&w->machines[i]))
+		if (!is_running (&w->instances[i]))
 			continue;
 		if (r->role == RAFT_LEADER)
 			(void)voters_change (
@@ -221,7 +222,7 @@
 }
 
 /* Whether the disk is there, or lost in a way that the leader can't know: the
- * machine is not back, or out of its reach. */
+ * instance is not back, or out of its reach. */
 static bool
 disk_counts (const struct rsim_node *n, const struct rsim_node *leader)
 {
@@ -289,7 +290,7 @@
 
 	while (w->s.now_ms < end_ms && w->s.broken == NULL) {
 		for (uint32_t i = 0; i < w->count; i++) {
-			struct t_machine *m = &w->machines[i];
+			struct t_instance *m = &w->instances[i];
 
 			if (!m->gone && m->heal_at_ms != 0 &&
 			    w->s.now_ms >= m->heal_at_ms)
@@ -314,8 +315,8 @@
 
 	w->split_until_ms = 0;
 	for (uint32_t i = 0; i < w->count; i++) {
-		if (!w->machines[i].gone && w->machines[i].heal_at_ms != 0)
-			heal (w, &w->machines[i]);
+		if (!w->instances[i].gone && w->instances[i].heal_at_ms != 0)
+			heal (w, &w->instances[i]);
 	}
 	t_voters_run (w, ms);
 	l = rsim_leader (&w->s);
--- a/tests/test_voters.c
+++ b/tests/test_voters.c
@@ -14,7 +14,7 @@
 #define SEEDS 12
 #define RECOVERY_MS 12000
 
-#define SETTLE_MS 4200 /* a new machine has caught up */
+#define SETTLE_MS 4200 /* a new instance has caught up */
 
 static void
 expect_recovery (struct t_voters *w, uint32_t seed, const char *play)
@@ -49,12 +49,12 @@
 
 		t_voters_init (&w, seed, 3, 1);
 		add_two (&w);
-		t_voters_remove (&w, &w.machines[0]);
+		t_voters_remove (&w, &w.instances[0]);
 		t_voters_run (&w, seed % 2 == 0 ? 6000 : 100);
-		t_voters_remove (&w, &w.machines[1]);
+		t_voters_remove (&w, &w.instances[1]);
 		t_voters_run (&w, 6000);
 		CU_ASSERT_EQUAL (t_voters_count (&w), 3);
-		t_voters_kill (&w, &w.machines[4], 1000, true);
+		t_voters_kill (&w, &w.instances[4], 1000, true);
 		expect_recovery (&w, seed, "two replaced");
 	}
 }
@@ -68,12 +68,12 @@
 
 		t_voters_init (&w, seed, 3, 1);
 		add_two (&w);
-		t_voters_remove (&w, &w.machines[0]);
+		t_voters_remove (&w, &w.instances[0]);
 		t_voters_run (&w, SETTLE_MS);
-		t_voters_remove (&w, &w.machines[1]);
+		t_voters_remove (&w, &w.instances[1]);
 		t_voters_power_loss (&w, 500);
 		t_voters_run (&w, 500 + T_VOTERS_CATCH_UP_MS);
-		t_voters_kill (&w, &w.machines[2], 1000, true);
+		t_voters_kill (&w, &w.instances[2], 1000, true);
 		expect_recovery (&w, seed, "power lost");
 	}
 }
@@ -88,22 +88,22 @@
 
 		t_voters_init (&w, seed, 3, 1);
 		t_voters_run (&w, 2000);
-		t_voters_cut (&w, &w.machines[2], 11000);
+		t_voters_cut (&w, &w.instances[2], 11000);
 		t_voters_add (&w);
 		t_voters_run (&w, SETTLE_MS);
-		t_voters_remove (&w, &w.machines[0]);
+		t_voters_remove (&w, &w.instances[0]);
 		t_voters_run (&w, 2300);
 		t_voters_add (&w);
 		t_voters_run (&w, SETTLE_MS);
-		t_voters_remove (&w, &w.machines[1]);
+		t_voters_remove (&w, &w.instances[1]);
 		t_voters_run (&w, 9000);
 		CU_ASSERT_EQUAL (t_voters_count (&w), 3);
-		t_voters_kill (&w, &w.machines[3], 1000, true);
+		t_voters_kill (&w, &w.instances[3], 1000, true);
 		expect_recovery (&w, seed, "cut off");
 	}
 }
 
-/* A machine is stopped for good, and another one loses its disk before the
+/* An instance is stopped for good, and another one loses its disk before the
  * silence of the first was noticed: no majority of an even number is left, and
  * no leader to remove anybody. */
 static void
@@ -117,10 +117,10 @@
 		t_voters_run (&w, 2000);
 		t_voters_add (&w);
 		t_voters_run (&w, SETTLE_MS);
-		t_voters_remove (&w, &w.machines[0]);
+		t_voters_remove (&w, &w.instances[0]);
 		t_voters_run (&w, seed * 20);
 		for (uint32_t i = 1; i <= losses; i++)
-			t_voters_kill (&w, &w.machines[i], 1000, true);
+			t_voters_kill (&w, &w.instances[i], 1000, true);
 		expect_recovery (&w, seed, "disk lost at removal");
 	}
 }
@@ -140,12 +140,12 @@
 		t_voters_run (&w, 2000);
 		l = rsim_calm_leader (&w.s);
 		at = (uint32_t)(l - w.s.nodes);
-		t_voters_cut (&w, &w.machines[(at + 2) % 4], 3000);
-		t_voters_cut (&w, &w.machines[(at + 3) % 4], 3000);
+		t_voters_cut (&w, &w.instances[(at + 2) % 4], 3000);
+		t_voters_cut (&w, &w.instances[(at + 3) % 4], 3000);
 		CU_ASSERT (
 			raft_propose (&l->raft, &at, sizeof at, &index, NULL));
 		t_voters_run (&w, 60);
-		t_voters_kill (&w, &w.machines[(at + 1) % 4], 20, true);
+		t_voters_kill (&w, &w.instances[(at + 1) % 4], 20, true);
 		t_voters_run (&w, 150);
 		CU_ASSERT (l->raft.commit < index);
 		expect_recovery (&w, seed, "lost copy");
@@ -213,12 +213,12 @@
 
 		t_voters_init (&w, seed, 5, 2);
 		t_voters_run (&w, 2000);
-		t_voters_cut (&w, &w.machines[3], 10000);
-		t_voters_cut (&w, &w.machines[4], 10000);
+		t_voters_cut (&w, &w.instances[3], 10000);
+		t_voters_cut (&w, &w.instances[4], 10000);
 		t_voters_run (&w, 9000);
 		CU_ASSERT_EQUAL (t_voters_count (&w), 5);
-		t_voters_kill (&w, &w.machines[0], 1000, true);
-		t_voters_kill (&w, &w.machines[1], 1000, true);
+		t_voters_kill (&w, &w.instances[0], 1000, true);
+		t_voters_kill (&w, &w.instances[1], 1000, true);
 		expect_recovery (&w, seed, "two of five cut off");
 	}
 }
@@ -232,7 +232,7 @@
 	t_voters_init (&w, 3, 7, 2);
 	t_voters_run (&w, 2000);
 	for (uint32_t i = 0; i < 3; i++) {
-		t_voters_remove (&w, &w.machines[i]);
+		t_voters_remove (&w, &w.instances[i]);
 		t_voters_run (&w, 4000);
 		CU_ASSERT_EQUAL (t_voters_count (&w), i < 2 ? 6 - i : 5);
 	}
@@ -248,7 +248,7 @@
 	uint64_t acks;
 
 	t_voters_init (&w, 5, 3, 2);
-	t_voters_cut (&w, &w.machines[2], 60000);
+	t_voters_cut (&w, &w.instances[2], 60000);
 	t_voters_run (&w, 6000);
 	CU_ASSERT (w.acks == 0 && t_voters_count (&w) == 3);
 	t_voters_add (&w);
@@ -266,7 +266,7 @@
 test_silent_learner (void)
 {
 	struct t_voters w;
-	struct t_machine *m;
+	struct t_instance *m;
 	struct rsim_node *l;
 
 	t_voters_init (&w, 7, 3, 1);
@@ -301,7 +301,7 @@
 	struct tally t = {0};
 
 	for (uint32_t i = 0; i < w->count; i++) {
-		const struct t_machine *m = &w->machines[i];
+		const struct t_instance *m = &w->instances[i];
 
 		if (m->gone)
 			continue;
@@ -313,13 +313,13 @@
 }
 
 /*
- * A machine is removed only once its successor has caught up, with no more
+ * An instance is removed only once its successor has caught up, with no more
  * lost beside it than may be.  Where one is, the disk that goes with the
- * removed machine may be the only one beside a disk that is lost now, so no
+ * removed instance may be the only one beside a disk that is lost now, so no
  * disk is lost until all are back.
  */
 static bool
-remove_one (struct t_voters *w, struct t_machine *m, uint32_t members,
+remove_one (struct t_voters *w, struct t_instance *m, uint32_t members,
 	    uint64_t *no_loss_until_ms)
 {
 	struct tally t = count (w);
@@ -338,7 +338,7 @@
 disturb (struct t_voters *w, uint32_t members, uint64_t *no_loss_until_ms,
 	 uint64_t *next_change_ms)
 {
-	struct t_machine *m = &w->machines[pick (w, 0, w->count - 1)];
+	struct t_instance *m = &w->instances[pick (w, 0, w->count - 1)];
 	struct tally t = count (w);
 	uint64_t now_ms = w->s.now_ms;
 
